--- /dev/null
+++ b/caller/trace.go
@@ -0,0 +1,16 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package caller
+
+import (
+	"context"
+	"net/http/httptrace"
+)
+
+// withConnected notes in connected that a connection was made.
+func withConnected(ctx context.Context, connected *bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { *connected = true },
+	})
+}
--- /dev/null
+++ b/claimer/table.go
@@ -0,0 +1,158 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package claimer
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/folder"
+)
+
+// The kinds of entries in a range's stream.
+const (
+	KindOpen    folder.Kind = "Open"
+	KindClaim   folder.Kind = "Claim"
+	KindOutcome folder.Kind = "Outcome"
+	KindExpire  folder.Kind = "Expire"
+)
+
+// Open begins the time of a new owner.
+type Open struct {
+	Epoch uint64
+}
+
+// Claim is a request for a key by its claimant.
+type Claim struct {
+	Epoch uint64
+	Request
+}
+
+// Settle records what became of a claim.
+type Settle struct {
+	Epoch uint64
+	Outcome
+}
+
+// Expire forgets keys whose last change was before a time of the log's clock.
+type Expire struct {
+	Epoch  uint64
+	Before time.Time
+}
+
+// Entry is the state of one key.
+type Entry struct {
+	Digest Digest
+	Nonce  string
+	State  State
+	At     time.Time // At is the log's time of the last change.
+	Answer *Answer   `cbor:",omitempty"`
+}
+
+// Table is the fold of one range's stream. It implements folder.State.
+type Table struct {
+	epoch uint64
+	owner string
+	keys  map[Key]Entry
+}
+
+type tableImage struct {
+	Epoch uint64
+	Owner string
+	Keys  map[Key]Entry
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{keys: make(map[Key]Entry)} }
+
+// Epoch returns the epoch of the last Open.
+func (t *Table) Epoch() uint64 { return t.epoch }
+
+// Owner returns the writer of the last Open.
+func (t *Table) Owner() string { return t.owner }
+
+// Len returns the number of keys remembered.
+func (t *Table) Len() int { return len(t.keys) }
+
+// Lookup returns the state of a key.
+func (t *Table) Lookup(k Key) (Entry, bool) {
+	e, ok := t.keys[k]
+	return e, ok
+}
+
+// Apply implements folder.State.
+func (t *Table) Apply(at folder.Position, writer string, e folder.Entry) {
+	switch e.Kind {
+	case KindOpen:
+		var o Open
+		if e.Decode(&o) && o.Epoch > t.epoch {
+			t.epoch, t.owner = o.Epoch, writer
+		}
+	case KindClaim:
+		var c Claim
+		if e.Decode(&c) && t.current(writer, c.Epoch) {
+			t.claim(at, c)
+		}
+	case KindOutcome:
+		var s Settle
+		if e.Decode(&s) && t.current(writer, s.Epoch) {
+			t.settle(at, s)
+		}
+	case KindExpire:
+		var x Expire
+		if e.Decode(&x) && t.current(writer, x.Epoch) {
+			t.expire(x.Before)
+		}
+	}
+}
+
+func (t *Table) current(writer string, epoch uint64) bool {
+	return epoch == t.epoch && writer == t.owner
+}
+
+func (t *Table) claim(at folder.Position, c Claim) {
+	if old, ok := t.keys[c.Key]; ok && old.State != StateNotRun {
+		return
+	}
+	t.keys[c.Key] = Entry{Digest: c.Digest, Nonce: c.Nonce, State: StateClaimed, At: at.Time}
+}
+
+// settle changes the state of a claim. Done is final; Unknown may still be
+// corrected by the claimant.
+func (t *Table) settle(at folder.Position, s Settle) {
+	e, ok := t.keys[s.Key]
+	if !ok || e.Nonce != s.Nonce || e.State == StateDone || e.State == StateNotRun {
+		return
+	}
+	if s.State == StateClaimed || s.State == e.State {
+		return
+	}
+	e.State, e.Answer, e.At = s.State, s.Answer, at.Time
+	t.keys[s.Key] = e
+}
+
+func (t *Table) expire(before time.Time) {
+	for k, e := range t.keys {
+		if e.At.Before(before) && e.State != StateClaimed {
+			delete(t.keys, k)
+		}
+	}
+}
+
+// EncodeState implements folder.State.
+func (t *Table) EncodeState() []byte {
+	return folder.EncodeCBOR(tableImage{Epoch: t.epoch, Owner: t.owner, Keys: t.keys})
+}
+
+// DecodeState implements folder.State.
+func (t *Table) DecodeState(b []byte) error {
+	var img tableImage
+	if err := folder.DecodeCBOR(b, &img); err != nil {
+		return err
+	}
+	if img.Keys == nil {
+		img.Keys = make(map[Key]Entry)
+	}
+	t.epoch, t.owner, t.keys = img.Epoch, img.Owner, img.Keys
+	return nil
+}
--- /dev/null
+++ b/configurer/fold.go
@@ -0,0 +1,126 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package configurer
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/folder"
+)
+
+// StreamName is the name of the configuration's stream in the log.
+const StreamName = "Configuration"
+
+// KindDelta is the kind of the entries that change the configuration.
+const KindDelta folder.Kind = "Delta"
+
+// Fate tells what became of a published change.
+type Fate string
+
+// The fates.
+const (
+	FateAccepted Fate = "Accepted"
+	FateConflict Fate = "Conflict" // FateConflict says that the base was no longer in force.
+	FateInvalid  Fate = "Invalid"  // FateInvalid says that the result is not a valid document.
+)
+
+// Result is what became of one change.
+type Result struct {
+	ID       string
+	Author   string
+	Base     uint64
+	Fate     Fate
+	Revision uint64 // Revision is in force after the change was read.
+	At       time.Time
+	Detail   string
+}
+
+// maxResults is the number of results that are remembered.
+const maxResults = 256
+
+// State is the fold of the configuration's stream: the document in force and
+// what became of the latest changes. It implements folder.State. The zero
+// value is revision 0 without a document.
+type State struct {
+	revision uint64
+	document *Document
+	results  []Result
+}
+
+type stateImage struct {
+	Revision uint64
+	Document []byte
+	Results  []Result
+}
+
+// Revision returns the number of the revision in force.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Document returns the document in force, or nil. It must not be changed.
+func (s *State) Document() *Document { return s.document }
+
+// Results returns what became of the latest changes, oldest first.
+func (s *State) Results() []Result { return s.results }
+
+// Result returns what became of a change.
+func (s *State) Result(id string) (Result, bool) {
+	for i := len(s.results) - 1; i >= 0; i-- {
+		if s.results[i].ID == id {
+			return s.results[i], true
+		}
+	}
+	return Result{}, false
+}
+
+// Apply implements folder.State.
+func (s *State) Apply(at folder.Position, _ string, e folder.Entry) {
+	var d Delta
+	if e.Kind != KindDelta || !e.Decode(&d) {
+		return
+	}
+	if _, again := s.Result(d.ID); again {
+		return
+	}
+	r := Result{ID: d.ID, Author: d.Author, Base: d.Base, Revision: s.revision, At: at.Time}
+	if d.Base != s.revision {
+		r.Fate = FateConflict
+	} else if doc, err := d.ApplyTo(s.document); err != nil {
+		r.Fate, r.Detail = FateInvalid, err.Error()
+	} else {
+		s.revision++
+		s.document = doc
+		r.Fate, r.Revision = FateAccepted, s.revision
+	}
+	s.results = append(s.results, r)
+	if len(s.results) > maxResults {
+		s.results = append([]Result(nil), s.results[len(s.results)-maxResults:]...)
+	}
+}
+
+// EncodeState implements folder.State.
+func (s *State) EncodeState() []byte {
+	img := stateImage{Revision: s.revision, Results: s.results}
+	if s.document != nil {
+		img.Document = s.document.keyed()
+	}
+	return folder.EncodeCBOR(img)
+}
+
+// DecodeState implements folder.State.
+func (s *State) DecodeState(b []byte) error {
+	var img stateImage
+	if err := folder.DecodeCBOR(b, &img); err != nil {
+		return err
+	}
+	var doc *Document
+	if len(img.Document) > 0 {
+		d, err := fromKeyed(img.Document)
+		if err != nil {
+			return err
+		}
+		doc = d
+	}
+	s.revision, s.document, s.results = img.Revision, doc, img.Results
+	return nil
+}
--- /dev/null
+++ b/controller/configuration.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package controller
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// publish appends a change of the configuration. What became of it is known
+// only when it is read back.
+func (n *Node) publish(d configurer.Delta) {
+	if r, ok := n.config.Result(d.ID); ok {
+		n.do(Published{Result: r})
+		return
+	}
+	if n.awaited[d.ID] {
+		return
+	}
+	n.awaited[d.ID] = true
+	n.streams[configurer.StreamName].queue.Add(folder.NewEntry(configurer.KindDelta, d))
+}
+
+// configurationApplied puts what the fold made of a record into force.
+func (n *Node) configurationApplied(now time.Time, rec folder.Applied) {
+	for _, e := range rec.Entries {
+		var d configurer.Delta
+		if e.Kind != configurer.KindDelta || !e.Decode(&d) {
+			continue
+		}
+		if r, ok := n.config.Result(d.ID); ok && n.awaited[d.ID] {
+			delete(n.awaited, d.ID)
+			n.do(Published{Result: r})
+		}
+	}
+	n.configurationChanged(now)
+}
+
+func (n *Node) configurationChanged(now time.Time) {
+	n.viewAt = time.Time{} // a new configuration comes into force at once
+	n.viewDirty = true
+	revision := n.config.Revision()
+	if r, news := n.hosts.Say(func(r *tracker.HostRecord) { r.Revision = revision }); news {
+		n.spreadHosts("", []tracker.HostRecord{r})
+	}
+	n.claimant.SetPolicy(n.claimPolicy())
+	for _, c := range n.ranges {
+		if c != nil {
+			c.owner.SetPolicy(n.claimPolicy())
+		}
+	}
+	doc := n.config.Document()
+	if doc == nil {
+		return
+	}
+	names := make(map[string]bool, len(doc.Upstreams))
+	for i := range doc.Upstreams {
+		names[doc.Upstreams[i].Name] = true
+	}
+	n.upstreams.Retain(func(name string) bool { return names[name] })
+	n.setLimits(now)
+}
+
+// Configuration returns the fold of the configuration.
+func (n *Node) Configuration() *configurer.State { return n.config }
--- /dev/null
+++ b/controller/membership.go
@@ -0,0 +1,289 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package controller
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/leaser"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/router"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// loadMark is what this host had sent to an upstream when its newest load
+// report was made.
+type loadMark struct {
+	mark router.Mark
+	at   time.Time
+}
+
+// beat sends heartbeats and looks for silent hosts.
+func (n *Node) beat(now time.Time) {
+	if now.Sub(n.lastBeat) < n.opts.Heartbeat {
+		return
+	}
+	n.lastBeat = now
+	if news := n.hosts.Tick(now); len(news) > 0 {
+		n.spreadHosts("", news)
+		n.viewDirty = true
+	}
+	m := &messenger.Message{Digest: n.hosts.Digest()}
+	for _, h := range n.hosts.Neighbours() {
+		n.do(Send{To: h, Message: m})
+	}
+}
+
+// spreadHosts passes host records on to all neighbours but the one that they
+// came from.
+func (n *Node) spreadHosts(from string, news []tracker.HostRecord) {
+	n.spread(from, &messenger.Message{Hosts: news})
+}
+
+func (n *Node) spread(from string, m *messenger.Message) {
+	for _, h := range n.hosts.Neighbours() {
+		if h != from {
+			n.do(Send{To: h, Message: m})
+		}
+	}
+}
+
+func (n *Node) peerUp(now time.Time, host string) {
+	n.hosts.Heard(now, host)
+	n.sendFull(now, host)
+}
+
+// sendFull sends all that is known of hosts and upstreams to one host.
+func (n *Node) sendFull(now time.Time, host string) {
+	n.lastFull[host] = now
+	n.do(Send{To: host, Message: &messenger.Message{
+		Full:      true,
+		Digest:    n.hosts.Digest(),
+		Hosts:     n.hosts.All(),
+		Upstreams: n.upstreams.All(),
+	}})
+}
+
+func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
+	n.hosts.Heard(now, ev.From)
+	m := ev.Message
+	n.mergeHosts(now, ev.From, m.Hosts)
+	n.mergeUpstreams(ev.From, m.Upstreams)
+	n.mergeLoads(now, m.Loads)
+	for _, c := range m.Claims {
+		n.claimMessage(now, ev.From, c)
+	}
+	for _, r := range m.Replies {
+		n.steps(now, n.claimant.Answer(now, r))
+	}
+	n.answerWants(ev.From, m.Wants)
+	if m.Snapshot != nil {
+		n.adopt(now, *m.Snapshot)
+	}
+	if m.Demand != nil {
+		n.demanded(now, ev.From, *m.Demand)
+	}
+	if m.Grants != nil {
+		n.granted(now, *m.Grants)
+	}
+	if m.Digest != 0 && m.Digest != n.hosts.Digest() && now.Sub(n.lastFull[ev.From]) > fullInterval {
+		n.sendFull(now, ev.From)
+	}
+}
+
+func (n *Node) mergeHosts(now time.Time, from string, records []tracker.HostRecord) {
+	var news []tracker.HostRecord
+	for _, r := range records {
+		news = append(news, n.hosts.Merge(now, r)...)
+	}
+	if len(news) == 0 {
+		return
+	}
+	n.viewDirty = true
+	n.spreadHosts(from, news)
+}
+
+func (n *Node) mergeUpstreams(from string, records []tracker.UpstreamRecord) {
+	var news []tracker.UpstreamRecord
+	for _, r := range records {
+		if n.upstreams.Merge(r) {
+			news = append(news, r)
+		}
+	}
+	n.spreadUpstreams(from, news)
+}
+
+// spreadUpstreams passes news of upstreams on and puts them into force at
+// once: an upstream that leaves must get no new work.
+func (n *Node) spreadUpstreams(from string, news []tracker.UpstreamRecord) {
+	if len(news) == 0 {
+		return
+	}
+	n.viewAt = time.Time{}
+	n.viewDirty = true
+	n.spread(from, &messenger.Message{Upstreams: news})
+}
+
+func (n *Node) mergeLoads(now time.Time, loads []tracker.LoadDigest) {
+	for _, l := range loads {
+		if !n.upstreams.MergeLoad(now, l) {
+			continue
+		}
+		n.marks[l.Upstream] = loadMark{mark: n.opts.Registry.Get(l.Upstream).Meter.Mark(), at: now}
+		n.viewDirty = true
+		if len(n.hosts.Neighbours()) >= relayFrom {
+			n.loads = append(n.loads, l)
+		}
+	}
+}
+
+// relayFrom is the number of neighbours from which the mesh is not full and
+// load digests must be relayed.
+const relayFrom = 9
+
+// loadReported takes an upstream's own report, as one of its watchers.
+func (n *Node) loadReported(now time.Time, ev LoadReported) {
+	if ev.Report == nil {
+		if r, news := n.upstreams.Unanswered(now, ev.Upstream); news {
+			n.spreadUpstreams("", []tracker.UpstreamRecord{r})
+		}
+		return
+	}
+	r, news := n.upstreams.Reported(now, n.opts.Self.Host, ev.Upstream, *ev.Report)
+	if news {
+		n.spreadUpstreams("", []tracker.UpstreamRecord{r})
+	}
+	n.marks[ev.Upstream] = loadMark{mark: ev.Mark, at: now}
+	_, digest, _ := n.upstreams.Lookup(ev.Upstream)
+	n.loads = append(n.loads, digest)
+	n.viewDirty = true
+}
+
+// flushLoads sends gathered load digests.
+func (n *Node) flushLoads(now time.Time) {
+	if len(n.loads) == 0 || now.Sub(n.lastLoads) < loadFlush {
+		return
+	}
+	n.lastLoads = now
+	n.spread("", &messenger.Message{Loads: n.loads})
+	n.loads = nil
+}
+
+func (n *Node) hostsListed(now time.Time, ev HostsListed) {
+	if news := n.hosts.Listed(now, ev.Answer.Hosts); len(news) > 0 {
+		n.spreadHosts("", news)
+	}
+	n.viewDirty = true
+	doc := n.config.Document()
+	if doc == nil {
+		return
+	}
+	leaving := make(map[string]bool)
+	for _, l := range ev.Answer.Upstreams {
+		leaving[l.Address] = l.State == connector.ListedLeaving
+	}
+	var news []tracker.UpstreamRecord
+	for i := range doc.Upstreams {
+		u := &doc.Upstreams[i]
+		if r, ok := n.upstreams.Listed(u.Name, leaving[u.Address]); ok {
+			news = append(news, r)
+		}
+	}
+	n.spreadUpstreams("", news)
+}
+
+// Watched returns the upstreams that this host must ask for their load.
+func (n *Node) Watched() []configurer.Upstream {
+	doc := n.config.Document()
+	if doc == nil {
+		return nil
+	}
+	live := n.hosts.Live()
+	var out []configurer.Upstream
+	for _, u := range doc.Upstreams {
+		if n.upstreams.Watches(live, n.opts.Self.Host, u.Name) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// PeerAddress returns where another host can be reached.
+func (n *Node) PeerAddress(host string) string {
+	r, _ := n.hosts.Lookup(host)
+	return r.Peers
+}
+
+// Neighbours returns the hosts to keep connections to.
+func (n *Node) Neighbours() []string { return n.hosts.Neighbours() }
+
+// Hosts returns what is known of all hosts.
+func (n *Node) Hosts() []tracker.HostRecord { return n.hosts.All() }
+
+// askSnapshots asks the neighbours for the folds that this host lacks while
+// the log cannot be read.
+func (n *Node) askSnapshots(now time.Time) {
+	if now.Sub(n.lastWants) < snapshotAgain {
+		return
+	}
+	var wants []string
+	for _, name := range []string{configurer.StreamName, leaser.StreamName} {
+		s := n.streams[name]
+		if s.failing && (!s.fold.Ready() || n.behind(name)) {
+			wants = append(wants, name)
+		}
+	}
+	if len(wants) == 0 {
+		return
+	}
+	n.lastWants = now
+	n.spread("", &messenger.Message{Wants: wants})
+}
+
+// behind reports whether another host has a newer configuration in force.
+func (n *Node) behind(stream string) bool {
+	if stream != configurer.StreamName {
+		return false
+	}
+	for _, r := range n.hosts.All() {
+		if r.State == tracker.HostLive && r.Revision > n.config.Revision() {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) answerWants(to string, wants []string) {
+	for _, name := range wants {
+		if s := n.streams[name]; s != nil && s.fold.Ready() && !isClaims(name) {
+			cp := s.fold.Snapshot(n.opts.LogRetention)
+			n.do(Send{To: to, Message: &messenger.Message{Snapshot: &messenger.StreamSnapshot{Stream: name, Checkpoint: cp}}})
+		}
+	}
+}
+
+func isClaims(stream string) bool {
+	for r := range claimer.Ranges {
+		if stream == claimer.StreamName(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt takes a peer's snapshot of a stream that cannot be read.
+func (n *Node) adopt(now time.Time, snap messenger.StreamSnapshot) {
+	s := n.streams[snap.Stream]
+	if s == nil || !s.failing || isClaims(snap.Stream) || !s.fold.Adopt(snap.Checkpoint) {
+		return
+	}
+	n.do(Follow{Stream: snap.Stream, From: s.fold.Next()})
+	if snap.Stream == configurer.StreamName {
+		n.configurationChanged(now)
+	}
+	n.viewDirty = true
+}
--- /dev/null
+++ b/controller/view.go
@@ -0,0 +1,136 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package controller
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/publisher"
+	"amaranthgate.example/amaranthgate/router"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// View returns the newest snapshot for traffic.
+func (n *Node) View() *publisher.Snapshot { return n.view }
+
+// refreshView makes a new snapshot if something changed, at most once in each
+// viewInterval.
+func (n *Node) refreshView(now time.Time) {
+	if !n.viewDirty || now.Sub(n.viewAt) < viewInterval {
+		return
+	}
+	n.viewDirty = false
+	n.viewAt = now
+	n.view = n.snapshot()
+	n.do(ViewChanged{})
+}
+
+func (n *Node) snapshot() *publisher.Snapshot {
+	doc := n.config.Document()
+	if doc == nil {
+		doc = &configurer.Document{}
+	}
+	s := n.baseSnapshot(doc)
+	s.Ready = n.Ready()
+	s.Leaving = n.leaving
+	s.Addresses = n.addresses()
+	for i := range doc.Upstreams {
+		n.addUpstream(s, &doc.Upstreams[i])
+	}
+	return s
+}
+
+// baseSnapshot reuses the index of workspaces while the document is the same.
+func (n *Node) baseSnapshot(doc *configurer.Document) *publisher.Snapshot {
+	if n.view != nil && n.view.Document == doc {
+		return n.view.WithoutPools()
+	}
+	return publisher.NewSnapshot(doc, n.config.Revision())
+}
+
+// addresses returns the hosts that callers may use.
+func (n *Node) addresses() []publisher.Address {
+	var out []publisher.Address
+	for _, r := range n.hosts.All() {
+		if r.State == tracker.HostLive && r.Callers != "" && r.Revision > 0 {
+			out = append(out, publisher.Address{
+				Host:             r.Host,
+				Address:          r.Callers,
+				AvailabilityZone: r.AvailabilityZone,
+				Weight:           max(r.Spare, 0.05),
+			})
+		}
+	}
+	return out
+}
+
+// addUpstream puts an upstream into the pools that it belongs to.
+func (n *Node) addUpstream(s *publisher.Snapshot, u *configurer.Upstream) {
+	record, digest, _ := n.upstreams.Lookup(u.Name)
+	in := n.opts.Registry.Get(u.Name)
+	target := router.Target{
+		Name:          u.Name,
+		Hash:          router.NameHash(u.Name),
+		Usable:        record.State == tracker.UpstreamLive,
+		Near:          u.AvailabilityZone == n.opts.Self.AvailabilityZone,
+		Slots:         float64(u.Slots),
+		PrefillRate:   u.PrefillRate,
+		LinkRate:      u.LinkRate,
+		BytesPerToken: u.BytesPerToken,
+		Load: router.Load{
+			Running:       digest.Running,
+			Waiting:       digest.Waiting,
+			WaitingTokens: digest.WaitingTokens,
+			Base:          n.marks[u.Name].mark,
+		},
+		Meter: &in.Meter,
+	}
+	if u.Kind == configurer.KindService {
+		pool := poolOf(s.Services, u.Service)
+		pool.Add(target, publisher.Upstream{Upstream: u, Instruments: in})
+		return
+	}
+	for _, model := range u.Models {
+		up := publisher.Upstream{Upstream: u, Instruments: in, Versions: versions(digest, model)}
+		t := target
+		t.Usable = t.Usable && serves(s.Document, digest, model, up.Versions)
+		poolOf(s.Engines, model).Add(t, up)
+	}
+}
+
+func poolOf(pools map[string]*publisher.Pool, name string) *publisher.Pool {
+	p := pools[name]
+	if p == nil {
+		p = &publisher.Pool{}
+		pools[name] = p
+	}
+	return p
+}
+
+// versions returns the loaded versions of a model.
+func versions(d tracker.LoadDigest, model string) []string {
+	var out []string
+	for _, m := range d.Models {
+		if m.Name == model && !m.Loading {
+			out = append(out, m.Version)
+		}
+	}
+	return out
+}
+
+// serves reports whether an upstream has the version in force. Before its first
+// report it is trusted to have it.
+func serves(doc *configurer.Document, d tracker.LoadDigest, model string, loaded []string) bool {
+	if d.Stamp == 0 {
+		return true
+	}
+	m, _ := doc.Model(model)
+	for _, v := range loaded {
+		if v == m.Version {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/emulator/log.go
@@ -0,0 +1,223 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/folder"
+)
+
+// maxRecordBytes bounds one append.
+const maxRecordBytes = 4 << 20
+
+// LogOptions set up a log.
+type LogOptions struct {
+	Retention time.Duration    // Retention is how long records are kept; 0 keeps them for ever.
+	Latency   time.Duration    // Latency is the time that an append takes.
+	Now       func() time.Time // Now is the log's clock; nil is the machine's.
+	Seed      uint64
+}
+
+// LogFault is what goes wrong at the log now.
+type LogFault struct {
+	Down        bool          // Down refuses every call.
+	Slow        time.Duration // Slow delays every call.
+	LoseAnswers float64       // LoseAnswers is the share of appends that take effect but are not answered.
+}
+
+// Log is a stand-in for the platform's append-only log.
+type Log struct {
+	opts LogOptions
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	fault   LogFault
+	streams map[string]*stream
+	appends uint64
+}
+
+type stream struct {
+	earliest uint64
+	records  []folder.Raw
+	changed  chan struct{}
+}
+
+// NewLog returns an empty log.
+func NewLog(opts LogOptions) *Log {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Log{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)), streams: make(map[string]*stream)}
+}
+
+// SetFault replaces what goes wrong.
+func (l *Log) SetFault(f LogFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+}
+
+// Appends returns the number of appends that took effect.
+func (l *Log) Appends() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Expire drops all records of a stream but the newest keep.
+func (l *Log) Expire(name string, keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	if n := len(s.records) - keep; n > 0 {
+		s.earliest += uint64(n)
+		s.records = append([]folder.Raw(nil), s.records[n:]...)
+	}
+}
+
+// Append adds a record as a client's call does, without faults.
+func (l *Log) Append(name string, body []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.append(name, body)
+}
+
+func (l *Log) append(name string, body []byte) uint64 {
+	s := l.stream(name)
+	offset := s.earliest + uint64(len(s.records))
+	s.records = append(s.records, folder.Raw{Offset: offset, Time: l.opts.Now(), Body: body})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	l.appends++
+	return offset
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	if l.opts.Retention > 0 {
+		s.expire(l.opts.Now().Add(-l.opts.Retention))
+	}
+	return s
+}
+
+func (s *stream) expire(before time.Time) {
+	n := 0
+	for n < len(s.records) && s.records[n].Time.Before(before) {
+		n++
+	}
+	s.earliest += uint64(n)
+	s.records = s.records[n:]
+}
+
+// Page returns records from an offset on, and a channel that is closed when
+// there is more.
+func (l *Log) Page(name string, from uint64, limit int) (folder.Page, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	p := folder.Page{Earliest: s.earliest, Next: s.earliest + uint64(len(s.records))}
+	from = max(from, s.earliest)
+	if from < p.Next {
+		tail := s.records[from-s.earliest:]
+		p.Records = append(p.Records, tail[:min(limit, len(tail))]...)
+	}
+	return p, s.changed
+}
+
+// Handler serves the log over HTTP.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", l.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", l.serveRead)
+	return mux
+}
+
+// admit applies the present fault and reports whether the call goes on.
+func (l *Log) admit(w http.ResponseWriter, r *http.Request) (LogFault, bool) {
+	l.mu.Lock()
+	f := l.fault
+	l.mu.Unlock()
+	if f.Down {
+		http.Error(w, "log is down", http.StatusServiceUnavailable)
+		return f, false
+	}
+	if f.Slow > 0 {
+		select {
+		case <-time.After(f.Slow):
+		case <-r.Context().Done():
+			return f, false
+		}
+	}
+	return f, true
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	f, ok := l.admit(w, r)
+	if !ok {
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, "record too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if l.opts.Latency > 0 {
+		time.Sleep(l.opts.Latency)
+	}
+	l.mu.Lock()
+	offset := l.append(r.PathValue("stream"), body)
+	lose := l.rng.Float64() < f.LoseAnswers
+	l.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, connector.AppendAnswer{Offset: offset})
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	if _, ok := l.admit(w, r); !ok {
+		return
+	}
+	q := r.URL.Query()
+	from, err1 := strconv.ParseUint(q.Get("From"), 10, 64)
+	limit, err2 := strconv.Atoi(q.Get("Limit"))
+	wait, err3 := time.ParseDuration(q.Get("Wait"))
+	if err1 != nil || err2 != nil || err3 != nil || limit <= 0 {
+		http.Error(w, "bad read", http.StatusBadRequest)
+		return
+	}
+	deadline := time.After(wait)
+	for {
+		p, changed := l.Page(r.PathValue("stream"), from, limit)
+		if len(p.Records) > 0 || p.Earliest > from {
+			writeJSON(w, p)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			writeJSON(w, p)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/emulator/run.go
@@ -0,0 +1,166 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"amaranthgate.example/amaranthgate/internal/wire"
+	"amaranthgate.example/amaranthgate/keeper"
+)
+
+// run is one request at an engine.
+type run struct {
+	engine  *Engine
+	req     *wire.CompletionRequest
+	fault   *EngineFault
+	nonce   string
+	version string
+	chat    bool
+	usage   wire.Usage
+}
+
+func (r *run) serve(w http.ResponseWriter, hr *http.Request) {
+	prompt := r.req.PromptText()
+	tokens := (len(prompt) + keeper.BytesPerToken - 1) / keeper.BytesPerToken
+	leave, ok := r.engine.batch.enter(hr.Context(), r.req.Priority, tokens)
+	if !ok {
+		return
+	}
+	defer leave()
+	r.engine.note(r.nonce)
+	r.prefill(hr.Context(), prompt, tokens)
+	if r.fault.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.nonce
+	if r.fault.Cross {
+		id = "another-" + id
+	}
+	w.Header().Set(wire.HeaderNonce, id)
+	w.Header().Set(wire.HeaderVersion, r.version)
+	g := newGenerator(prompt)
+	if r.req.Stream {
+		r.stream(w, hr, id, g)
+		return
+	}
+	r.whole(w, hr, id, g)
+}
+
+// prefill takes the time to import kept blocks and to compute the rest of the
+// prompt, and puts its blocks into the cache.
+func (r *run) prefill(ctx context.Context, prompt string, tokens int) {
+	chain := keeper.NewChain(r.req.CacheSalt, prompt)
+	cached := r.engine.cache.use(chain, r.req.Restore)
+	wait := r.fault.Slow
+	if rate := r.engine.opts.LinkRate; rate > 0 {
+		wait += time.Duration(float64(cached.restored) / rate * float64(time.Second))
+	}
+	reused := (cached.hit + cached.restored) * keeper.TokensPerBlock
+	if rate := r.engine.opts.PrefillRate; rate > 0 {
+		wait += time.Duration(float64(tokens-reused) / rate * float64(time.Second))
+	}
+	r.usage.PromptTokens = tokens
+	r.usage.PromptDetails.CachedTokens = reused
+	sleep(ctx, wait)
+}
+
+func (r *run) whole(w http.ResponseWriter, hr *http.Request, id string, g *generator) {
+	var text strings.Builder
+	for range r.req.MaxTokens {
+		sleep(hr.Context(), r.engine.opts.TokenInterval)
+		text.WriteString(g.next())
+	}
+	stop := "stop"
+	c := wire.Chunk{ID: id, Object: r.object(false), Model: r.req.Model, Choices: []wire.Choice{{FinishReason: &stop}}, Usage: r.finalUsage(r.req.MaxTokens)}
+	if r.chat {
+		c.Choices[0].Message = &wire.Message{Role: "assistant", Content: text.String()}
+	} else {
+		c.Choices[0].Text = text.String()
+	}
+	writeJSON(w, c)
+}
+
+func (r *run) stream(w http.ResponseWriter, hr *http.Request, id string, g *generator) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	for i := range r.req.MaxTokens {
+		if i > 0 {
+			sleep(hr.Context(), r.engine.opts.TokenInterval)
+		}
+		if hr.Context().Err() != nil {
+			return
+		}
+		if r.fault.CutAfter > 0 && i >= r.fault.CutAfter {
+			_ = out.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		r.event(w, r.chunk(id, g.next()))
+		_ = out.Flush()
+	}
+	stop := "stop"
+	last := r.chunk(id, "")
+	last.Choices[0].FinishReason = &stop
+	r.event(w, last)
+	if r.req.StreamOptions != nil && r.req.StreamOptions.IncludeUsage {
+		r.event(w, wire.Chunk{ID: id, Object: r.object(true), Model: r.req.Model, Choices: []wire.Choice{}, Usage: r.finalUsage(r.req.MaxTokens)})
+	}
+	if !r.fault.NoMarker {
+		_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	}
+	_ = out.Flush()
+}
+
+func (r *run) chunk(id, text string) wire.Chunk {
+	c := wire.Chunk{ID: id, Object: r.object(true), Model: r.req.Model, Choices: []wire.Choice{{}}}
+	if r.chat {
+		c.Choices[0].Delta = &wire.Message{Content: text}
+	} else {
+		c.Choices[0].Text = text
+	}
+	return c
+}
+
+func (r *run) event(w http.ResponseWriter, c wire.Chunk) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic("emulator: " + err.Error())
+	}
+	_, _ = w.Write([]byte("data: "))
+	_, _ = w.Write(b)
+	_, _ = w.Write([]byte("\n\n"))
+}
+
+func (r *run) object(chunk bool) string {
+	switch {
+	case r.chat && chunk:
+		return "chat.completion.chunk"
+	case r.chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+func (r *run) finalUsage(n int) *wire.Usage {
+	u := r.usage
+	u.CompletionTokens = n
+	u.TotalTokens = u.PromptTokens + n
+	return &u
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,279 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amaranthgate.example/amaranthgate/internal/wire"
+)
+
+// Ran tells whether an attempt can have run at the upstream.
+type Ran string
+
+// The values of Ran.
+const (
+	RanNo      Ran = "No"
+	RanUnknown Ran = "Unknown"
+	RanYes     Ran = "Yes"
+)
+
+// Cause tells why an attempt failed.
+type Cause string
+
+// The causes.
+const (
+	CauseConnect   Cause = "Connect"   // CauseConnect says that no connection was made.
+	CauseLost      Cause = "Lost"      // CauseLost says that the connection broke before an answer.
+	CauseTimeout   Cause = "Timeout"   // CauseTimeout says that the answer did not come in time.
+	CauseRefused   Cause = "Refused"   // CauseRefused says that the upstream refused.
+	CauseCrossed   Cause = "Crossed"   // CauseCrossed says that the answer belongs to another attempt.
+	CauseCut       Cause = "Cut"       // CauseCut says that the answer ended too early.
+	CauseMalformed Cause = "Malformed" // CauseMalformed says that the answer cannot be read.
+	CauseCaller    Cause = "Caller"    // CauseCaller says that the caller went away.
+)
+
+// Failure is how an attempt failed.
+type Failure struct {
+	Cause      Cause
+	Ran        Ran
+	Status     int           // Status is the upstream's status, if it answered.
+	RetryAfter time.Duration // RetryAfter is the upstream's advice, if any.
+	Detail     string
+}
+
+// Attempt is one try to get a request answered.
+type Attempt struct {
+	Upstream   string
+	Address    string // Address is IP:port.
+	Method     string
+	Path       string
+	Header     http.Header
+	Body       []byte
+	Nonce      string
+	FirstToken time.Duration // FirstToken bounds the wait for the answer's headers.
+	Interval   time.Duration // Interval bounds the silence within an answer.
+	OnlyOnce   bool          // OnlyOnce forbids the transport to send the request again.
+}
+
+// Options set up a forwarder.
+type Options struct {
+	ConnsPerUpstream int           // ConnsPerUpstream bounds connections to one upstream; default 256.
+	DialTimeout      time.Duration // DialTimeout bounds a connect; default 1 s.
+}
+
+// Forwarder sends attempts. It is safe for concurrent use.
+type Forwarder struct {
+	opts Options
+
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+
+	Crossed atomic.Uint64 // Crossed counts answers that named another attempt.
+}
+
+const (
+	defaultConns = 256
+	defaultDial  = time.Second
+	maxHeader    = 64 << 10
+)
+
+// New returns a forwarder without connections.
+func New(opts Options) *Forwarder {
+	if opts.ConnsPerUpstream == 0 {
+		opts.ConnsPerUpstream = defaultConns
+	}
+	if opts.DialTimeout == 0 {
+		opts.DialTimeout = defaultDial
+	}
+	return &Forwarder{opts: opts, transports: make(map[string]*http.Transport)}
+}
+
+// transport returns the pool of connections to one upstream.
+func (f *Forwarder) transport(address string) *http.Transport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.transports[address]
+	if t == nil {
+		t = &http.Transport{
+			DialContext:            (&net.Dialer{Timeout: f.opts.DialTimeout}).DialContext,
+			MaxConnsPerHost:        f.opts.ConnsPerUpstream,
+			MaxIdleConnsPerHost:    f.opts.ConnsPerUpstream,
+			IdleConnTimeout:        time.Minute,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeader,
+		}
+		f.transports[address] = t
+	}
+	return t
+}
+
+// Retain closes idle connections to the upstreams for which keep is false.
+func (f *Forwarder) Retain(keep func(address string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a, t := range f.transports {
+		if !keep(a) {
+			t.CloseIdleConnections()
+			delete(f.transports, a)
+		}
+	}
+}
+
+// Open sends an attempt and waits for the head of its answer. Exactly one of
+// the results is not nil. The caller must close the response.
+func (f *Forwarder) Open(ctx context.Context, a *Attempt) (*Response, *Failure) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, bytes.NewReader(a.Body))
+	if err != nil {
+		cancel(nil)
+		return nil, &Failure{Cause: CauseMalformed, Ran: RanNo, Detail: err.Error()}
+	}
+	if a.OnlyOnce {
+		req.GetBody = nil
+		req.Close = true
+	}
+	if a.Header != nil {
+		req.Header = a.Header
+	}
+	req.Header.Set(wire.HeaderNonce, a.Nonce)
+	watch := newWatch(a.FirstToken, cancel)
+	resp, err := f.transport(a.Address).RoundTrip(req)
+	if err != nil {
+		watch.stop()
+		cancel(nil)
+		return nil, openFailure(ctx, err, connected.Load())
+	}
+	r := &Response{forwarder: f, attempt: a, ctx: ctx, cancel: cancel, watch: watch, resp: resp}
+	if fail := r.head(); fail != nil {
+		r.Close()
+		return nil, fail
+	}
+	return r, nil
+}
+
+// errSilent is the cause by which a watch cancels an attempt.
+type errSilent struct{}
+
+func (errSilent) Error() string { return "forwarder: upstream was silent for too long" }
+
+// watch cancels an attempt that makes no progress.
+type watch struct {
+	timer *time.Timer
+}
+
+func newWatch(d time.Duration, cancel context.CancelCauseFunc) *watch {
+	return &watch{timer: time.AfterFunc(d, func() { cancel(errSilent{}) })}
+}
+
+func (w *watch) reset(d time.Duration) { w.timer.Reset(d) }
+func (w *watch) stop()                 { w.timer.Stop() }
+
+func openFailure(ctx context.Context, err error, connected bool) *Failure {
+	f := &Failure{Cause: CauseLost, Ran: RanUnknown, Detail: err.Error()}
+	if !connected {
+		f.Cause, f.Ran = CauseConnect, RanNo
+	}
+	if ctx.Err() != nil {
+		f.Cause = CauseCaller
+		if _, silent := context.Cause(ctx).(errSilent); silent {
+			f.Cause = CauseTimeout
+		}
+	}
+	return f
+}
+
+// Response is the answer to an attempt whose head has arrived.
+type Response struct {
+	forwarder *Forwarder
+	attempt   *Attempt
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	watch     *watch
+	resp      *http.Response
+}
+
+// Status returns the status of the answer.
+func (r *Response) Status() int { return r.resp.StatusCode }
+
+// Header returns the header of the answer.
+func (r *Response) Header() http.Header { return r.resp.Header }
+
+// Version returns the weight version that answers.
+func (r *Response) Version() string { return r.resp.Header.Get(wire.HeaderVersion) }
+
+// Close ends the attempt; the upstream is cancelled if it still runs.
+func (r *Response) Close() {
+	r.watch.stop()
+	r.cancel(nil)
+	_ = r.resp.Body.Close()
+}
+
+// head checks whose answer it is and whether the upstream refused.
+func (r *Response) head() *Failure {
+	if said := r.resp.Header.Get(wire.HeaderRan); said == "no" {
+		return &Failure{Cause: CauseRefused, Ran: RanNo, Status: r.resp.StatusCode, RetryAfter: retryAfter(r.resp.Header), Detail: r.text()}
+	}
+	if got := r.resp.Header.Get(wire.HeaderNonce); got != r.attempt.Nonce {
+		r.forwarder.Crossed.Add(1)
+		return &Failure{Cause: CauseCrossed, Ran: RanUnknown, Status: r.resp.StatusCode, Detail: "the answer names another attempt"}
+	}
+	if r.resp.StatusCode >= http.StatusInternalServerError || r.resp.StatusCode == http.StatusTooManyRequests {
+		return &Failure{Cause: CauseRefused, Ran: RanUnknown, Status: r.resp.StatusCode, RetryAfter: retryAfter(r.resp.Header), Detail: r.text()}
+	}
+	r.watch.reset(r.attempt.Interval)
+	return nil
+}
+
+// maxDetail bounds what is kept of an upstream's error text.
+const maxDetail = 256
+
+func (r *Response) text() string {
+	b, _ := io.ReadAll(io.LimitReader(r.resp.Body, maxDetail))
+	return string(bytes.TrimSpace(b))
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+// failure turns an error while reading the body into a failure.
+func (r *Response) failure(err error) *Failure {
+	f := &Failure{Cause: CauseCut, Ran: RanYes, Status: r.resp.StatusCode, Detail: err.Error()}
+	if r.ctx.Err() == nil {
+		return f
+	}
+	f.Cause = CauseCaller
+	if _, silent := context.Cause(r.ctx).(errSilent); silent {
+		f.Cause = CauseTimeout
+	}
+	return f
+}
+
+// Whole reads an answer that is not a stream, up to limit bytes.
+func (r *Response) Whole(limit int64) ([]byte, *Failure) {
+	body, err := io.ReadAll(io.LimitReader(r.resp.Body, limit+1))
+	if err != nil {
+		return nil, r.failure(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, &Failure{Cause: CauseMalformed, Ran: RanYes, Detail: "the answer is too large"}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,189 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package forwarder
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/tmaxmax/go-sse"
+
+	"amaranthgate.example/amaranthgate/internal/wire"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// endMarker is the data of the event that ends a stream.
+const endMarker = "[DONE]"
+
+// Event is one event of an answer.
+type Event struct {
+	Data  string
+	Text  string // Text is the text that the event adds, still escaped as JSON.
+	Usage *wire.Usage
+	Last  bool // Last tells that the event gives a finish reason.
+}
+
+// Sink takes the events of a stream in order. An error ends the stream: the
+// caller is gone.
+type Sink interface {
+	Event(e Event) error
+}
+
+// Stream passes the events of an answer on as they come. It returns nil if the
+// stream was whole.
+func (r *Response) Stream(sink Sink) *Failure {
+	s := streamState{nonce: r.attempt.Nonce}
+	body := &watchedBody{body: r.resp.Body, response: r}
+	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return r.failure(err)
+		}
+		if ev.Data == endMarker {
+			return s.end()
+		}
+		e, fail := s.next(ev.Data)
+		if fail != nil {
+			if fail.Cause == CauseCrossed {
+				r.forwarder.Crossed.Add(1)
+			}
+			return fail
+		}
+		if err := sink.Event(e); err != nil {
+			return &Failure{Cause: CauseCaller, Ran: RanYes, Detail: err.Error()}
+		}
+	}
+	return r.failure(io.ErrUnexpectedEOF)
+}
+
+// watchedBody restarts the silence timer with each read.
+type watchedBody struct {
+	body     io.Reader
+	response *Response
+}
+
+func (w *watchedBody) Read(p []byte) (int, error) {
+	n, err := w.body.Read(p)
+	if n > 0 {
+		w.response.watch.reset(w.response.attempt.Interval)
+	}
+	return n, err
+}
+
+// streamState is what must be known to tell whether a stream is whole.
+type streamState struct {
+	nonce  string
+	chunks int // chunks is the number of events that added text.
+	last   bool
+	usage  *wire.Usage
+}
+
+func (s *streamState) next(data string) (Event, *Failure) {
+	e, ok := scanEvent(data, s.nonce)
+	if !ok {
+		var fail *Failure
+		if e, fail = parseEvent(data, s.nonce); fail != nil {
+			return e, fail
+		}
+	}
+	if e.Text != "" {
+		s.chunks++
+	}
+	s.last = s.last || e.Last
+	if e.Usage != nil {
+		s.usage = e.Usage
+	}
+	return e, nil
+}
+
+// end tells whether a stream whose marker came is whole.
+func (s *streamState) end() *Failure {
+	switch {
+	case !s.last:
+		return &Failure{Cause: CauseCut, Ran: RanYes, Detail: "the stream has no finish reason"}
+	case s.usage == nil:
+		return &Failure{Cause: CauseCut, Ran: RanYes, Detail: "the stream has no token count"}
+	case s.usage.CompletionTokens < s.chunks:
+		return &Failure{Cause: CauseCut, Ran: RanYes, Detail: "the token count does not fit"}
+	}
+	return nil
+}
+
+// scanEvent reads the usual form of an event that only adds text, without a
+// full parse. It reports false for anything else.
+func scanEvent(data, nonce string) (Event, bool) {
+	const head = `{"id":"`
+	if !strings.HasPrefix(data, head) || !strings.HasPrefix(data[len(head):], nonce) {
+		return Event{}, false
+	}
+	if !strings.Contains(data, `"finish_reason":null`) || strings.Contains(data, `"usage":{`) {
+		return Event{}, false
+	}
+	text, ok := between(data, `"text":"`)
+	if !ok {
+		text, ok = between(data, `"content":"`)
+	}
+	if !ok || strings.Count(data, `"text":"`)+strings.Count(data, `"content":"`) != 1 {
+		return Event{}, false
+	}
+	return Event{Data: data, Text: text}, true
+}
+
+// between returns the inside of the JSON string that begins after a mark.
+func between(data, mark string) (string, bool) {
+	i := strings.Index(data, mark)
+	if i < 0 {
+		return "", false
+	}
+	rest := data[i+len(mark):]
+	for j := 0; j < len(rest); j++ {
+		switch rest[j] {
+		case '\\':
+			j++
+		case '"':
+			return rest[:j], true
+		}
+	}
+	return "", false
+}
+
+func parseEvent(data, nonce string) (Event, *Failure) {
+	var c wire.Chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return Event{}, &Failure{Cause: CauseMalformed, Ran: RanYes, Detail: "an event is not JSON"}
+	}
+	if c.ID != nonce {
+		return Event{}, &Failure{Cause: CauseCrossed, Ran: RanYes, Detail: "an event names another attempt"}
+	}
+	e := Event{Data: data, Usage: c.Usage}
+	for _, ch := range c.Choices {
+		text := ch.Text
+		if ch.Delta != nil {
+			text = ch.Delta.Content
+		}
+		e.Text += escapeText(text)
+		e.Last = e.Last || ch.FinishReason != nil
+	}
+	return e, nil
+}
+
+func escapeText(text string) string {
+	if text == "" {
+		return ""
+	}
+	b, err := json.Marshal(text)
+	if err != nil {
+		panic("forwarder: " + err.Error())
+	}
+	return string(b[1 : len(b)-1])
+}
+
+// UnescapeText turns the text of events into plain text.
+func UnescapeText(escaped string) (string, bool) {
+	var s string
+	err := json.Unmarshal([]byte(`"`+escaped+`"`), &s)
+	return s, err == nil
+}
--- /dev/null
+++ b/internal/commander/check.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+)
+
+func (e *env) checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		Usage:       "check settings and configuration documents",
+		Description: "Prints every fault with its line and exits with 2 if there is any.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "settings", Usage: "`FILE` with the settings of a host"},
+			&cli.StringSliceFlag{Name: "configuration", Usage: "`FILE` with a configuration document"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var last error
+			files := 0
+			for _, path := range c.StringSlice("settings") {
+				files++
+				if _, err := e.readSettings(path); err != nil {
+					last = err
+				}
+			}
+			for _, path := range c.StringSlice("configuration") {
+				files++
+				if _, err := e.readDocument(path); err != nil {
+					last = err
+				}
+			}
+			if files == 0 {
+				return withCode(ExitUsage, errors.New("nothing to check: give --settings or --configuration"))
+			}
+			if last == nil {
+				fmt.Fprintf(e.out, "%d files are valid\n", files)
+			}
+			return last
+		},
+	}
+}
+
+// readDocument reads a configuration document and prints every fault.
+func (e *env) readDocument(path string) (*configurer.Document, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, withCode(ExitUsage, err)
+	}
+	doc, faults := configurer.Parse(text)
+	if len(faults) > 0 {
+		return nil, withCode(ExitUsage, e.printFaults(path, faults))
+	}
+	return doc, nil
+}
+
+func (e *env) printFaults(path string, faults []strictjson.Fault) error {
+	for _, f := range faults {
+		fmt.Fprintf(e.err, "%s: %s\n", path, f)
+	}
+	return errors.Errorf("%s has %d faults", path, len(faults))
+}
--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+// Package commander is the command line.
+//
+// # Usage
+//
+//	os.Exit(commander.Run(ctx, os.Args, os.Stdout, os.Stderr))
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2 // ExitUsage says that the command line, settings or a document are wrong.
+	ExitCut    = 3 // ExitCut says that a shutdown cut requests.
+)
+
+// codeError is an error with an exit code.
+type codeError struct {
+	error
+	code int
+}
+
+func withCode(code int, err error) error { return codeError{error: err, code: code} }
+
+// env is what commands write to.
+type env struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Run carries out a command line and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	e := &env{out: out, err: errOut}
+	cmd := &cli.Command{
+		Name:      "amaranthgate",
+		Usage:     "serve prompts that return after long gaps",
+		Version:   Version,
+		Writer:    out,
+		ErrWriter: errOut,
+		Description: "One binary for all: a host of the system, a demonstration that needs nothing else,\n" +
+			"checks of settings and configuration, a caller, and questions to running hosts.",
+		Commands: []*cli.Command{
+			e.serveCommand(),
+			e.demoCommand(),
+			e.checkCommand(),
+			e.sendCommand(),
+			e.publishCommand(),
+			e.dumpCommand(),
+			e.emulateCommand(),
+			e.versionCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return withCode(ExitUsage, err)
+		},
+	}
+	err := cmd.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "amaranthgate:", err)
+	var coded codeError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitFailed
+}
+
+func (e *env) versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(context.Context, *cli.Command) error {
+			fmt.Fprintln(e.out, "amaranthgate", Version)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/commander/operate.go
@@ -0,0 +1,118 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"amaranthgate.example/amaranthgate/administrator"
+)
+
+// operatorFlags are the flags of the commands that ask a host as an operator.
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "operators", Required: true, Usage: "`ADDRESS` of a host for operators, IP:port"},
+		&cli.StringFlag{Name: "token", Required: true, Sources: cli.EnvVars("AMARANTHGATE_OPERATOR_TOKEN"), Usage: "the operator's `TOKEN`"},
+		&cli.StringFlag{Name: "author", Value: "operator", Usage: "`NAME` under which changes are recorded"},
+	}
+}
+
+// askOperators sends a request to a host's address for operators.
+func askOperators(ctx context.Context, c *cli.Command, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.String("operators")+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.SetBasicAuth(c.String("author"), c.String("token"))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, b, err
+}
+
+func (e *env) dumpCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dump",
+		Usage: "print the state of a running host",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			status, body, err := askOperators(ctx, c, http.MethodGet, "/debug/state", nil)
+			if err != nil {
+				return err
+			}
+			if status != http.StatusOK {
+				return errors.Errorf("status %d: %s", status, bytes.TrimSpace(body))
+			}
+			_, err = e.out.Write(body)
+			return err
+		},
+	}
+}
+
+func (e *env) publishCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "publish",
+		Usage: "publish a configuration document",
+		Description: "Publishes on the revision in force unless --base names the one the document was made from.\n" +
+			"Exits with 1 if another operator was faster or the outcome is not known yet.",
+		Flags: append(operatorFlags(),
+			&cli.StringFlag{Name: "configuration", Required: true, Usage: "`FILE` with the document"},
+			&cli.StringFlag{Name: "id", Usage: "`NAME` of the change; the same name is never applied twice"},
+			&cli.Int64Flag{Name: "base", Value: -1, Usage: "`REVISION` that the document is based on"},
+		),
+		Action: e.publish,
+	}
+}
+
+func (e *env) publish(ctx context.Context, c *cli.Command) error {
+	doc, err := e.readDocument(c.String("configuration"))
+	if err != nil {
+		return err
+	}
+	base := c.Int64("base")
+	if base < 0 {
+		var cur administrator.ConfigurationAnswer
+		_, body, err := askOperators(ctx, c, http.MethodGet, "/v1/configuration", nil)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(body, &cur); err != nil {
+			return errors.Errorf("unexpected answer: %s", bytes.TrimSpace(body))
+		}
+		base = int64(cur.Revision)
+	}
+	req, err := json.Marshal(administrator.PublishRequest{ID: c.String("id"), Base: uint64(base), Document: doc.Encode()})
+	if err != nil {
+		return err
+	}
+	status, body, err := askOperators(ctx, c, http.MethodPost, "/v1/configuration", req)
+	if err != nil {
+		return err
+	}
+	_, _ = e.out.Write(body)
+	if status != http.StatusOK {
+		return errors.Errorf("the change is not in force (status %d)", status)
+	}
+	return nil
+}
+
+// stdin is where send reads a prompt from.
+var stdin io.Reader = os.Stdin
+
+func fprintln(w io.Writer, args ...any) { _, _ = fmt.Fprintln(w, args...) }
--- /dev/null
+++ b/internal/commander/serve.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package commander
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/runner"
+)
+
+func (e *env) serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one host",
+		Description: "Runs until SIGTERM or SIGINT, then drains: the host leaves the answers to callers,\n" +
+			"serves those that still come and ends when idle. A second signal ends it at once and\n" +
+			"says how many requests were cut (exit code 3).",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` with the settings, JSON with comments"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := e.readSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			h := runner.New(s, newLogger(e.err, s.LogLevel))
+			if err := h.Start(); err != nil {
+				return err
+			}
+			return runUntilSignal(ctx, h, s)
+		},
+	}
+}
+
+// readSettings reads settings and prints every fault.
+func (e *env) readSettings(path string) (loader.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return loader.Settings{}, withCode(ExitUsage, err)
+	}
+	s, faults := loader.Parse(text)
+	if len(faults) > 0 {
+		return s, withCode(ExitUsage, e.printFaults(path, faults))
+	}
+	return s, nil
+}
+
+// newLogger returns a logger of JSON lines.
+func newLogger(w io.Writer, level string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(l).With().Timestamp().Logger()
+}
+
+// runUntilSignal runs a started host until a signal or the end of ctx.
+func runUntilSignal(ctx context.Context, h *runner.Host, s loader.Settings) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Timing.DrainTimeout.Std())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-drainCtx.Done():
+		}
+	}()
+	if cut := h.Drain(drainCtx); cut > 0 {
+		return withCode(ExitCut, errors.Errorf("%d requests were cut", cut))
+	}
+	return nil
+}
--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,216 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+// Package loader reads the settings of one process. Settings are JSON with
+// comments; every fault is reported with its line before anything listens.
+//
+// # Usage
+//
+//	s, faults := loader.Parse(text)
+//	for _, f := range faults {
+//		fmt.Println(f) // "line 7: /Peers/Listen: ..."
+//	}
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"amaranthgate.example/amaranthgate/internal/duration"
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+)
+
+// minSecretBytes is the least length of the secret that peers share.
+const minSecretBytes = 16
+
+// Settings are what one process must know before it can ask anybody.
+type Settings struct {
+	Host             string
+	AvailabilityZone string
+	Callers          Endpoint // Callers is where callers connect.
+	Peers            Endpoint // Peers is where other hosts connect.
+	Operators        Endpoint // Operators is where the console and the state dump answer.
+	PeerSecret       string   // PeerSecret proves that a peer belongs to the deployment.
+	BlockSecret      string   // BlockSecret keys the names of kept context.
+	OperatorDigests  []string // OperatorDigests are SHA-256 digests of operators' tokens.
+	Log              string   // Log is the URL of the platform's append-only log.
+	HostList         string   // HostList is the URL of the platform's host list.
+	Limits           Limits
+	Timing           Timing
+	LogLevel         string
+}
+
+// Endpoint is a listening address and the one that others are told.
+type Endpoint struct {
+	Listen    string // Listen is IP:port; port 0 lets the system pick.
+	Advertise string // Advertise is IP:port; empty means the address bound.
+}
+
+// Limits bound what one caller can take of this process.
+type Limits struct {
+	BodyBytes   int64
+	HeaderBytes int
+	OpenStreams int
+	ReadTimeout duration.Duration
+}
+
+// Timing are the intervals of the control plane.
+type Timing struct {
+	Heartbeat     duration.Duration // Heartbeat is the interval between messages to a peer.
+	Suspect       duration.Duration // Suspect is the silence after which a host gets no new work.
+	Lease         duration.Duration // Lease is the time for which a lease is held without renewal.
+	LeaseMargin   duration.Duration // LeaseMargin is taken off by the holder.
+	GroupCommit   duration.Duration // GroupCommit is the least time between appends to one stream.
+	AddressTTL    duration.Duration // AddressTTL is how long callers may keep an address.
+	LoadPoll      duration.Duration // LoadPoll is the interval between load reports.
+	DrainTimeout  duration.Duration // DrainTimeout bounds a graceful shutdown.
+	LogRetention  duration.Duration // LogRetention is how long the platform keeps records.
+	LogTimeout    duration.Duration // LogTimeout bounds one call to the log.
+	FirstToken    duration.Duration // FirstToken is the wait for response headers before an attempt fails.
+	TokenInterval duration.Duration // TokenInterval is the silence within a stream after which an attempt fails.
+}
+
+// Default returns settings in which only names, secrets and URLs are missing.
+func Default() Settings {
+	d := func(v time.Duration) duration.Duration { return duration.Duration(v) }
+	loopback := Endpoint{Listen: "127.0.0.1:0"}
+	return Settings{
+		Callers:   loopback,
+		Peers:     loopback,
+		Operators: loopback,
+		Limits: Limits{
+			BodyBytes:   8 << 20,
+			HeaderBytes: 32 << 10,
+			OpenStreams: 20000,
+			ReadTimeout: d(10 * time.Second),
+		},
+		Timing: Timing{
+			Heartbeat:     d(500 * time.Millisecond),
+			Suspect:       d(2 * time.Second),
+			Lease:         d(3 * time.Second),
+			LeaseMargin:   d(500 * time.Millisecond),
+			GroupCommit:   d(10 * time.Millisecond),
+			AddressTTL:    d(5 * time.Second),
+			LoadPoll:      d(500 * time.Millisecond),
+			DrainTimeout:  d(10 * time.Minute),
+			LogRetention:  d(24 * time.Hour),
+			LogTimeout:    d(2 * time.Second),
+			FirstToken:    d(60 * time.Second),
+			TokenInterval: d(30 * time.Second),
+		},
+		LogLevel: "info",
+	}
+}
+
+// Parse reads settings over the defaults and returns every fault.
+func Parse(text []byte) (Settings, []strictjson.Fault) {
+	s := Default()
+	src, faults := strictjson.Decode(text, &s)
+	if len(faults) > 0 {
+		return s, faults
+	}
+	faults = s.Validate()
+	for i := range faults {
+		faults[i].Line = src.Line(faults[i].Pointer)
+	}
+	return s, faults
+}
+
+type validator struct {
+	faults []strictjson.Fault
+}
+
+func (v *validator) check(ok bool, pointer, format string, args ...any) {
+	if !ok {
+		v.faults = append(v.faults, strictjson.Fault{Pointer: pointer, Message: fmt.Sprintf(format, args...)})
+	}
+}
+
+// Validate returns everything that is wrong with the values of s.
+func (s *Settings) Validate() []strictjson.Fault {
+	v := &validator{}
+	v.check(s.Host != "", "/Host", "want the name of this host")
+	v.check(s.AvailabilityZone != "", "/AvailabilityZone", "want the availability zone of this host")
+	v.endpoint("/Callers", s.Callers)
+	v.endpoint("/Peers", s.Peers)
+	v.endpoint("/Operators", s.Operators)
+	v.distinct(s)
+	v.check(len(s.PeerSecret) >= minSecretBytes, "/PeerSecret", "want at least %d bytes", minSecretBytes)
+	v.check(len(s.BlockSecret) >= minSecretBytes, "/BlockSecret", "want at least %d bytes", minSecretBytes)
+	v.check(s.BlockSecret == "" || s.BlockSecret != s.PeerSecret, "/BlockSecret", "must differ from PeerSecret")
+	v.url("/Log", s.Log)
+	v.url("/HostList", s.HostList)
+	v.check(s.Limits.BodyBytes > 0, "/Limits/BodyBytes", "want more than 0")
+	v.check(s.Limits.HeaderBytes >= 1024, "/Limits/HeaderBytes", "want at least 1024")
+	v.check(s.Limits.OpenStreams > 0, "/Limits/OpenStreams", "want more than 0")
+	v.check(s.Limits.ReadTimeout > 0, "/Limits/ReadTimeout", "want more than 0")
+	v.timing(s.Timing)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		v.check(false, "/LogLevel", "%q is not debug, info, warn or error", s.LogLevel)
+	}
+	return v.faults
+}
+
+func (v *validator) timing(t Timing) {
+	v.check(t.Heartbeat > 0, "/Timing/Heartbeat", "want more than 0")
+	v.check(t.Suspect >= 2*t.Heartbeat, "/Timing/Suspect", "want at least twice Heartbeat")
+	v.check(t.Lease >= 4*t.LeaseMargin, "/Timing/Lease", "want at least four times LeaseMargin")
+	v.check(t.LeaseMargin > 0, "/Timing/LeaseMargin", "want more than 0")
+	v.check(t.GroupCommit >= 0, "/Timing/GroupCommit", "want at least 0")
+	v.check(t.AddressTTL > 0, "/Timing/AddressTTL", "want more than 0")
+	v.check(t.LoadPoll > 0, "/Timing/LoadPoll", "want more than 0")
+	v.check(t.DrainTimeout > t.AddressTTL, "/Timing/DrainTimeout", "want more than AddressTTL")
+	v.check(t.LogRetention > 0, "/Timing/LogRetention", "want more than 0")
+	v.check(t.LogTimeout > 0, "/Timing/LogTimeout", "want more than 0")
+	v.check(t.FirstToken > 0, "/Timing/FirstToken", "want more than 0")
+	v.check(t.TokenInterval > 0, "/Timing/TokenInterval", "want more than 0")
+}
+
+func (v *validator) endpoint(p string, e Endpoint) {
+	_, err := netip.ParseAddrPort(e.Listen)
+	v.check(err == nil, p+"/Listen", "%q is not IP:port", e.Listen)
+	if e.Advertise != "" {
+		_, err = netip.ParseAddrPort(e.Advertise)
+		v.check(err == nil, p+"/Advertise", "%q is not IP:port", e.Advertise)
+	}
+}
+
+// distinct checks that no fixed listening address stands twice.
+func (v *validator) distinct(s *Settings) {
+	seen := make(map[netip.AddrPort]string)
+	for _, e := range []struct {
+		pointer string
+		listen  string
+	}{{"/Callers/Listen", s.Callers.Listen}, {"/Peers/Listen", s.Peers.Listen}, {"/Operators/Listen", s.Operators.Listen}} {
+		a, err := netip.ParseAddrPort(e.listen)
+		if err != nil || a.Port() == 0 {
+			continue
+		}
+		v.check(seen[a] == "", e.pointer, "%s is taken by %s", e.listen, seen[a])
+		seen[a] = e.pointer
+	}
+}
+
+func (v *validator) url(p, text string) {
+	u, err := url.Parse(text)
+	v.check(err == nil && u.Scheme == "http" && u.Host != "", p, "%q is not an http URL", text)
+}
+
+// redacted stands in dumps for values that are set and secret.
+const redacted = "(set)"
+
+// Redacted returns a copy of s without secrets.
+func (s Settings) Redacted() Settings {
+	if s.PeerSecret != "" {
+		s.PeerSecret = redacted
+	}
+	if s.BlockSecret != "" {
+		s.BlockSecret = redacted
+	}
+	s.OperatorDigests = nil
+	return s
+}
--- /dev/null
+++ b/messenger/message.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package messenger
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/limiter"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// Message is what hosts send to each other. Each field that is set is one
+// statement; a heartbeat has none.
+type Message struct {
+	Digest    uint64                   `cbor:"1,keyasint,omitempty"` // Digest is of the sender's view of all hosts.
+	Hosts     []tracker.HostRecord     `cbor:"2,keyasint,omitempty"`
+	Upstreams []tracker.UpstreamRecord `cbor:"3,keyasint,omitempty"`
+	Loads     []tracker.LoadDigest     `cbor:"4,keyasint,omitempty"`
+	Claims    []claimer.Message        `cbor:"5,keyasint,omitempty"`
+	Replies   []claimer.Reply          `cbor:"6,keyasint,omitempty"`
+	Wants     []string                 `cbor:"7,keyasint,omitempty"` // Wants names streams whose fold the sender lacks.
+	Snapshot  *StreamSnapshot          `cbor:"8,keyasint,omitempty"`
+	Full      bool                     `cbor:"9,keyasint,omitempty"` // Full tells that Hosts and Upstreams are all that the sender knows.
+	Demand    *limiter.Demand          `cbor:"10,keyasint,omitempty"`
+	Grants    *limiter.Grants          `cbor:"11,keyasint,omitempty"`
+}
+
+// StreamSnapshot is the fold of one stream up to an offset.
+type StreamSnapshot struct {
+	Stream     string
+	Checkpoint folder.Checkpoint
+}
+
+// Hello is the first message on a connection, in both directions.
+type Hello struct {
+	Host        string
+	Incarnation uint64
+}
+
+// Bounds on what a peer may send.
+const (
+	maxMessageBytes = 32 << 20
+	maxElements     = 1 << 17
+)
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  16,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic("messenger: " + err.Error())
+	}
+	return m
+}
+
+// Encode returns the wire form of a message.
+func Encode(m *Message) []byte {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		panic("messenger: message cannot be encoded: " + err.Error())
+	}
+	return b
+}
+
+// Decode reads the wire form of a message. Unknown fields are ignored, so that
+// hosts of neighbouring versions understand each other.
+func Decode(b []byte) (*Message, error) {
+	var m Message
+	if err := decMode.Unmarshal(b, &m); err != nil {
+		return nil, errors.Wrap(err, "messenger: not a message")
+	}
+	return &m, nil
+}
--- /dev/null
+++ b/reporter/table.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package reporter
+
+import (
+	"sort"
+	"time"
+
+	"amaranthgate.example/amaranthgate/folder"
+)
+
+// maxOnceLines bounds the lines that a report keeps.
+const maxOnceLines = 10000
+
+// writerState is what is known of one writer's batches.
+type writerState struct {
+	Number uint64
+	Seen   time.Time
+}
+
+// Gap is a run of batches that never arrived.
+type Gap struct {
+	Writer string
+	First  uint64
+	Last   uint64
+	Before time.Time // Before is the end of the first batch after the gap.
+}
+
+// Table is the fold of the reports' stream. It implements folder.State.
+type Table struct {
+	image tableImage
+}
+
+type tableImage struct {
+	Since   time.Time
+	Groups  []Line
+	Writers map[string]writerState
+	Gaps    []Gap
+	Once    []OnceLine
+	Lost    uint64
+}
+
+// NewTable returns an empty report.
+func NewTable() *Table { return &Table{image: tableImage{Writers: make(map[string]writerState)}} }
+
+// Apply implements folder.State.
+func (t *Table) Apply(at folder.Position, writer string, e folder.Entry) {
+	var b Batch
+	if e.Kind != KindBatch || !e.Decode(&b) {
+		return
+	}
+	w := t.image.Writers[writer]
+	if b.Number <= w.Number {
+		return
+	}
+	if b.Number > w.Number+1 {
+		t.image.Gaps = append(t.image.Gaps, Gap{Writer: writer, First: w.Number + 1, Last: b.Number - 1, Before: b.To})
+	}
+	t.image.Writers[writer] = writerState{Number: b.Number, Seen: at.Time}
+	if t.image.Since.IsZero() || b.From.Before(t.image.Since) {
+		t.image.Since = b.From
+	}
+	for _, l := range b.Lines {
+		t.group(l.Group).add(l.Counts)
+	}
+	t.image.Lost += b.Lost
+	t.image.Once = append(t.image.Once, b.Once...)
+	if n := len(t.image.Once) - maxOnceLines; n > 0 {
+		t.image.Once = append([]OnceLine(nil), t.image.Once[n:]...)
+	}
+}
+
+// group returns the counts of a group, which are kept in order.
+func (t *Table) group(g Group) *Counts {
+	i := sort.Search(len(t.image.Groups), func(i int) bool { return !t.image.Groups[i].less(g) })
+	if i < len(t.image.Groups) && t.image.Groups[i].Group == g {
+		return &t.image.Groups[i].Counts
+	}
+	t.image.Groups = append(t.image.Groups, Line{})
+	copy(t.image.Groups[i+1:], t.image.Groups[i:])
+	t.image.Groups[i] = Line{Group: g}
+	return &t.image.Groups[i].Counts
+}
+
+// Report is the state of a table at one time.
+type Report struct {
+	Since time.Time
+	Rows  []Line
+	Gaps  []Gap
+	Once  []OnceLine // Once has the newest line last.
+	Lost  uint64     // Lost counts lines that no host could keep.
+}
+
+// Report returns a copy of the table's state.
+func (t *Table) Report() Report {
+	return Report{
+		Since: t.image.Since,
+		Rows:  append([]Line(nil), t.image.Groups...),
+		Gaps:  append([]Gap(nil), t.image.Gaps...),
+		Once:  append([]OnceLine(nil), t.image.Once...),
+		Lost:  t.image.Lost,
+	}
+}
+
+// EncodeState implements folder.State.
+func (t *Table) EncodeState() []byte { return folder.EncodeCBOR(t.image) }
+
+// DecodeState implements folder.State.
+func (t *Table) DecodeState(b []byte) error {
+	var img tableImage
+	if err := folder.DecodeCBOR(b, &img); err != nil {
+		return err
+	}
+	if img.Writers == nil {
+		img.Writers = make(map[string]writerState)
+	}
+	t.image = img
+	return nil
+}
--- /dev/null
+++ b/retrier/budget.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+// Package retrier bounds retries so that they cannot amplify an outage, and
+// keeps requests away from upstreams that do not answer.
+//
+// # Usage
+//
+//	b := retrier.NewBudget(0.1)
+//	b.Request()           // for each first attempt
+//	if b.Withdraw() { ... } // before each retry
+//
+//	var br retrier.Breaker
+//	if br.Allow(now) { err := try(); br.Record(now, err == nil) }
+package retrier
+
+import "sync"
+
+// maxSavings is the number of retries that a quiet time can save up.
+const maxSavings = 20
+
+// Budget allows retries as a share of requests. It is safe for concurrent use.
+type Budget struct {
+	mu      sync.Mutex
+	share   float64
+	savings float64
+}
+
+// NewBudget returns a budget for a share of requests, with a small saving to
+// begin with so that the first failure of a quiet host can be retried.
+func NewBudget(share float64) *Budget {
+	return &Budget{share: share, savings: min(1, share*maxSavings)}
+}
+
+// SetShare replaces the share.
+func (b *Budget) SetShare(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = share
+}
+
+// Request notes a first attempt.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.savings = min(maxSavings, b.savings+b.share)
+}
+
+// Withdraw takes one retry out of the budget and reports whether it could.
+func (b *Budget) Withdraw() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.savings < 1 {
+		return false
+	}
+	b.savings--
+	return true
+}
--- /dev/null
+++ b/router/target.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package router
+
+import "github.com/cespare/xxhash/v2"
+
+// Load is the newest report of an upstream's load.
+type Load struct {
+	Running       int
+	Waiting       int
+	WaitingTokens int
+	Base          Mark // Base is what this host had sent when the report was made.
+}
+
+// Target is an upstream as routing sees it.
+type Target struct {
+	Name          string
+	Hash          uint64  // Hash is the hash of Name for rendezvous.
+	Usable        bool    // Usable is false for upstreams that leave, are down or lack the version.
+	Near          bool    // Near tells that it is in this host's availability zone.
+	Slots         float64 // Slots is the number of requests it runs at once.
+	PrefillRate   float64 // PrefillRate is in tokens per second; 0 for plain services.
+	LinkRate      float64 // LinkRate is in bytes per second.
+	BytesPerToken float64
+	Load          Load
+	Meter         *Meter
+}
+
+// NameHash returns the value for Target.Hash.
+func NameHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// requests returns the estimated number of requests at t now.
+func (t *Target) requests() float64 {
+	now := t.Meter.Mark()
+	n := t.Load.Running + t.Load.Waiting
+	n += int(now.Started-t.Load.Base.Started) - int(now.Finished-t.Load.Base.Finished)
+	return float64(max(n, int(now.Started-now.Finished), 0))
+}
+
+// backlog returns the estimated number of prompt tokens that t has yet to
+// compute.
+func (t *Target) backlog() float64 {
+	now := t.Meter.Mark()
+	n := t.Load.WaitingTokens
+	n += int(now.Tokens-t.Load.Base.Tokens) - int(now.Prefilled-t.Load.Base.Prefilled)
+	return float64(max(n, 0))
+}
+
+// queue returns the estimated time until t starts on a new request, in
+// seconds.
+func (t *Target) queue() float64 {
+	var s float64
+	if t.PrefillRate > 0 {
+		s = t.backlog() / t.PrefillRate
+	}
+	if over := t.requests() + 1 - t.Slots; over > 0 {
+		s += over / t.Slots * t.Meter.Hold()
+	}
+	return s
+}
+
+// linkSeconds returns the time to move tokens over the tier link now, behind
+// what this host has ordered over it.
+func (t *Target) linkSeconds(tokens float64) float64 {
+	if t.LinkRate <= 0 {
+		return 0
+	}
+	return (tokens*t.BytesPerToken + float64(t.Meter.linkBytes.Load())) / t.LinkRate
+}
+
+// Occupancy returns the estimated number of requests at the usable targets of
+// a pool, and their slots.
+func Occupancy(pool []Target) (requests, slots float64) {
+	for i := range pool {
+		if pool[i].Usable {
+			requests += pool[i].requests()
+			slots += pool[i].Slots
+		}
+	}
+	return requests, slots
+}
--- /dev/null
+++ b/runner/host.go
@@ -0,0 +1,306 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"amaranthgate.example/amaranthgate/administrator"
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/controller"
+	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/limiter"
+	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/publisher"
+	"amaranthgate.example/amaranthgate/retrier"
+	"amaranthgate.example/amaranthgate/server"
+	"amaranthgate.example/amaranthgate/timer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// Host is one process of the system.
+type Host struct {
+	settings loader.Settings
+	logger   zerolog.Logger
+	timer    timer.Service
+
+	log       *connector.Log
+	list      *connector.HostList
+	limiter   *limiter.Limiter
+	publisher *publisher.Publisher
+	registry  *publisher.Registry
+	budget    *retrier.Budget
+	forwarder *forwarder.Forwarder
+	messenger *messenger.Messenger
+	server    *server.Server
+	loop      *loop
+	outcomes  *outcomes
+
+	callers, peers, operators net.Listener
+	peerServer, adminServer   *http.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Addresses are where a started host listens, as others are told.
+type Addresses struct {
+	Callers   string
+	Peers     string
+	Operators string
+}
+
+// New returns a host that does not listen yet.
+func New(s loader.Settings, logger zerolog.Logger) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Host{
+		settings:  s,
+		logger:    logger.With().Str("Host", s.Host).Logger(),
+		timer:     timer.NewSystem(),
+		log:       connector.NewLog(s.Log, s.Timing.LogTimeout.Std()),
+		list:      connector.NewHostList(s.HostList, s.Timing.LogTimeout.Std()),
+		limiter:   limiter.New(),
+		publisher: &publisher.Publisher{},
+		registry:  &publisher.Registry{},
+		budget:    retrier.NewBudget(0),
+		forwarder: forwarder.New(forwarder.Options{}),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+}
+
+// Start listens and joins the system.
+func (h *Host) Start() error {
+	if err := h.listen(); err != nil {
+		return err
+	}
+	addr := h.Addresses()
+	self := tracker.HostRecord{
+		Host:             h.settings.Host,
+		Incarnation:      uint64(h.timer.Now().UnixMilli()),
+		AvailabilityZone: h.settings.AvailabilityZone,
+		Peers:            addr.Peers,
+		Callers:          addr.Callers,
+		Operators:        addr.Operators,
+		Spare:            1,
+	}
+	node := controller.NewNode(h.nodeOptions(self))
+	h.loop = newLoop(h.ctx, h, node)
+	h.outcomes = newOutcomes(h.timer.Now())
+	h.messenger = messenger.New(messenger.Options{
+		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
+		Secret:  []byte(h.settings.PeerSecret),
+		Receive: func(from string, m *messenger.Message) { h.loop.post(controller.PeerMessage{From: from, Message: m}) },
+		Up:      func(host string) { h.loop.post(controller.PeerUp{Host: host}) },
+		Log:     h.logger,
+	})
+	h.server = server.New(h.serverOptions(self))
+	h.startServers()
+	h.goDo(h.loop.run)
+	h.goDo(h.pollHostList)
+	h.goDo(h.pollLoads)
+	h.startTicks()
+	h.logger.Info().Str("Callers", addr.Callers).Str("Peers", addr.Peers).Str("Operators", addr.Operators).Msg("listening")
+	return nil
+}
+
+func (h *Host) nodeOptions(self tracker.HostRecord) controller.Options {
+	t := h.settings.Timing
+	return controller.Options{
+		Self:         self,
+		Registry:     h.registry,
+		GroupCommit:  t.GroupCommit.Std(),
+		Heartbeat:    t.Heartbeat.Std(),
+		Suspect:      t.Suspect.Std(),
+		Lease:        t.Lease.Std(),
+		LeaseMargin:  t.LeaseMargin.Std(),
+		LogRetention: t.LogRetention.Std(),
+	}
+}
+
+func (h *Host) serverOptions(self tracker.HostRecord) server.Options {
+	s := h.settings
+	return server.Options{
+		Publisher:   h.publisher,
+		Forwarder:   h.forwarder,
+		Limiter:     h.limiter,
+		Budget:      h.budget,
+		Claims:      h.loop,
+		Recorder:    h.outcomes,
+		Timer:       h.timer,
+		Log:         h.logger,
+		BlockSecret: []byte(s.BlockSecret),
+		BodyBytes:   s.Limits.BodyBytes,
+		HeaderBytes: s.Limits.HeaderBytes,
+		OpenStreams: s.Limits.OpenStreams,
+		ReadTimeout: s.Limits.ReadTimeout.Std(),
+		FirstToken:  s.Timing.FirstToken.Std(),
+		Interval:    s.Timing.TokenInterval.Std(),
+		AddressTTL:  s.Timing.AddressTTL.Std(),
+		Seed:        self.Incarnation,
+	}
+}
+
+func (h *Host) listen() error {
+	for _, l := range []struct {
+		to       *net.Listener
+		endpoint loader.Endpoint
+		name     string
+	}{
+		{&h.callers, h.settings.Callers, "callers"},
+		{&h.peers, h.settings.Peers, "peers"},
+		{&h.operators, h.settings.Operators, "operators"},
+	} {
+		listener, err := net.Listen("tcp", l.endpoint.Listen)
+		if err != nil {
+			h.closeListeners()
+			return errors.Wrapf(err, "runner: listen for %s", l.name)
+		}
+		*l.to = listener
+	}
+	return nil
+}
+
+func (h *Host) closeListeners() {
+	for _, l := range []net.Listener{h.callers, h.peers, h.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Addresses returns where the host listens.
+func (h *Host) Addresses() Addresses {
+	return Addresses{
+		Callers:   advertised(h.settings.Callers, h.callers),
+		Peers:     advertised(h.settings.Peers, h.peers),
+		Operators: advertised(h.settings.Operators, h.operators),
+	}
+}
+
+func advertised(e loader.Endpoint, l net.Listener) string {
+	if e.Advertise != "" {
+		return e.Advertise
+	}
+	return l.Addr().String()
+}
+
+func (h *Host) startServers() {
+	h.peerServer = &http.Server{Handler: h.messenger.Handler(), ReadHeaderTimeout: h.settings.Limits.ReadTimeout.Std()}
+	admin := administrator.New(administrator.Options{
+		Control: &control{host: h},
+		Digests: h.settings.OperatorDigests,
+		Log:     h.logger,
+		Metrics: h.writeMetrics,
+	})
+	h.adminServer = &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: h.settings.Limits.ReadTimeout.Std()}
+	h.goDo(func() { _ = h.server.Serve(h.callers) })
+	h.goDo(func() { _ = h.peerServer.Serve(h.peers) })
+	h.goDo(func() { _ = h.adminServer.Serve(h.operators) })
+}
+
+func (h *Host) goDo(f func()) {
+	h.done.Add(1)
+	go func() {
+		defer h.done.Done()
+		f()
+	}()
+}
+
+// viewChanged publishes a new snapshot.
+func (h *Host) viewChanged(v *publisher.Snapshot) {
+	old := h.publisher.Load()
+	h.publisher.Store(v)
+	if v.Document != old.Document {
+		h.configured(v)
+	}
+	h.server.Wake(h.timer.Now())
+}
+
+// configured takes over what a new document changes outside of snapshots.
+func (h *Host) configured(v *publisher.Snapshot) {
+	h.budget.SetShare(v.Document.Retry.BudgetShare)
+	names := make(map[string]bool)
+	addresses := make(map[string]bool)
+	for _, u := range v.Document.Upstreams {
+		names[u.Name] = true
+		addresses[u.Address] = true
+	}
+	workspaces := make(map[string]bool)
+	for _, w := range v.Document.Workspaces {
+		workspaces[w.Name] = true
+	}
+	h.registry.Retain(func(n string) bool { return names[n] })
+	h.forwarder.Retain(func(a string) bool { return addresses[a] })
+	h.limiter.Retain(func(w string) bool { return workspaces[w] })
+	h.logger.Info().Uint64("Revision", v.Revision).Msg("configuration in force")
+}
+
+// Drain leaves the system without cutting a request: the host gives up its
+// duties, leaves the answers to callers, serves those that still come and ends
+// when it is idle. It returns the number of requests cut because ctx ended.
+func (h *Host) Drain(ctx context.Context) int {
+	h.logger.Info().Int("Open", h.server.Open()).Msg("draining")
+	h.loop.post(controller.Leave{})
+	cut := h.server.Drain(ctx)
+	h.flushOutcomes(h.timer.Now())
+	h.settleAll(ctx)
+	h.end()
+	h.logger.Info().Int("Cut", cut).Msg("drained")
+	return cut
+}
+
+// settleTime bounds the wait for claims' outcomes and reports to be read back.
+const settleTime = 3 * time.Second
+
+// settleAll waits until what this host has still to say is in the log.
+func (h *Host) settleAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		idle := true
+		if !h.loop.call(func(_ time.Time, n *controller.Node) { idle = n.Idle() }) || idle {
+			return
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+}
+
+// Close ends the host at once and returns the number of requests cut.
+func (h *Host) Close() int {
+	cut := h.server.Close()
+	h.end()
+	return cut
+}
+
+func (h *Host) end() {
+	_ = h.peerServer.Close()
+	_ = h.adminServer.Close()
+	h.messenger.Close()
+	h.cancel()
+	h.closeListeners()
+	h.done.Wait()
+}
+
+// Publish publishes a change of the configuration; see administrator.Control.
+func (h *Host) Publish(ctx context.Context, d configurer.Delta) (configurer.Result, bool) {
+	return h.loop.Publish(ctx, d)
+}
+
+// Serving reports whether the host serves callers and knows as many hosts as
+// they may use.
+func (h *Host) Serving(hosts int) bool {
+	snap := h.publisher.Load()
+	return snap.Ready && len(snap.Addresses) >= hosts
+}
--- /dev/null
+++ b/server/filters.go
@@ -0,0 +1,204 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package server
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/limiter"
+	"amaranthgate.example/amaranthgate/scheduler"
+)
+
+// identify finds the workspace, the class and the deadline.
+func (s *Server) identify(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) Outcome {
+		if !x.Snapshot.Ready {
+			o := refuse(http.StatusServiceUnavailable, ReasonNotReady, "")
+			o.RetryAfter = time.Second
+			return o
+		}
+		token, ok := strings.CutPrefix(x.request.Header.Get("Authorization"), "Bearer ")
+		if !ok {
+			return refuse(http.StatusUnauthorized, ReasonUnauthenticated, "want the header Authorization: Bearer")
+		}
+		x.Workspace, ok = x.Snapshot.WorkspaceOf(token)
+		if !ok {
+			return refuse(http.StatusUnauthorized, ReasonUnauthenticated, "the token is not known")
+		}
+		if o := x.classify(); o.Reason != ReasonNone {
+			return o
+		}
+		ctx, cancel := context.WithDeadline(ctx, x.Deadline)
+		defer cancel()
+		return next(ctx, x)
+	}
+}
+
+// classify sets class and deadline from the headers.
+func (x *Exchange) classify() Outcome {
+	name := x.request.Header.Get(HeaderClass)
+	if name == "" {
+		name = x.Workspace.Classes[0]
+	}
+	if !slices.Contains(x.Workspace.Classes, name) {
+		return refuse(http.StatusForbidden, ReasonNotAllowed, "the workspace may not use this class")
+	}
+	x.Class, _ = x.Snapshot.Document.Class(name)
+	wait := x.Class.Deadline.Std()
+	if text := x.request.Header.Get(HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return refuse(http.StatusBadRequest, ReasonBadRequest, HeaderDeadline+" is not a duration")
+		}
+		wait = min(wait, d)
+	}
+	x.Deadline = x.Start.Add(wait)
+	return Outcome{}
+}
+
+// limit takes the request out of the workspace's share.
+func (s *Server) limit(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) Outcome {
+		r := s.opts.Limiter.Admit(s.opts.Timer.Now(), x.Workspace.Name)
+		if !r.Admitted {
+			reason := ReasonRateLimited
+			if r.Refusal == limiter.RefusedConcurrency {
+				reason = ReasonConcurrency
+			}
+			o := refuse(http.StatusTooManyRequests, reason, "")
+			o.RetryAfter = r.RetryAfter
+			return o
+		}
+		defer s.opts.Limiter.Done(x.Workspace.Name)
+		return next(ctx, x)
+	}
+}
+
+// claim sees to it that a request with a key that may not be repeated runs at
+// most once.
+func (s *Server) claim(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) Outcome {
+		if x.Repeatable || x.Key == "" {
+			return next(ctx, x)
+		}
+		req := claimer.Request{
+			Key:    claimer.NewKey(x.Workspace.Name, x.Key),
+			Digest: claimer.NewDigest(x.Call.Method, x.Call.Path, x.Call.Body),
+			Nonce:  x.ID,
+		}
+		settled := s.opts.Claims.Claim(ctx, req, x.Deadline)
+		if settled.Verdict != claimer.VerdictWon {
+			return s.unclaimed(x, settled)
+		}
+		x.before = settled.Before
+		rec := &recorder{ResponseWriter: x.writer, limit: x.Snapshot.Document.Claims.KeptBytes}
+		x.writer = rec
+		// What was claimed is brought to its end even if the caller goes away.
+		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.Deadline)
+		defer cancel()
+		o := next(ctx, x)
+		s.opts.Claims.Finish(claimer.Outcome{Key: req.Key, Nonce: req.Nonce, State: claimState(o), Answer: rec.answer(o)})
+		return o
+	}
+}
+
+// claimState tells what to record of a claimed request.
+func claimState(o Outcome) claimer.State {
+	switch {
+	case o.Ran == forwarder.RanNo:
+		return claimer.StateNotRun
+	case o.complete:
+		return claimer.StateDone
+	}
+	return claimer.StateUnknown
+}
+
+func (s *Server) unclaimed(x *Exchange, settled claimer.Settled) Outcome {
+	switch settled.Verdict {
+	case claimer.VerdictDone:
+		return replay(x, settled.Answer)
+	case claimer.VerdictMismatch:
+		return refuse(http.StatusUnprocessableEntity, ReasonKeyMismatch, "")
+	case claimer.VerdictUnknown:
+		return Outcome{Status: http.StatusConflict, Reason: ReasonMayHaveRun, Ran: forwarder.RanUnknown}
+	}
+	o := refuse(http.StatusServiceUnavailable, ReasonNoAgreement, "this attempt was not run; earlier ones with the key may have been")
+	o.Ran = forwarder.RanUnknown
+	if x.FirstTime {
+		o.Ran, o.Detail = forwarder.RanNo, ""
+	}
+	o.RetryAfter = time.Second
+	return o
+}
+
+// replay gives the kept answer of an earlier request with the same key.
+func replay(x *Exchange, a *claimer.Answer) Outcome {
+	if a == nil {
+		return Outcome{Status: http.StatusConflict, Reason: ReasonAnswered, Ran: forwarder.RanYes}
+	}
+	x.writer.Header().Set("Content-Type", a.ContentType)
+	x.writer.Header().Set(HeaderReplayed, "true")
+	x.writer.WriteHeader(a.Status)
+	_, err := x.writer.Write(a.Body)
+	if err != nil {
+		return Outcome{Status: a.Status, Reason: ReasonCallerGone, Ran: forwarder.RanYes, written: true}
+	}
+	return Outcome{Status: a.Status, Ran: forwarder.RanYes, written: true}
+}
+
+// wait holds the request until an upstream has room for its class, or refuses
+// it once its deadline cannot be met.
+func (s *Server) wait(next Handler) Handler {
+	return func(ctx context.Context, x *Exchange) Outcome {
+		x.pool = s.pools.get(poolName(x))
+		item := &scheduler.Item{
+			Class:           x.Class.Name,
+			ClassWeight:     x.Class.Weight,
+			Rank:            x.Class.Rank,
+			Workspace:       x.Workspace.Name,
+			WorkspaceWeight: x.Workspace.Weight,
+			Cost:            x.cost(),
+			Latest:          x.Deadline.Add(-s.leastTime(x)),
+		}
+		switch x.pool.gate.Enter(ctx, item) {
+		case scheduler.TooLate:
+			o := refuse(http.StatusServiceUnavailable, ReasonOverloaded, "")
+			o.RetryAfter = s.retryAfter(x)
+			return o
+		case scheduler.Canceled:
+			if s.opts.Timer.Now().Before(x.Deadline) {
+				return refuse(statusCallerGone, ReasonCallerGone, "")
+			}
+			o := refuse(http.StatusServiceUnavailable, ReasonDeadline, "")
+			o.RetryAfter = s.retryAfter(x)
+			return o
+		}
+		held := true
+		x.release = func() {
+			if held {
+				held = false
+				x.pool.gate.Started()
+			}
+		}
+		defer x.release()
+		return next(ctx, x)
+	}
+}
+
+// statusCallerGone is recorded for callers that went away; none sees it.
+const statusCallerGone = 499
+
+// cost returns the work that a request brings, in tokens.
+func (x *Exchange) cost() float64 {
+	if x.Call.Prompt == nil {
+		return 1
+	}
+	return float64(x.Pages.Tokens + x.Call.Prompt.MaxTokens)
+}
--- /dev/null
+++ b/server/forward.go
@@ -0,0 +1,257 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package server
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/internal/wire"
+	"amaranthgate.example/amaranthgate/publisher"
+	"amaranthgate.example/amaranthgate/router"
+)
+
+// delivery is the state of a request over its attempts.
+type delivery struct {
+	server  *Server
+	x       *Exchange
+	outcome Outcome
+	tried   []int
+	text    []byte // text is what the caller has, escaped as in JSON.
+	version string // version is the weight version of the first attempt whose text the caller has.
+}
+
+// forward sends the request to an upstream and its answer back, with retries
+// within the budget.
+func (s *Server) forward(ctx context.Context, x *Exchange) Outcome {
+	if len(x.Pool.Targets) == 0 {
+		return refuse(http.StatusServiceUnavailable, ReasonNoUpstream, "")
+	}
+	d := &delivery{server: s, x: x}
+	s.opts.Budget.Request()
+	for {
+		fail := d.attempt(ctx)
+		if fail == nil {
+			return d.outcome
+		}
+		if !d.again(ctx, fail) {
+			return d.failed(ctx, fail)
+		}
+	}
+}
+
+// again reports whether another attempt is allowed after a failure.
+func (d *delivery) again(ctx context.Context, fail *forwarder.Failure) bool {
+	x := d.x
+	switch {
+	case ctx.Err() != nil || fail.Cause == forwarder.CauseCaller || fail.Cause == causeNoTarget:
+		return false
+	case d.outcome.Attempts >= x.Snapshot.Document.Retry.Attempts:
+		return false
+	case !x.Repeatable && (fail.Ran != forwarder.RanNo || !d.mayDispatch()):
+		return false
+	case d.outcome.written && !d.resumable():
+		return false
+	}
+	return d.server.opts.Budget.Withdraw()
+}
+
+// mayDispatch reports whether a claimed request may still be sent. A host that
+// was paused after it won finds its claim stale.
+func (d *delivery) mayDispatch() bool {
+	return d.x.before.IsZero() || d.server.opts.Timer.Now().Before(d.x.before)
+}
+
+// resumable reports whether an answer of which the caller has a part can be
+// continued elsewhere.
+func (d *delivery) resumable() bool {
+	return d.x.Call.Prompt != nil && d.x.Call.Prompt.Stream && d.outcome.Tokens < d.x.Call.Prompt.MaxTokens
+}
+
+// causeNoTarget says that no upstream was left to try.
+const causeNoTarget forwarder.Cause = "NoTarget"
+
+// attempt makes one attempt. It returns nil when the answer is whole.
+func (d *delivery) attempt(ctx context.Context) *forwarder.Failure {
+	s, x := d.server, d.x
+	i, decision, ok := d.choose()
+	if !ok {
+		return &forwarder.Failure{Cause: causeNoTarget, Ran: forwarder.RanNo, Detail: "no upstream is left to try"}
+	}
+	if !d.mayDispatch() {
+		return &forwarder.Failure{Cause: causeNoTarget, Ran: forwarder.RanNo, Detail: "the claim went stale"}
+	}
+	d.tried = append(d.tried, i)
+	d.outcome.Attempts++
+	up := &x.Pool.Upstreams[i]
+	d.outcome.Upstream = up.Name
+	start := s.opts.Timer.Now()
+	tokens := x.Pages.Tokens - decision.Reused
+	up.Instruments.Meter.Start(tokens)
+	x.release()
+	gotFirst := false
+	first := func() {
+		if !gotFirst {
+			gotFirst = true
+			up.Instruments.Meter.FirstToken(tokens)
+		}
+	}
+	defer func() {
+		first()
+		up.Instruments.Meter.Finish(s.opts.Timer.Now().Sub(start))
+		x.pool.gate.Wake(s.opts.Timer.Now())
+	}()
+	fail := d.send(ctx, up, decision, first)
+	if fail == nil || fail.Cause != forwarder.CauseCaller {
+		up.Instruments.Breaker.Record(s.opts.Timer.Now(), fail == nil || !blames(fail))
+	}
+	return fail
+}
+
+// blames reports whether a failure speaks against the upstream's health.
+func blames(f *forwarder.Failure) bool {
+	switch f.Cause {
+	case forwarder.CauseConnect, forwarder.CauseLost, forwarder.CauseTimeout:
+		return true
+	}
+	return false
+}
+
+// choose routes the request among the targets that may still be tried.
+func (d *delivery) choose() (int, router.Decision, bool) {
+	x := d.x
+	x.Pages.Exclude = append(x.Pages.Exclude[:0], d.tried...)
+	now := d.server.opts.Timer.Now()
+	for i := range x.Pool.Upstreams {
+		up := &x.Pool.Upstreams[i]
+		if !d.fits(up) || up.Instruments.Breaker.Open(now) {
+			x.Pages.Exclude = append(x.Pages.Exclude, i)
+		}
+	}
+	x.pool.mu.Lock()
+	decision, ok := x.pool.router.Route(x.Pool.Targets, &x.Pages)
+	x.pool.mu.Unlock()
+	if !ok {
+		return 0, decision, false
+	}
+	if !x.Pool.Upstreams[decision.Target].Instruments.Breaker.Allow(now) {
+		d.tried = append(d.tried, decision.Target)
+		return d.choose()
+	}
+	return decision.Target, decision, true
+}
+
+// fits reports whether an upstream has the weight version that a continued
+// answer needs.
+func (d *delivery) fits(up *publisher.Upstream) bool {
+	return d.version == "" || len(up.Versions) == 0 || slices.Contains(up.Versions, d.version)
+}
+
+func (d *delivery) send(ctx context.Context, up *publisher.Upstream, decision router.Decision, first func()) *forwarder.Failure {
+	x := d.x
+	a := &forwarder.Attempt{
+		Upstream:   up.Name,
+		Address:    up.Address,
+		Method:     x.Call.Method,
+		Path:       x.Call.Path,
+		Header:     forwardedHeader(x.request.Header),
+		Body:       x.Call.Body,
+		Nonce:      nonce(x.ID, d.outcome.Attempts),
+		FirstToken: d.server.opts.FirstToken,
+		Interval:   d.server.opts.Interval,
+		OnlyOnce:   !x.Repeatable,
+	}
+	a.Header.Set(headerWorkspace, x.Workspace.Name)
+	if x.Call.Prompt == nil {
+		return d.call(ctx, a, first)
+	}
+	a.Body = d.promptFor(up, decision)
+	resp, fail := d.server.opts.Forwarder.Open(ctx, a)
+	if fail != nil {
+		return fail
+	}
+	defer resp.Close()
+	if resp.Status() != http.StatusOK {
+		return d.passOn(resp)
+	}
+	if x.Call.Prompt.Stream {
+		return d.stream(resp, a.Nonce, first)
+	}
+	return d.whole(resp, a.Nonce, first)
+}
+
+// headerWorkspace tells upstreams whose request it is.
+const headerWorkspace = "Amaranthgate-Workspace"
+
+// promptFor returns the body for one upstream.
+func (d *delivery) promptFor(up *publisher.Upstream, decision router.Decision) []byte {
+	x := d.x
+	set := *x.Call.Prompt
+	set.Priority = x.Class.Rank
+	set.Version = d.version
+	if set.Version == "" {
+		m, _ := x.Snapshot.Document.Model(set.Model)
+		set.Version = m.Version
+	}
+	set.CacheSalt = d.server.salt(x.Workspace.Name, set.Model, set.Version)
+	if set.Stream {
+		set.StreamOptions = &wire.StreamOptions{IncludeUsage: true}
+	}
+	if decision.Restore > 0 && d.x.holdings != nil {
+		set.Restore = d.x.holdings.Segments(decision.Target)
+	}
+	if len(d.text) > 0 {
+		d.continueFrom(&set)
+	}
+	return x.body.with(set)
+}
+
+// continueFrom changes a prompt so that the answer goes on after the text that
+// the caller has.
+func (d *delivery) continueFrom(set *wire.CompletionRequest) {
+	text, ok := forwarder.UnescapeText(string(d.text))
+	if !ok {
+		return
+	}
+	set.MaxTokens -= d.outcome.Tokens
+	if !d.x.Call.Chat {
+		set.Prompt += text
+		return
+	}
+	set.Messages = append(slices.Clone(set.Messages), wire.Message{Role: "assistant", Content: text})
+	set.Continue = true
+}
+
+// failed turns the last failure into the outcome for the caller.
+func (d *delivery) failed(ctx context.Context, fail *forwarder.Failure) Outcome {
+	o := d.outcome
+	o.Ran = fail.Ran
+	o.Detail = fail.Detail
+	o.RetryAfter = fail.RetryAfter
+	if o.Attempts > 1 && o.Ran == forwarder.RanNo && d.x.Repeatable {
+		o.Ran = forwarder.RanUnknown // an earlier attempt may have run
+	}
+	switch {
+	case fail.Cause == forwarder.CauseCaller && ctx.Err() == nil, ctx.Err() == context.Canceled:
+		o.Status, o.Reason = statusCallerGone, ReasonCallerGone
+	case ctx.Err() == context.DeadlineExceeded:
+		o.Status, o.Reason = http.StatusGatewayTimeout, ReasonDeadline
+	case fail.Cause == causeNoTarget:
+		o.Status, o.Reason = http.StatusServiceUnavailable, ReasonNoUpstream
+	case fail.Cause == forwarder.CauseConnect, fail.Cause == forwarder.CauseRefused && fail.Ran == forwarder.RanNo:
+		o.Status, o.Reason = http.StatusServiceUnavailable, ReasonUpstream
+	default:
+		o.Status, o.Reason = http.StatusBadGateway, ReasonUpstream
+	}
+	if o.Status == http.StatusServiceUnavailable && o.RetryAfter == 0 {
+		o.RetryAfter = time.Second
+	}
+	if o.written {
+		o.Reason = ReasonInterrupted
+	}
+	return o
+}
--- /dev/null
+++ b/tracker/host.go
@@ -0,0 +1,325 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package tracker
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthgate.example/amaranthgate/connector"
+)
+
+// HostState is the state of one of the system's hosts.
+type HostState string
+
+// The states of a host.
+const (
+	HostJoining HostState = "Joining" // HostJoining is listed but was never heard of.
+	HostLive    HostState = "Live"
+	HostSuspect HostState = "Suspect" // HostSuspect was silent towards a neighbour.
+	HostLeaving HostState = "Leaving" // HostLeaving drains.
+	HostGone    HostState = "Gone"
+)
+
+// severity orders states of the same version.
+var severity = map[HostState]int{HostJoining: 0, HostLive: 1, HostLeaving: 2, HostSuspect: 3, HostGone: 4}
+
+// HostRecord is what is said of a host.
+type HostRecord struct {
+	Host             string
+	Incarnation      uint64 // Incarnation grows with each start of the process.
+	Version          uint64 // Version grows with each statement of the host about itself.
+	State            HostState
+	AvailabilityZone string
+	Peers            string  // Peers is the address for other hosts.
+	Callers          string  // Callers is the address for callers.
+	Operators        string  // Operators is the address of console and state dump.
+	Revision         uint64  // Revision is the configuration revision in force there.
+	Spare            float64 // Spare is the part of its room that is free.
+}
+
+// supersedes reports whether r is newer than o.
+func (r HostRecord) supersedes(o HostRecord) bool {
+	if r.Incarnation != o.Incarnation {
+		return r.Incarnation > o.Incarnation
+	}
+	if r.Version != o.Version {
+		return r.Version > o.Version
+	}
+	return severity[r.State] > severity[o.State]
+}
+
+// HostOptions set the times of membership.
+type HostOptions struct {
+	Suspect    time.Duration // Suspect is the silence after which a neighbour is suspected.
+	Gone       time.Duration // Gone is how long a suspicion stands before the host is gone; default 3 Suspect.
+	Forget     time.Duration // Forget is how long gone hosts are remembered; default 10 min.
+	Neighbours int           // Neighbours is the number of hosts that each host connects to; default 4.
+}
+
+// fullMesh is the number of hosts up to which everyone is a neighbour.
+const fullMesh = 9
+
+// Hosts is what one host knows of all hosts. It is not safe for concurrent
+// use.
+type Hosts struct {
+	opts    HostOptions
+	self    HostRecord
+	records map[string]*hostEntry
+	listed  map[string]connector.ListedHost
+}
+
+type hostEntry struct {
+	record  HostRecord
+	changed time.Time
+	heard   time.Time // heard is when it last spoke to this host directly.
+	doubted time.Time // doubted is when this host last suspected it.
+}
+
+// NewHosts returns the view of a host that knows only itself.
+func NewHosts(self HostRecord, opts HostOptions) *Hosts {
+	if opts.Gone == 0 {
+		opts.Gone = 3 * opts.Suspect
+	}
+	if opts.Forget == 0 {
+		opts.Forget = 10 * time.Minute
+	}
+	if opts.Neighbours == 0 {
+		opts.Neighbours = 4
+	}
+	self.Version = max(self.Version, 1)
+	return &Hosts{opts: opts, self: self, records: make(map[string]*hostEntry), listed: make(map[string]connector.ListedHost)}
+}
+
+// Self returns this host's own record.
+func (h *Hosts) Self() HostRecord { return h.self }
+
+// Say changes this host's own record and reports whether that is news.
+func (h *Hosts) Say(change func(*HostRecord)) (HostRecord, bool) {
+	next := h.self
+	change(&next)
+	if next == h.self {
+		return h.self, false
+	}
+	next.Version++
+	h.self = next
+	return h.self, true
+}
+
+// Merge takes a record that a peer passed on. It returns the records that are
+// news to this host and must be passed on in turn.
+func (h *Hosts) Merge(now time.Time, r HostRecord) []HostRecord {
+	if r.Host == h.self.Host {
+		return h.refute(r)
+	}
+	e := h.records[r.Host]
+	if e == nil {
+		h.records[r.Host] = &hostEntry{record: r, changed: now, heard: now}
+		return []HostRecord{r}
+	}
+	if !r.supersedes(e.record) {
+		return nil
+	}
+	if r.Incarnation > e.record.Incarnation {
+		e.heard = now
+	}
+	e.record = r
+	e.changed = now
+	return []HostRecord{r}
+}
+
+// refute answers what others say of this host.
+func (h *Hosts) refute(r HostRecord) []HostRecord {
+	if r.Incarnation != h.self.Incarnation || !r.supersedes(h.self) {
+		return nil
+	}
+	h.self.Version = r.Version + 1
+	return []HostRecord{h.self}
+}
+
+// Heard notes that a host spoke to this one directly.
+func (h *Hosts) Heard(now time.Time, host string) {
+	if e := h.records[host]; e != nil {
+		e.heard = now
+	}
+}
+
+// Listed takes the platform's host list.
+func (h *Hosts) Listed(now time.Time, list []connector.ListedHost) []HostRecord {
+	h.listed = make(map[string]connector.ListedHost, len(list))
+	var news []HostRecord
+	for _, l := range list {
+		h.listed[l.Host] = l
+		e := h.records[l.Host]
+		if l.Host == h.self.Host {
+			continue
+		}
+		if e == nil {
+			r := HostRecord{Host: l.Host, State: HostJoining, AvailabilityZone: l.AvailabilityZone, Peers: l.Address}
+			h.records[l.Host] = &hostEntry{record: r, changed: now, heard: now}
+			continue
+		}
+		if l.State == connector.ListedLeaving && e.record.State == HostLive {
+			r := e.record
+			r.State = HostLeaving
+			news = append(news, h.Merge(now, r)...)
+		}
+	}
+	return news
+}
+
+// Tick suspects silent neighbours, declares long suspected hosts gone and
+// forgets those that are gone for long.
+func (h *Hosts) Tick(now time.Time) []HostRecord {
+	var news []HostRecord
+	near := make(map[string]bool)
+	for _, n := range h.Neighbours() {
+		near[n] = true
+	}
+	for name, e := range h.records {
+		switch e.record.State {
+		case HostLive, HostLeaving:
+			silent := now.Sub(e.heard) > h.opts.Suspect
+			again := now.Sub(e.doubted) > h.opts.Gone
+			if near[name] && silent && again {
+				e.doubted = now
+				news = append(news, h.declare(now, e, HostSuspect))
+			}
+		case HostSuspect:
+			if now.Sub(e.changed) > h.opts.Gone {
+				news = append(news, h.declare(now, e, HostGone))
+			}
+		case HostGone:
+			if _, still := h.listed[name]; !still && now.Sub(e.changed) > h.opts.Forget {
+				delete(h.records, name)
+			}
+		case HostJoining:
+			if _, still := h.listed[name]; !still {
+				delete(h.records, name)
+			}
+		}
+	}
+	return news
+}
+
+func (h *Hosts) declare(now time.Time, e *hostEntry, s HostState) HostRecord {
+	e.record.State = s
+	e.changed = now
+	return e.record
+}
+
+// Lookup returns what is known of a host.
+func (h *Hosts) Lookup(host string) (HostRecord, bool) {
+	if host == h.self.Host {
+		return h.self, true
+	}
+	if e := h.records[host]; e != nil {
+		return e.record, true
+	}
+	return HostRecord{}, false
+}
+
+// All returns every record, this host's own included, sorted by name.
+func (h *Hosts) All() []HostRecord {
+	out := make([]HostRecord, 0, len(h.records)+1)
+	out = append(out, h.self)
+	for _, e := range h.records {
+		out = append(out, e.record)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
+
+// Live returns the names of the hosts that can take on duties, this one
+// included unless it is leaving, sorted.
+func (h *Hosts) Live() []string {
+	var out []string
+	for _, r := range h.All() {
+		if r.State == HostLive {
+			out = append(out, r.Host)
+		}
+	}
+	return out
+}
+
+// Neighbours returns the hosts that this one keeps connections to: all of them
+// in a small system, else its successors on a ring by hash, which keeps the
+// graph connected, and some picks by rendezvous, which keep it shallow.
+func (h *Hosts) Neighbours() []string {
+	var names []string
+	for n, e := range h.records {
+		if e.record.State != HostGone && e.record.Peers != "" {
+			names = append(names, n)
+		}
+	}
+	if len(names) < fullMesh {
+		sort.Strings(names)
+		return names
+	}
+	ring := h.successors(names, h.opts.Neighbours/2)
+	return append(ring, h.picks(names, ring, h.opts.Neighbours-len(ring))...)
+}
+
+func (h *Hosts) successors(names []string, n int) []string {
+	own := xxhash.Sum64String(h.self.Host)
+	sort.Slice(names, func(i, j int) bool {
+		return xxhash.Sum64String(names[i])-own < xxhash.Sum64String(names[j])-own
+	})
+	return append([]string(nil), names[:min(n, len(names))]...)
+}
+
+func (h *Hosts) picks(names, taken []string, n int) []string {
+	rest := names[len(taken):]
+	sort.Slice(rest, func(i, j int) bool {
+		return Rank(rest[i], h.self.Host) > Rank(rest[j], h.self.Host)
+	})
+	return rest[:min(n, len(rest))]
+}
+
+// Rank returns the rendezvous weight of a host for a key; the host with the
+// highest weight comes first.
+func Rank(host, key string) uint64 {
+	x := xxhash.Sum64String(host) ^ xxhash.Sum64String(key)*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Place returns the place of a host among others for a key, from 0; -1 if it
+// is not among them.
+func Place(hosts []string, host, key string) int {
+	place, found := 0, false
+	own := Rank(host, key)
+	for _, o := range hosts {
+		if o == host {
+			found = true
+			continue
+		}
+		if Rank(o, key) > own {
+			place++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return place
+}
+
+// Digest returns a hash over the versions of all records. Hosts whose digests
+// differ exchange their records.
+func (h *Hosts) Digest() uint64 {
+	var sum uint64
+	for _, r := range h.All() {
+		if r.State == HostJoining {
+			continue
+		}
+		x := xxhash.Sum64String(r.Host) ^ r.Incarnation*31 ^ r.Version*17 ^ uint64(severity[r.State])
+		sum += x * 0x9e3779b97f4a7c15
+	}
+	return sum
+}
