Search random schedules of faults against the control plane

Cause: nothing brought about the failures that claims, leases and configuration are meant for.

Found and mended: (1) a state restored from a checkpoint had its times cut to seconds, so it differed from the folded one; CBOR now keeps them whole. (3) the first host to start kept every lease; duties now move to the better candidate after 20 s.

--- a/caller/client.go
+++ b/caller/client.go
@@ -68,7 +68,7 @@
 	if fresh {
 		return kept, nil
 	}
-	var last error = errors.New("caller: no seeds")
+	last := errors.New("caller: no seeds")
 	for _, seed := range append(append([]string(nil), kept...), c.opts.Seeds...) {
 		ans, err := c.ask(ctx, seed)
 		if err != nil || len(ans.Addresses) == 0 {
--- a/controller/leases.go
+++ b/controller/leases.go
@@ -31,6 +31,12 @@
 	if n.leaving || !n.Ready() {
 		return
 	}
+	if n.readyAt.IsZero() {
+		n.readyAt = now
+	}
+	if now.Sub(n.readyAt) < settleIn {
+		return
+	}
 	live := n.hosts.Live()
 	var wanted []leaser.Wanted
 	for _, name := range n.duties() {
@@ -39,6 +45,36 @@
 		}
 	}
 	s.queue.Add(n.holder.Tick(now, wanted)...)
+	s.queue.Add(n.holder.Yield(n.misplaced(now, live))...)
+}
+
+// Times of the spread of duties.
+const (
+	settleIn   = time.Second      // settleIn is how long a host that became ready gets to know the others before it acquires.
+	yieldAfter = 20 * time.Second // yieldAfter is how long a better candidate must be live before a lease is handed over.
+)
+
+// misplaced returns the leases held here for which another host has been the
+// better candidate for a while. Without this the first host to start would keep
+// every duty.
+func (n *Node) misplaced(now time.Time, live []string) []string {
+	var out []string
+	for _, name := range n.holder.Held() {
+		if tracker.Place(live, n.opts.Self.Host, name) <= 0 {
+			delete(n.better, name)
+			continue
+		}
+		since, ok := n.better[name]
+		if !ok {
+			n.better[name] = now
+			continue
+		}
+		if now.Sub(since) >= yieldAfter {
+			delete(n.better, name)
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // holderOf returns the host that holds a lease according to the log, or "".
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -70,6 +70,7 @@
 
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
 	n.hosts.Heard(now, ev.From)
+	n.tellSuspect(now, ev.From)
 	m := ev.Message
 	n.mergeHosts(now, ev.From, m.Hosts)
 	n.mergeUpstreams(ev.From, m.Upstreams)
@@ -95,6 +96,20 @@
 	}
 }
 
+// tellSuspect tells a host that speaks although it is suspected what is said of
+// it, so that it can refute that.
+func (n *Node) tellSuspect(now time.Time, host string) {
+	r, ok := n.hosts.Lookup(host)
+	if !ok || r.State != tracker.HostSuspect && r.State != tracker.HostGone {
+		return
+	}
+	if now.Sub(n.lastTold[host]) < n.opts.Heartbeat {
+		return
+	}
+	n.lastTold[host] = now
+	n.do(Send{To: host, Message: &messenger.Message{Hosts: []tracker.HostRecord{r}}})
+}
+
 func (n *Node) mergeHosts(now time.Time, from string, records []tracker.HostRecord) {
 	var news []tracker.HostRecord
 	for _, r := range records {
--- a/controller/node.go
+++ b/controller/node.go
@@ -76,7 +76,10 @@
 	lastLoads time.Time
 	lastWants time.Time
 	lastFull  map[string]time.Time
+	lastTold  map[string]time.Time // lastTold is when a host was last told that it is suspected.
 	leaving   bool
+	readyAt   time.Time            // readyAt is when the node was first ready.
+	better    map[string]time.Time // better is since when another host is the better candidate for a lease held here.
 
 	view      *publisher.Snapshot
 	viewDirty bool
@@ -96,6 +99,8 @@
 		awaited:   make(map[string]bool),
 		marks:     make(map[string]loadMark),
 		lastFull:  make(map[string]time.Time),
+		lastTold:  make(map[string]time.Time),
+		better:    make(map[string]time.Time),
 	}
 	opts.Self.State = tracker.HostLive
 	n.hosts = tracker.NewHosts(opts.Self, tracker.HostOptions{Suspect: opts.Suspect})
--- /dev/null
+++ b/controller/simulation_test.go
@@ -0,0 +1,546 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package controller
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/publisher"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// simulation drives several nodes in virtual time over a log, links and hosts
+// that fail as a schedule says. It is deterministic for a seed.
+type simulation struct {
+	rng   *rand.Rand
+	now   time.Time
+	queue simQueue
+	seq   uint64
+
+	hosts   map[string]*simHost
+	names   []string
+	streams map[string]*simStream
+	logDown bool
+	logSlow time.Duration
+	flaky   bool            // flaky lets some dispatches fail.
+	lose    float64         // lose is the share of appends whose answer is lost.
+	cut     map[string]bool // cut holds hosts that peers cannot reach.
+	deaf    map[string]bool // deaf holds hosts that cannot read the log.
+	mute    map[string]bool // mute holds hosts that cannot append to it.
+	hold    map[string]bool // hold holds hosts whose appends arrive late and without answer.
+
+	appends  int
+	messages int
+	runs     map[claimer.Key]int // runs counts executions by key.
+	ran      map[string]bool     // ran holds the nonces that were dispatched.
+	attempts []*simAttempt
+	results  map[string]configurer.Result
+	highest  map[string]uint64 // highest is the highest revision each host has had in force.
+	faults   []string          // faults are broken promises.
+}
+
+type simStream struct {
+	earliest uint64
+	records  []folder.Raw
+}
+
+type simHost struct {
+	sim     *simulation
+	name    string
+	started int
+	alive   bool
+	paused  bool
+	held    []func()
+	node    *Node
+	life    int // life changes with each start and kill, to drop what is under way.
+	follows map[string]*simFollow
+	claims  map[string]*simAttempt
+}
+
+type simFollow struct {
+	from    uint64
+	reading bool
+	stopped bool
+}
+
+// simAttempt is one request that may run only once.
+type simAttempt struct {
+	key     claimer.Key
+	nonce   string
+	host    string
+	first   bool // first tells that no other attempt used the key before.
+	settled *claimer.Settled
+	at      time.Time
+	end     time.Time
+	life    int
+}
+
+const (
+	simLatency  = 2 * time.Millisecond
+	simHop      = time.Millisecond
+	simTimeout  = 500 * time.Millisecond
+	simService  = 30 * time.Millisecond
+	simPoll     = 2 * time.Second
+	simTick     = 25 * time.Millisecond
+	simRetained = time.Hour
+	simHeld     = 6 * time.Second // simHeld is longer than a lease, so that another host has taken over.
+)
+
+var simStart = time.Date(2026, 3, 12, 8, 0, 0, 0, time.UTC)
+
+func newSimulation(seed uint64, hosts int) *simulation {
+	s := &simulation{
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		now:     simStart,
+		hosts:   make(map[string]*simHost),
+		streams: make(map[string]*simStream),
+		cut:     make(map[string]bool),
+		deaf:    make(map[string]bool),
+		mute:    make(map[string]bool),
+		hold:    make(map[string]bool),
+		runs:    make(map[claimer.Key]int),
+		ran:     make(map[string]bool),
+		results: make(map[string]configurer.Result),
+		highest: make(map[string]uint64),
+	}
+	for i := range hosts {
+		name := fmt.Sprintf("host-%d", i+1)
+		s.names = append(s.names, name)
+		s.hosts[name] = &simHost{sim: s, name: name}
+		s.start(name)
+	}
+	return s
+}
+
+type simEvent struct {
+	at  time.Time
+	seq uint64
+	f   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func (s *simulation) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{at: s.now.Add(d), seq: s.seq, f: f})
+}
+
+// run lets a time pass.
+func (s *simulation) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.f()
+	}
+	s.now = end
+}
+
+func (s *simulation) broken(format string, args ...any) {
+	s.faults = append(s.faults, fmt.Sprintf("%s: ", s.now.Sub(simStart))+fmt.Sprintf(format, args...))
+}
+
+// start starts a host's process anew.
+func (s *simulation) start(name string) {
+	h := s.hosts[name]
+	h.started++
+	h.life++
+	h.alive, h.paused, h.held = true, false, nil
+	h.follows = make(map[string]*simFollow)
+	h.claims = make(map[string]*simAttempt)
+	h.node = NewNode(Options{
+		Self: tracker.HostRecord{
+			Host: name, Incarnation: uint64(h.started), AvailabilityZone: "zone", Peers: name, Callers: name,
+		},
+		Registry:     &publisher.Registry{},
+		GroupCommit:  10 * time.Millisecond,
+		Heartbeat:    500 * time.Millisecond,
+		Suspect:      2 * time.Second,
+		Lease:        3 * time.Second,
+		LeaseMargin:  500 * time.Millisecond,
+		LogRetention: simRetained,
+	})
+	h.carryOut(h.node.Start(s.now))
+	h.tick(h.life)
+	h.listed(h.life)
+}
+
+func (s *simulation) kill(name string) {
+	h := s.hosts[name]
+	h.life++
+	h.alive = false
+}
+
+func (s *simulation) pause(name string) { s.hosts[name].paused = true }
+
+func (s *simulation) resume(name string) {
+	h := s.hosts[name]
+	h.paused = false
+	held := h.held
+	h.held = nil
+	for _, f := range held {
+		f()
+	}
+}
+
+// in runs f at a host if the same process still lives, later if it is paused.
+func (h *simHost) in(life int, f func()) {
+	if !h.alive || h.life != life {
+		return
+	}
+	if h.paused {
+		h.held = append(h.held, func() { h.in(life, f) })
+		return
+	}
+	f()
+}
+
+// later runs f at the host after a time.
+func (h *simHost) later(d time.Duration, f func()) {
+	life := h.life
+	h.sim.after(d, func() { h.in(life, f) })
+}
+
+func (h *simHost) handle(ev Event) { h.carryOut(h.node.Handle(h.sim.now, ev)) }
+
+func (h *simHost) tick(life int) {
+	h.sim.after(simTick, func() {
+		h.in(life, func() {
+			h.handle(Tick{})
+			h.tick(life)
+		})
+	})
+}
+
+func (h *simHost) listed(life int) {
+	h.sim.after(time.Second, func() {
+		h.in(life, func() {
+			var a connector.HostListAnswer
+			for _, n := range h.sim.names {
+				if h.sim.hosts[n].alive {
+					a.Hosts = append(a.Hosts, connector.ListedHost{Host: n, Address: n, AvailabilityZone: "zone", State: connector.ListedLive})
+				}
+			}
+			h.handle(HostsListed{Answer: a})
+			h.listed(life)
+		})
+	})
+}
+
+func (h *simHost) carryOut(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Append:
+			h.append(a)
+		case Send:
+			h.send(a)
+		case Follow:
+			h.follow(a)
+		case Unfollow:
+			h.unfollow(a.Stream)
+		case Settle:
+			h.settle(a.Settled)
+		case Published:
+			h.sim.results[a.Result.ID] = a.Result
+		case ViewChanged:
+			h.viewed()
+		}
+	}
+}
+
+// viewed checks that the revision in force never goes back, over restarts too
+// as soon as the host is ready.
+func (h *simHost) viewed() {
+	v := h.node.View()
+	if !v.Ready {
+		return
+	}
+	if v.Revision < h.sim.highest[h.name] {
+		h.sim.broken("%s went back from revision %d to %d", h.name, h.sim.highest[h.name], v.Revision)
+	}
+	h.sim.highest[h.name] = v.Revision
+}
+
+func (h *simHost) append(a Append) {
+	s := h.sim
+	body := a.Record.Encode()
+	done := func(err error) func() {
+		return func() { h.handle(AppendDone{Stream: a.Stream, Sequence: a.Record.Sequence, Err: err}) }
+	}
+	if s.logDown || s.mute[h.name] {
+		h.later(simTimeout, done(fmt.Errorf("down")))
+		return
+	}
+	delay := simLatency + s.logSlow + time.Duration(s.rng.IntN(2000))*time.Microsecond
+	lost := s.rng.Float64() < s.lose
+	late := lost && s.rng.IntN(4) == 0 // the append takes effect after the answer was given up
+	if late {
+		delay += 2 * simTimeout
+	}
+	if s.hold[h.name] {
+		lost = true
+		delay += simHeld
+	}
+	s.after(delay, func() { s.land(a.Stream, body) }) // lands whether or not its writer still lives
+	if lost || delay > simTimeout {
+		h.later(simTimeout, done(fmt.Errorf("no answer")))
+		return
+	}
+	h.later(delay+simHop, done(nil))
+}
+
+func (s *simulation) stream(name string) *simStream {
+	st := s.streams[name]
+	if st == nil {
+		st = &simStream{}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (s *simulation) land(name string, body []byte) {
+	st := s.stream(name)
+	s.appends++
+	st.records = append(st.records, folder.Raw{Offset: st.earliest + uint64(len(st.records)), Time: s.now, Body: body})
+	for _, n := range s.names {
+		h := s.hosts[n]
+		if f := h.follows[name]; f != nil && h.alive {
+			h.later(simHop, func() { h.read(name, f) })
+		}
+	}
+}
+
+// expire drops all records of a stream but the newest keep.
+func (s *simulation) expire(name string, keep int) {
+	st := s.stream(name)
+	if n := len(st.records) - keep; n > 0 {
+		st.earliest += uint64(n)
+		st.records = append([]folder.Raw(nil), st.records[n:]...)
+	}
+}
+
+func (h *simHost) follow(a Follow) {
+	h.unfollow(a.Stream)
+	f := &simFollow{from: a.From}
+	h.follows[a.Stream] = f
+	h.later(simHop, func() { h.read(a.Stream, f) })
+	h.poll(a.Stream, f)
+}
+
+func (h *simHost) unfollow(stream string) {
+	if f := h.follows[stream]; f != nil {
+		f.stopped = true
+		delete(h.follows, stream)
+	}
+}
+
+func (h *simHost) poll(stream string, f *simFollow) {
+	h.later(simPoll/4, func() {
+		if !f.stopped {
+			h.read(stream, f)
+			h.poll(stream, f)
+		}
+	})
+}
+
+// read reads one page, one read at a time.
+func (h *simHost) read(stream string, f *simFollow) {
+	s := h.sim
+	if f.stopped || f.reading {
+		return
+	}
+	f.reading = true
+	began := s.now
+	if s.logDown || s.deaf[h.name] {
+		h.later(simTimeout, func() {
+			f.reading = false
+			if !f.stopped {
+				h.handle(LogFailed{Stream: stream})
+			}
+		})
+		return
+	}
+	h.later(simHop+s.logSlow, func() {
+		f.reading = false
+		if f.stopped {
+			return
+		}
+		st := s.stream(stream)
+		p := folder.Page{Earliest: st.earliest, Next: st.earliest + uint64(len(st.records))}
+		f.from = max(f.from, st.earliest)
+		tail := st.records[f.from-st.earliest:]
+		p.Records = append(p.Records, tail[:min(64, len(tail))]...)
+		f.from += uint64(len(p.Records))
+		h.handle(LogRead{Stream: stream, Page: p, Began: began})
+		if f.from < p.Next {
+			h.read(stream, f)
+		}
+	})
+}
+
+func (h *simHost) send(a Send) {
+	s := h.sim
+	s.messages++
+	if s.cut[h.name] || s.cut[a.To] || s.hosts[a.To] == nil {
+		return
+	}
+	b := messenger.Encode(a.Message)
+	to := s.hosts[a.To]
+	life := to.life
+	from := h.name
+	s.after(simHop+time.Duration(s.rng.IntN(500))*time.Microsecond, func() {
+		to.in(life, func() {
+			m, err := messenger.Decode(b)
+			if err != nil {
+				s.broken("message of %s: %v", from, err)
+				return
+			}
+			to.handle(PeerMessage{From: from, Message: m})
+		})
+	})
+}
+
+// claim sends a request that may run only once through a host.
+func (s *simulation) claim(host, key string, first bool, wait time.Duration) *simAttempt {
+	h := s.hosts[host]
+	a := &simAttempt{key: claimer.NewKey("w", key), nonce: fmt.Sprintf("%s/%d", host, s.seq), host: host, first: first, at: s.now, life: h.life}
+	s.seq++
+	if !h.alive {
+		return a
+	}
+	s.attempts = append(s.attempts, a)
+	h.in(h.life, func() {
+		h.claims[a.nonce] = a
+		r := claimer.Request{Key: a.key, Digest: claimer.NewDigest("POST", "/", []byte(key)), Nonce: a.nonce}
+		h.handle(ClaimStarted{Request: r, Deadline: s.now.Add(wait)})
+	})
+	return a
+}
+
+// settle does what the server does with a verdict: dispatch once if it may.
+func (h *simHost) settle(v claimer.Settled) {
+	s := h.sim
+	a := h.claims[v.Nonce]
+	if a == nil {
+		return
+	}
+	delete(h.claims, v.Nonce)
+	if v.Verdict != claimer.VerdictWon {
+		a.settled, a.end = &v, s.now
+		return
+	}
+	h.later(simHop, func() { h.dispatch(a, v) })
+}
+
+func (h *simHost) dispatch(a *simAttempt, v claimer.Settled) {
+	s := h.sim
+	finish := func(st claimer.State, verdict claimer.Verdict) {
+		a.settled, a.end = &claimer.Settled{Nonce: a.nonce, Verdict: verdict}, s.now
+		h.handle(ClaimFinished{Outcome: claimer.Outcome{Key: a.key, Nonce: a.nonce, State: st}})
+	}
+	if !s.now.Before(v.Before) {
+		finish(claimer.StateNotRun, claimer.VerdictUnavailable)
+		return
+	}
+	luck := 7
+	if s.flaky {
+		luck = s.rng.IntN(8)
+	}
+	switch luck {
+	case 0: // no connection: it did not run
+		finish(claimer.StateNotRun, claimer.VerdictUnavailable)
+		return
+	case 1: // it runs and the answer is lost
+		s.execute(a)
+		h.later(simService, func() { finish(claimer.StateUnknown, claimer.VerdictUnknown) })
+		return
+	}
+	s.execute(a)
+	h.later(simService, func() { finish(claimer.StateDone, claimer.VerdictWon) })
+}
+
+func (s *simulation) execute(a *simAttempt) {
+	s.runs[a.key]++
+	s.ran[a.nonce] = true
+	if s.runs[a.key] > 1 {
+		s.broken("key of %s ran %d times", a.nonce, s.runs[a.key])
+	}
+}
+
+// mend ends all faults but those of hosts.
+func (s *simulation) mend() {
+	s.logDown, s.logSlow, s.lose = false, 0, 0
+	clear(s.cut)
+	clear(s.deaf)
+	clear(s.mute)
+	clear(s.hold)
+}
+
+// check looks for broken promises at the end of a run.
+func (s *simulation) check() []string {
+	used := make(map[claimer.Key]int)
+	for _, a := range s.attempts {
+		used[a.key]++
+	}
+	for _, a := range s.attempts {
+		if a.settled == nil {
+			continue
+		}
+		switch {
+		case a.settled.Verdict == claimer.VerdictUnavailable && s.ran[a.nonce]:
+			s.broken("attempt %s was refused as not run and ran", a.nonce)
+		case a.settled.Verdict == claimer.VerdictUnavailable && a.first && used[a.key] == 1 && s.runs[a.key] > 0:
+			s.broken("the only attempt %s was refused as not run and ran", a.nonce)
+		case a.settled.Verdict == claimer.VerdictDone && s.runs[a.key] != 1:
+			s.broken("attempt %s was told its key was done, and it ran %d times", a.nonce, s.runs[a.key])
+		}
+	}
+	return s.faults
+}
+
+// publish publishes a change that sets a model's version, on the revision that
+// a host has in force.
+func (s *simulation) publish(host, id, version string) {
+	h := s.hosts[host]
+	if !h.alive {
+		return
+	}
+	h.in(h.life, func() {
+		cfg := h.node.Configuration()
+		doc := cfg.Document()
+		if doc == nil {
+			doc = simDocument()
+		}
+		d, err := configurer.NewDelta(id, host, cfg.Revision(), cfg.Document(), doc.WithModelVersion("m", version))
+		if err != nil {
+			s.broken("delta: %v", err)
+			return
+		}
+		h.handle(ChangePublished{Delta: d})
+	})
+}
--- a/emulator/cache.go
+++ b/emulator/cache.go
@@ -169,17 +169,6 @@
 	}
 }
 
-// keptBlocks returns the number of blocks in the store.
-func (c *cache) keptBlocks() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, k := range c.kept {
-		n += k.blocks
-	}
-	return n
-}
-
 // clear empties the accelerator memory, as a swap of weights does.
 func (c *cache) clear() {
 	c.mu.Lock()
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -110,6 +110,9 @@
 // BadReads returns how many reads met a block that was freed or not sealed.
 func (e *Engine) BadReads() int { return e.cache.badReads() }
 
+// ClearCache drops all that is in accelerator memory.
+func (e *Engine) ClearCache() { e.cache.clear() }
+
 // PeakLoads returns the largest number of versions that loaded at once.
 func (e *Engine) PeakLoads() int { return e.orders.peakLoads() }
 
--- a/folder/record.go
+++ b/folder/record.go
@@ -52,7 +52,7 @@
 
 // NewEntry encodes a body. It panics if the body cannot be encoded.
 func NewEntry(kind Kind, body any) Entry {
-	b, err := cbor.Marshal(body)
+	b, err := encMode.Marshal(body)
 	if err != nil {
 		panic("folder: entry cannot be encoded: " + err.Error())
 	}
@@ -69,7 +69,20 @@
 // maxElements bounds arrays and maps in records, against hostile input.
 const maxElements = 1 << 20
 
-var decMode = mustDecMode()
+var (
+	decMode = mustDecMode()
+	encMode = mustEncMode()
+)
+
+// mustEncMode keeps times whole: a state that was restored from a checkpoint
+// must equal one that was folded.
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, Sort: cbor.SortBytewiseLexical}.EncMode()
+	if err != nil {
+		panic("folder: " + err.Error())
+	}
+	return m
+}
 
 func mustDecMode() cbor.DecMode {
 	m, err := cbor.DecOptions{
@@ -86,7 +99,7 @@
 
 // Encode returns the body under which r is appended.
 func (r Record) Encode() []byte {
-	b, err := cbor.Marshal(r)
+	b, err := encMode.Marshal(r)
 	if err != nil {
 		panic("folder: record cannot be encoded: " + err.Error())
 	}
--- a/folder/stream.go
+++ b/folder/stream.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
 )
@@ -236,7 +235,7 @@
 
 // EncodeCBOR is the usual body of State.EncodeState.
 func EncodeCBOR(v any) []byte {
-	b, err := cbor.Marshal(v)
+	b, err := encMode.Marshal(v)
 	if err != nil {
 		panic("folder: state cannot be encoded: " + err.Error())
 	}
--- a/leaser/holder.go
+++ b/leaser/holder.go
@@ -199,9 +199,18 @@
 // nothing is acquired or renewed.
 func (h *Holder) Release() []folder.Entry {
 	h.released = true
-	refs := h.held()
-	for _, r := range refs {
-		delete(h.valid, r.Name)
+	return h.Yield(h.Held())
+}
+
+// Yield returns the entries that give up some of the leases that are held, so
+// that a better candidate can acquire them.
+func (h *Holder) Yield(names []string) []folder.Entry {
+	var refs []Ref
+	for _, n := range names {
+		if epoch := h.Epoch(n); epoch != 0 {
+			delete(h.valid, n)
+			refs = append(refs, Ref{Name: n, Epoch: epoch})
+		}
 	}
 	if len(refs) == 0 {
 		return nil
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -47,7 +47,18 @@
 	maxElements     = 1 << 17
 )
 
-var decMode = mustDecMode()
+var (
+	decMode = mustDecMode()
+	encMode = mustEncMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic("messenger: " + err.Error())
+	}
+	return m
+}
 
 func mustDecMode() cbor.DecMode {
 	m, err := cbor.DecOptions{
@@ -64,7 +75,7 @@
 
 // Encode returns the wire form of a message.
 func Encode(m *Message) []byte {
-	b, err := cbor.Marshal(m)
+	b, err := encMode.Marshal(m)
 	if err != nil {
 		panic("messenger: message cannot be encoded: " + err.Error())
 	}
