--- a/claimer/types.go
+++ b/claimer/types.go
@@ -34,7 +34,16 @@
 func (k Key) Range() int { return int(k[0]) % Ranges }
 
 // StreamName returns the name of a range's stream in the log.
-func StreamName(r int) string { return fmt.Sprintf("Claims-%d", r) }
+func StreamName(r int) string { return streamNames[r] }
+
+var streamNames = rangeNames()
+
+func rangeNames() (names [Ranges]string) {
+	for r := range names {
+		names[r] = fmt.Sprintf("Claims-%d", r)
+	}
+	return names
+}
 
 // LeaseName returns the name of the lease of a range's owner.
 func LeaseName(r int) string { return StreamName(r) }
--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -32,6 +32,7 @@
 	Routing    RoutingWeights
 	Retry      RetryPolicy
 	Claims     ClaimPolicy
+	Loads      LoadPolicy
 }
 
 func keyBy[T any](list []T, name func(*T) string) map[string]T {
@@ -66,6 +67,7 @@
 		Routing:    d.Routing,
 		Retry:      d.Retry,
 		Claims:     d.Claims,
+		Loads:      d.Loads,
 	}
 	b, err := json.Marshal(k)
 	if err != nil {
@@ -90,6 +92,7 @@
 		Routing:    k.Routing,
 		Retry:      k.Retry,
 		Claims:     k.Claims,
+		Loads:      k.Loads,
 	}, nil
 }
 
--- a/configurer/document.go
+++ b/configurer/document.go
@@ -31,6 +31,7 @@
 	Routing    RoutingWeights
 	Retry      RetryPolicy
 	Claims     ClaimPolicy
+	Loads      LoadPolicy
 }
 
 // Class is a priority class of requests.
@@ -57,8 +58,9 @@
 // Model is a model and the weight version that new requests use.
 type Model struct {
 	Name     string
-	Version  string
-	Adapters []string
+	Version  string   // Version is used by new requests.
+	Next     string   `json:",omitempty"` // Next is loaded beside Version; when all upstreams have it, it takes its place.
+	Adapters []string `json:",omitempty"`
 }
 
 // Service is a plain service behind the system.
@@ -81,6 +83,8 @@
 	PrefillRate      float64  `json:",omitempty"` // PrefillRate is in tokens per second.
 	LinkRate         float64  `json:",omitempty"` // LinkRate is of the link to the memory and disk tiers, in bytes per second.
 	BytesPerToken    float64  `json:",omitempty"` // BytesPerToken is the size of kept context.
+	StoreBlocks      int      `json:",omitempty"` // StoreBlocks is the size of its store of kept context, in blocks of 64 tokens; 0 keeps nothing.
+	Role             string   `json:",omitempty"` // Role is what an engine is ordered to do, such as Prefill; empty for any.
 }
 
 // RoutingWeights weigh the parts of the estimate by which routes are compared.
@@ -105,6 +109,11 @@
 	KeptBytes int               // KeptBytes is the largest answer that is kept for repeated keys.
 }
 
+// LoadPolicy bounds the loading of weights.
+type LoadPolicy struct {
+	AtOnce int // AtOnce is the number of servers that may load from one weight store at once.
+}
+
 // Encode returns the document as indented JSON with the field order of the
 // types.
 func (d *Document) Encode() []byte {
@@ -177,3 +186,15 @@
 	}
 	return Service{}, false
 }
+
+// WithPromoted returns a copy of d in which a model's next version is in force.
+func (d *Document) WithPromoted(name string) *Document {
+	c := *d
+	c.Models = append([]Model(nil), d.Models...)
+	for i := range c.Models {
+		if c.Models[i].Name == name && c.Models[i].Next != "" {
+			c.Models[i].Version, c.Models[i].Next = c.Models[i].Next, ""
+		}
+	}
+	return &c
+}
--- a/configurer/validate.go
+++ b/configurer/validate.go
@@ -70,6 +70,8 @@
 	v.workspaces(d.Workspaces, classes)
 	for i, m := range d.Models {
 		v.check(namePattern.MatchString(m.Version), fmt.Sprintf("/Models/%d/Version", i), "%q is not a version", m.Version)
+		v.check(m.Next == "" || namePattern.MatchString(m.Next), fmt.Sprintf("/Models/%d/Next", i), "%q is not a version", m.Next)
+		v.check(m.Next == "" || m.Next != m.Version, fmt.Sprintf("/Models/%d/Next", i), "is the same as Version")
 	}
 	for i := range d.Upstreams {
 		v.upstream(fmt.Sprintf("/Upstreams/%d", i), &d.Upstreams[i], models, services)
@@ -80,6 +82,7 @@
 	v.check(d.Claims.Window > 0, "/Claims/Window", "want more than 0")
 	v.check(d.Claims.Timeout > 0 && d.Claims.Timeout < d.Claims.Window, "/Claims/Timeout", "want more than 0 and less than Window")
 	v.check(d.Claims.KeptBytes >= 0 && d.Claims.KeptBytes <= 1<<16, "/Claims/KeptBytes", "want 0 to 65536")
+	v.check(d.Loads.AtOnce >= 1 && d.Loads.AtOnce <= 100, "/Loads/AtOnce", "want 1 to 100")
 	return v.faults
 }
 
@@ -129,6 +132,7 @@
 	switch u.Kind {
 	case KindEngine:
 		v.check(len(u.Models) > 0, p+"/Models", "an engine needs at least one model")
+		v.check(u.StoreBlocks >= 0, p+"/StoreBlocks", "want at least 0")
 		v.check(u.Service == "", p+"/Service", "an engine has no service")
 		v.check(u.PrefillRate > 0, p+"/PrefillRate", "want more than 0")
 		v.check(u.LinkRate > 0, p+"/LinkRate", "want more than 0")
--- a/controller/event.go
+++ b/controller/event.go
@@ -11,6 +11,7 @@
 	"amaranthgate.example/amaranthgate/connector"
 	"amaranthgate.example/amaranthgate/folder"
 	"amaranthgate.example/amaranthgate/internal/wire"
+	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/router"
@@ -97,6 +98,32 @@
 	Entries []folder.Entry
 }
 
+// CacheRead is an upstream's answer about its cache: its events, or all its
+// segments if the events before were lost. Both are nil if there was none.
+type CacheRead struct {
+	Upstream string
+	Events   *wire.CacheEvents
+	Segments *wire.KeptSegments
+}
+
+// OrderDone is the answer to an order; Answer is nil if there was none.
+type OrderDone struct {
+	Upstream string
+	Order    wire.Order
+	Answer   *wire.OrderAnswer
+}
+
+// TurnEnded tells that an upstream has computed a prompt.
+type TurnEnded struct {
+	Turn keeper.Turn
+}
+
+// PlacementMade tells that a prompt went to an upstream that other hosts would
+// not guess.
+type PlacementMade struct {
+	Placement messenger.Placement
+}
+
 // Leave asks the host to give up its duties and to leave.
 type Leave struct{}
 
@@ -114,6 +141,10 @@
 func (ChangePublished) event() {}
 func (UsageRead) event()       {}
 func (EntriesReported) event() {}
+func (CacheRead) event()       {}
+func (OrderDone) event()       {}
+func (TurnEnded) event()       {}
+func (PlacementMade) event()   {}
 func (Leave) event()           {}
 
 // Action is something that a node wants done. The types below are all actions.
@@ -159,14 +190,46 @@
 	Limit     limiter.Limit
 }
 
+// Issue gives an order to an upstream, but not after Until: the lease has then
+// run out. OrderDone must follow.
+type Issue struct {
+	Upstream string
+	Address  string
+	Order    wire.Order
+	Until    time.Time
+}
+
+// KeptChanged tells what may be offered of an upstream's store.
+type KeptChanged struct {
+	Upstream  string
+	Full      bool // Full tells that Changes replace all that was known.
+	Changes   []keeper.Change
+	Until     time.Time // Until is how long the segments may be offered.
+	Residency time.Duration
+}
+
+// PlacementsLearned are placements that other hosts told.
+type PlacementsLearned struct {
+	Placements []messenger.Placement
+}
+
+// UpstreamRestarted tells that all that an upstream held is gone.
+type UpstreamRestarted struct {
+	Upstream string
+}
+
 // ViewChanged tells that View returns something new.
 type ViewChanged struct{}
 
-func (Append) action()      {}
-func (Send) action()        {}
-func (Follow) action()      {}
-func (Unfollow) action()    {}
-func (Settle) action()      {}
-func (Published) action()   {}
-func (SetLimit) action()    {}
-func (ViewChanged) action() {}
+func (Append) action()            {}
+func (Send) action()              {}
+func (Follow) action()            {}
+func (Unfollow) action()          {}
+func (Settle) action()            {}
+func (Published) action()         {}
+func (SetLimit) action()          {}
+func (Issue) action()             {}
+func (KeptChanged) action()       {}
+func (PlacementsLearned) action() {}
+func (UpstreamRestarted) action() {}
+func (ViewChanged) action()       {}
--- a/controller/leases.go
+++ b/controller/leases.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"amaranthgate.example/amaranthgate/claimer"
@@ -15,22 +16,29 @@
 const (
 	leaseCheckpoint = "Checkpoint" // leaseCheckpoint writes the checkpoints of the common streams.
 	leaseLimits     = "Limits"     // leaseLimits divides the workspaces' limits.
+	leaseRollout    = "Rollout"    // leaseRollout puts loaded weight versions into force.
 )
 
-// duties returns the names of all leases that somebody must hold.
-func (n *Node) duties() []string {
-	names := []string{leaseCheckpoint, leaseLimits}
+// duties are the names of all leases that somebody must hold.
+var duties = allDuties()
+
+func allDuties() []string {
+	names := []string{leaseCheckpoint, leaseLimits, leaseRollout}
 	for r := range claimer.Ranges {
 		names = append(names, claimer.LeaseName(r))
 	}
+	for g := range upstreamGroups {
+		names = append(names, groupLease(g))
+	}
 	return names
 }
 
 func (n *Node) tickLeases(now time.Time) {
 	s := n.streams[leaser.StreamName]
-	if n.leaving || !n.Ready() {
+	if n.leaving || !n.Ready() || now.Sub(n.lastLeases) < leaseInterval {
 		return
 	}
+	n.lastLeases = now
 	if n.readyAt.IsZero() {
 		n.readyAt = now
 	}
@@ -39,19 +47,20 @@
 	}
 	live := n.hosts.Live()
 	var wanted []leaser.Wanted
-	for _, name := range n.duties() {
+	for _, name := range slices.Concat(duties, n.slotsWanted(now)) {
 		if place := tracker.Place(live, n.opts.Self.Host, name); place >= 0 {
 			wanted = append(wanted, leaser.Wanted{Name: name, Rank: place})
 		}
 	}
 	s.queue.Add(n.holder.Tick(now, wanted)...)
-	s.queue.Add(n.holder.Yield(n.misplaced(now, live))...)
+	s.queue.Add(n.holder.Yield(append(n.misplaced(now, live), n.slotsDone(now)...))...)
 }
 
 // Times of the spread of duties.
 const (
-	settleIn   = time.Second      // settleIn is how long a host that became ready gets to know the others before it acquires.
-	yieldAfter = 20 * time.Second // yieldAfter is how long a better candidate must be live before a lease is handed over.
+	leaseInterval = 100 * time.Millisecond // leaseInterval is the time between two looks at the leases.
+	settleIn      = time.Second            // settleIn is how long a host that became ready gets to know the others before it acquires.
+	yieldAfter    = 20 * time.Second       // yieldAfter is how long a better candidate must be live before a lease is handed over.
 )
 
 // misplaced returns the leases held here for which another host has been the
@@ -60,6 +69,9 @@
 func (n *Node) misplaced(now time.Time, live []string) []string {
 	var out []string
 	for _, name := range n.holder.Held() {
+		if isSlot(name) {
+			continue // given up when the load is done
+		}
 		if tracker.Place(live, n.opts.Self.Host, name) <= 0 {
 			delete(n.better, name)
 			continue
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -91,6 +91,18 @@
 	if m.Grants != nil {
 		n.granted(now, *m.Grants)
 	}
+	for _, t := range m.Turns {
+		n.turnEnded(now, ev.From, t)
+	}
+	if m.KeptAsk != nil {
+		n.keptAsked(now, ev.From, *m.KeptAsk)
+	}
+	if m.KeptTell != nil {
+		n.keptTold(now, *m.KeptTell)
+	}
+	if len(m.Placed) > 0 {
+		n.do(PlacementsLearned{Placements: m.Placed})
+	}
 	if m.Digest != 0 && m.Digest != n.hosts.Digest() && now.Sub(n.lastFull[ev.From]) > fullInterval {
 		n.sendFull(now, ev.From)
 	}
@@ -126,6 +138,7 @@
 	var news []tracker.UpstreamRecord
 	for _, r := range records {
 		if n.upstreams.Merge(r) {
+			n.restarted(r.Upstream, r.Incarnation)
 			news = append(news, r)
 		}
 	}
@@ -170,6 +183,7 @@
 	}
 	r, news := n.upstreams.Reported(now, n.opts.Self.Host, ev.Upstream, *ev.Report)
 	if news {
+		n.restarted(ev.Upstream, r.Incarnation)
 		n.spreadUpstreams("", []tracker.UpstreamRecord{r})
 	}
 	n.marks[ev.Upstream] = loadMark{mark: ev.Mark, at: now}
@@ -178,14 +192,31 @@
 	n.viewDirty = true
 }
 
-// flushLoads sends gathered load digests.
+// restarted tells the index when an upstream has begun a new incarnation.
+func (n *Node) restarted(upstream string, incarnation uint64) {
+	if old := n.incarnations[upstream]; incarnation > old {
+		n.incarnations[upstream] = incarnation
+		if old != 0 {
+			n.do(UpstreamRestarted{Upstream: upstream})
+		}
+	}
+}
+
+// flushLoads sends what was gathered for other hosts: load digests, placements
+// and ends of turns.
 func (n *Node) flushLoads(now time.Time) {
-	if len(n.loads) == 0 || now.Sub(n.lastLoads) < loadFlush {
+	if len(n.loads)+len(n.placed)+len(n.turns) == 0 || now.Sub(n.lastLoads) < loadFlush {
 		return
 	}
 	n.lastLoads = now
-	n.spread("", &messenger.Message{Loads: n.loads})
-	n.loads = nil
+	if len(n.loads)+len(n.placed) > 0 {
+		n.spread("", &messenger.Message{Loads: n.loads, Placed: n.placed})
+	}
+	n.loads, n.placed = nil, nil
+	for host, turns := range n.turns {
+		n.do(Send{To: host, Message: &messenger.Message{Turns: turns}})
+	}
+	clear(n.turns)
 }
 
 func (n *Node) hostsListed(now time.Time, ev HostsListed) {
--- a/controller/node.go
+++ b/controller/node.go
@@ -11,8 +11,10 @@
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/leaser"
 	"amaranthgate.example/amaranthgate/limiter"
+	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/publisher"
 	"amaranthgate.example/amaranthgate/reporter"
 	"amaranthgate.example/amaranthgate/tracker"
@@ -68,18 +70,24 @@
 	shares    *limiter.Shares
 	divider   *limiter.Divider
 	reports   *reporter.Table
+	groups    [upstreamGroups]*group
+	kept      keptView
 
-	awaited   map[string]bool // awaited holds the IDs of changes that were published here.
-	marks     map[string]loadMark
-	loads     []tracker.LoadDigest
-	lastBeat  time.Time
-	lastLoads time.Time
-	lastWants time.Time
-	lastFull  map[string]time.Time
-	lastTold  map[string]time.Time // lastTold is when a host was last told that it is suspected.
-	leaving   bool
-	readyAt   time.Time            // readyAt is when the node was first ready.
-	better    map[string]time.Time // better is since when another host is the better candidate for a lease held here.
+	awaited      map[string]bool // awaited holds the IDs of changes that were published here.
+	marks        map[string]loadMark
+	incarnations map[string]uint64 // incarnations are those of upstreams.
+	loads        []tracker.LoadDigest
+	placed       []messenger.Placement
+	turns        map[string][]keeper.Turn // turns wait to be sent, by host.
+	lastBeat     time.Time
+	lastLoads    time.Time
+	lastLeases   time.Time
+	lastWants    time.Time
+	lastFull     map[string]time.Time
+	lastTold     map[string]time.Time // lastTold is when a host was last told that it is suspected.
+	leaving      bool
+	readyAt      time.Time            // readyAt is when the node was first ready.
+	better       map[string]time.Time // better is since when another host is the better candidate for a lease held here.
 
 	view      *publisher.Snapshot
 	viewDirty bool
@@ -89,18 +97,21 @@
 // NewNode returns a node that knows nothing yet.
 func NewNode(opts Options) *Node {
 	n := &Node{
-		opts:      opts,
-		writer:    fmt.Sprintf("%s#%d", opts.Self.Host, opts.Self.Incarnation),
-		streams:   make(map[string]*followed),
-		config:    &configurer.State{},
-		leases:    leaser.NewTable(),
-		upstreams: tracker.NewUpstreams(tracker.UpstreamOptions{}),
-		shares:    limiter.NewShares(grantLife),
-		awaited:   make(map[string]bool),
-		marks:     make(map[string]loadMark),
-		lastFull:  make(map[string]time.Time),
-		lastTold:  make(map[string]time.Time),
-		better:    make(map[string]time.Time),
+		opts:         opts,
+		writer:       fmt.Sprintf("%s#%d", opts.Self.Host, opts.Self.Incarnation),
+		streams:      make(map[string]*followed),
+		config:       &configurer.State{},
+		leases:       leaser.NewTable(),
+		upstreams:    tracker.NewUpstreams(tracker.UpstreamOptions{}),
+		shares:       limiter.NewShares(grantLife),
+		awaited:      make(map[string]bool),
+		marks:        make(map[string]loadMark),
+		incarnations: make(map[string]uint64),
+		lastFull:     make(map[string]time.Time),
+		turns:        make(map[string][]keeper.Turn),
+		kept:         newKeptView(),
+		lastTold:     make(map[string]time.Time),
+		better:       make(map[string]time.Time),
 	}
 	opts.Self.State = tracker.HostLive
 	n.hosts = tracker.NewHosts(opts.Self, tracker.HostOptions{Suspect: opts.Suspect})
@@ -155,6 +166,14 @@
 		n.usageRead(now, ev)
 	case EntriesReported:
 		n.report(now, ev.Entries)
+	case CacheRead:
+		n.cacheRead(now, ev)
+	case OrderDone:
+		n.orderDone(now, ev)
+	case TurnEnded:
+		n.turnEnded(now, n.opts.Self.Host, ev.Turn)
+	case PlacementMade:
+		n.placed = append(n.placed, ev.Placement)
 	case Leave:
 		n.leave(now)
 	default:
@@ -190,7 +209,7 @@
 	if n.viewDirty {
 		due = min(due, viewInterval-now.Sub(n.viewAt))
 	}
-	if len(n.loads) > 0 {
+	if len(n.loads)+len(n.placed)+len(n.turns) > 0 {
 		due = min(due, loadFlush-now.Sub(n.lastLoads))
 	}
 	return max(due, time.Millisecond)
@@ -249,6 +268,8 @@
 	n.tickClaims(now)
 	n.tickCheckpoints(now)
 	n.tickLimits(now)
+	n.tickOrders(now)
+	n.tickKept(now)
 	n.flushLoads(now)
 	n.askSnapshots(now)
 }
--- a/controller/script_test.go
+++ b/controller/script_test.go
@@ -28,6 +28,7 @@
 		Routing:    configurer.RoutingWeights{Time: 1},
 		Retry:      configurer.RetryPolicy{BudgetShare: 0.1, Attempts: 3},
 		Claims:     configurer.ClaimPolicy{Window: d(time.Hour), Timeout: d(20 * time.Second), KeptBytes: 1024},
+		Loads:      configurer.LoadPolicy{AtOnce: 3},
 	}
 }
 
--- a/controller/view.go
+++ b/controller/view.go
@@ -113,7 +113,7 @@
 func versions(d tracker.LoadDigest, model string) []string {
 	var out []string
 	for _, m := range d.Models {
-		if m.Name == model && !m.Loading {
+		if m.Name == model && m.Adapter == "" && !m.Loading {
 			out = append(out, m.Version)
 		}
 	}
--- a/emulator/cache.go
+++ b/emulator/cache.go
@@ -26,7 +26,14 @@
 type keptSegment struct {
 	generation uint64
 	state      keptState
-	blocks     int
+	blocks     []string
+	from       int
+	parent     string
+}
+
+// event returns what is said of a segment.
+func (k keptSegment) event(name string) wire.CacheEvent {
+	return wire.CacheEvent{Kind: wire.SegmentSealed, Block: name, Generation: k.generation, Blocks: len(k.blocks), From: k.from, Parent: k.parent}
 }
 
 // cache is an engine's prefix cache in accelerator memory and its store of
@@ -125,7 +132,8 @@
 // export starts to copy a run of cached blocks to the store as one segment,
 // named by its last block, and returns that name. It returns "" when a block
 // is not cached or the segment is kept already.
-func (c *cache) export(blocks []string) string {
+func (c *cache) export(ord wire.Order) string {
+	blocks := ord.Blocks
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(blocks) == 0 {
@@ -141,7 +149,7 @@
 		return ""
 	}
 	c.nextGen++
-	c.kept[name] = keptSegment{generation: c.nextGen, state: keptWriting, blocks: len(blocks)}
+	c.kept[name] = keptSegment{generation: c.nextGen, state: keptWriting, blocks: blocks, from: ord.From, parent: ord.Parent}
 	return name
 }
 
@@ -154,7 +162,7 @@
 	}
 	k.state = keptSealed
 	c.kept[name] = k
-	c.emit(wire.CacheEvent{Kind: wire.SegmentSealed, Block: name, Generation: k.generation, Blocks: k.blocks})
+	c.emit(k.event(name))
 }
 
 // free drops kept segments of the generations named.
@@ -169,6 +177,34 @@
 	}
 }
 
+// load copies kept segments back into accelerator memory.
+func (c *cache) load(refs []wire.SegmentRef) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range refs {
+		k := c.kept[r.Name]
+		if k.generation != r.Generation || k.state != keptSealed {
+			c.bad++
+			return
+		}
+		for i := len(k.blocks) - 1; i >= 0; i-- {
+			c.touch(k.blocks[i])
+		}
+	}
+	c.shrink()
+}
+
+// loadSize returns the number of blocks that an order to import moves.
+func (c *cache) loadSize(refs []wire.SegmentRef) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, r := range refs {
+		n += len(c.kept[r.Name].blocks)
+	}
+	return n
+}
+
 // clear empties the accelerator memory, as a swap of weights does.
 func (c *cache) clear() {
 	c.mu.Lock()
@@ -202,3 +238,17 @@
 		writeJSON(w, a)
 	}
 }
+
+func (c *cache) serveSegments(incarnation uint64) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c.mu.Lock()
+		a := wire.KeptSegments{Incarnation: incarnation, Next: c.sequence + 1}
+		for name, k := range c.kept {
+			if k.state == keptSealed {
+				a.Segments = append(a.Segments, k.event(name))
+			}
+		}
+		c.mu.Unlock()
+		writeJSON(w, a)
+	}
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -126,6 +125,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.complete(w, r, true) })
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /cache/events", e.cache.serveEvents(e.incarnation))
+	mux.HandleFunc("GET /cache/segments", e.cache.serveSegments(e.incarnation))
 	mux.HandleFunc("POST /orders", e.orders.serve)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.fault.Load().Down {
@@ -152,6 +152,7 @@
 		Waiting:       waiting,
 		WaitingTokens: tokens,
 		Models:        e.orders.loaded(),
+		Role:          e.orders.currentRole(),
 	}
 }
 
@@ -165,6 +166,10 @@
 	return out
 }
 
+// letters are those of generated tokens, which are as long as a token of a
+// prompt.
+const letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
+
 // generator makes each token from the whole text before it.
 type generator struct {
 	hash *xxhash.Digest
@@ -177,7 +182,8 @@
 }
 
 func (g *generator) next() string {
-	t := fmt.Sprintf("w%04x ", g.hash.Sum64()&0xffff)
+	sum := g.hash.Sum64()
+	t := string([]byte{letters[sum&63], letters[sum>>6&63], letters[sum>>12&63], ' '})
 	_, _ = g.hash.WriteString(t)
 	return t
 }
--- a/emulator/orders.go
+++ b/emulator/orders.go
@@ -19,6 +19,7 @@
 
 	mu      sync.Mutex
 	fencing uint64
+	role    string
 	models  []wire.LoadedModel
 	loading int
 	peak    int
@@ -48,6 +49,12 @@
 	return append([]wire.LoadedModel(nil), o.models...)
 }
 
+func (o *orders) currentRole() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.role
+}
+
 // version returns the loaded version that answers a request for a model. An
 // empty want takes the newest.
 func (o *orders) version(model, want string) (string, bool) {
@@ -55,7 +62,7 @@
 	defer o.mu.Unlock()
 	for i := len(o.models) - 1; i >= 0; i-- {
 		m := o.models[i]
-		if m.Name == model && !m.Loading && (want == "" || m.Version == want) {
+		if m.Name == model && m.Adapter == "" && !m.Loading && (want == "" || m.Version == want) {
 			return m.Version, true
 		}
 	}
@@ -85,9 +92,13 @@
 	case wire.OrderUnload:
 		o.unload(ord)
 	case wire.OrderExport:
-		if name := o.cache.export(ord.Blocks); name != "" {
+		if name := o.cache.export(ord); name != "" {
 			o.later(o.linkTime(len(ord.Blocks)), func() { o.cache.seal(name) })
 		}
+	case wire.OrderImport:
+		o.later(o.linkTime(o.cache.loadSize(ord.Segments)), func() { o.cache.load(ord.Segments) })
+	case wire.OrderRole:
+		o.role = ord.Role
 	case wire.OrderFree:
 		o.cache.free(ord.Segments)
 	default:
@@ -111,9 +122,9 @@
 	time.AfterFunc(d, f)
 }
 
-func (o *orders) find(name, version string) int {
+func (o *orders) find(ord wire.Order) int {
 	for i, m := range o.models {
-		if m.Name == name && m.Version == version {
+		if m.Name == ord.Model && m.Version == ord.Version && m.Adapter == ord.Adapter {
 			return i
 		}
 	}
@@ -121,24 +132,24 @@
 }
 
 func (o *orders) load(ord wire.Order) {
-	if o.find(ord.Model, ord.Version) >= 0 {
+	if o.find(ord) >= 0 {
 		return
 	}
-	o.models = append(o.models, wire.LoadedModel{Name: ord.Model, Version: ord.Version, Loading: true})
+	o.models = append(o.models, wire.LoadedModel{Name: ord.Model, Version: ord.Version, Adapter: ord.Adapter, Loading: true})
 	o.loading++
 	o.peak = max(o.peak, o.loading)
 	time.AfterFunc(o.opts.LoadTime, func() {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.loading--
-		if i := o.find(ord.Model, ord.Version); i >= 0 {
+		if i := o.find(ord); i >= 0 {
 			o.models[i].Loading = false
 		}
 	})
 }
 
 func (o *orders) unload(ord wire.Order) {
-	if i := o.find(ord.Model, ord.Version); i >= 0 {
+	if i := o.find(ord); i >= 0 {
 		o.models = append(o.models[:i], o.models[i+1:]...)
 	}
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -28,12 +28,16 @@
 func (r *run) serve(w http.ResponseWriter, hr *http.Request) {
 	prompt := r.req.PromptText()
 	tokens := (len(prompt) + keeper.BytesPerToken - 1) / keeper.BytesPerToken
+	arrived := time.Now()
 	leave, ok := r.engine.batch.enter(hr.Context(), r.req.Priority, tokens)
 	if !ok {
 		return
 	}
 	defer leave()
 	r.engine.note(r.nonce)
+	if within := time.Duration(r.req.RestoreWithin) * time.Millisecond; time.Since(arrived) > within {
+		r.req.Restore = nil
+	}
 	r.prefill(hr.Context(), prompt, tokens)
 	if r.fault.LoseAnswer {
 		panic(http.ErrAbortHandler)
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -6,8 +6,8 @@
 //
 // It is a plain net/http client with bounded connections for each upstream.
 // Every attempt has its own nonce. An answer that names another nonce is
-// dropped; a stream counts as whole only with its end marker, its last event
-// and a token count that fits. A failure says whether the request can have
+// dropped; a stream counts as whole only with its finish reason, a token count
+// that fits, and its end marker or at least a regular end of the body. A failure says whether the request can have
 // run: only when no connection was made, or when the upstream itself says so,
 // is the answer "no".
 //
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -56,7 +56,12 @@
 			return &Failure{Cause: CauseCaller, Ran: RanYes, Detail: err.Error()}
 		}
 	}
-	return r.failure(io.ErrUnexpectedEOF)
+	// The body ended as HTTP says it must, but without the marker. The finish
+	// reason and the count prove as much as the marker does.
+	if fail := s.end(); fail != nil {
+		return r.failure(io.ErrUnexpectedEOF)
+	}
+	return nil
 }
 
 // watchedBody restarts the silence timer with each read.
@@ -106,7 +111,7 @@
 		return &Failure{Cause: CauseCut, Ran: RanYes, Detail: "the stream has no finish reason"}
 	case s.usage == nil:
 		return &Failure{Cause: CauseCut, Ran: RanYes, Detail: "the stream has no token count"}
-	case s.usage.CompletionTokens < s.chunks:
+	case s.usage.CompletionTokens < s.chunks || s.chunks == 0 && s.usage.CompletionTokens > 0:
 		return &Failure{Cause: CauseCut, Ran: RanYes, Detail: "the token count does not fit"}
 	}
 	return nil
--- a/internal/commander/emulate.go
+++ b/internal/commander/emulate.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,7 +15,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"amaranthgate.example/amaranthgate/connector"
 	"amaranthgate.example/amaranthgate/emulator"
 )
 
@@ -39,7 +37,7 @@
 			}
 			log := emulator.NewLog(emulator.LogOptions{Latency: c.Duration("latency"), Retention: c.Duration("retention")})
 			fmt.Fprintf(e.out, "platform at http://%s\n", l.Addr())
-			srv := &http.Server{Handler: platformHandler(log, emulator.NewHostList(c.Duration("lag"))), ReadHeaderTimeout: 10 * time.Second}
+			srv := &http.Server{Handler: emulator.PlatformHandler(log, emulator.NewHostList(c.Duration("lag"))), ReadHeaderTimeout: 10 * time.Second}
 			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			go func() {
@@ -53,32 +51,3 @@
 		},
 	}
 }
-
-// platformHandler serves log and host list at one address, with ways to change
-// them from outside.
-func platformHandler(log *emulator.Log, list *emulator.HostList) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/v1/streams/", log.Handler())
-	mux.Handle("GET /v1/hosts", list.Handler())
-	mux.HandleFunc("PUT /v1/hosts/{name}", func(w http.ResponseWriter, r *http.Request) {
-		var h connector.ListedHost
-		if err := json.NewDecoder(r.Body).Decode(&h); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		h.Host = r.PathValue("name")
-		list.PutHost(h)
-	})
-	mux.HandleFunc("DELETE /v1/hosts/{name}", func(_ http.ResponseWriter, r *http.Request) {
-		list.RemoveHost(r.PathValue("name"))
-	})
-	mux.HandleFunc("PUT /faults/log", func(w http.ResponseWriter, r *http.Request) {
-		var f emulator.LogFault
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		log.SetFault(f)
-	})
-	return mux
-}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,6 +25,7 @@
 	Version       string         `json:"weight_version,omitempty"`
 	Continue      bool           `json:"continue_final_message,omitempty"` // Continue goes on with the last message instead of answering it.
 	Restore       []SegmentRef   `json:"kv_restore,omitempty"`             // Restore lists kept segments to import first, in prefix order.
+	RestoreWithin int            `json:"kv_restore_within_ms,omitempty"`   // RestoreWithin bounds, in milliseconds from arrival, when the import may begin.
 }
 
 // Message is one turn of a chat.
@@ -119,13 +120,15 @@
 	Waiting       int
 	WaitingTokens int // WaitingTokens are prompt tokens not yet computed.
 	Models        []LoadedModel
+	Role          string `json:",omitempty"` // Role is what the engine does, such as Prefill or Decode.
 }
 
 // LoadedModel is a model version that an engine has or is loading.
 type LoadedModel struct {
 	Name    string
 	Version string
-	Loading bool
+	Adapter string `json:",omitempty"` // Adapter is empty for the model itself.
+	Loading bool   `json:",omitempty"`
 }
 
 // CacheEventKind tells what became of a block.
@@ -147,6 +150,8 @@
 	Block      string
 	Generation uint64 `json:",omitempty"`
 	Blocks     int    `json:",omitempty"` // Blocks is the length of a segment.
+	From       int    `json:",omitempty"` // From is the number of blocks before a segment.
+	Parent     string `json:",omitempty"` // Parent is the name of the block before a segment.
 }
 
 // CacheEvents is an answer to a question for events. Events between the number
@@ -157,6 +162,13 @@
 	Events      []CacheEvent
 }
 
+// KeptSegments is an answer to a question for all sealed segments of a store.
+type KeptSegments struct {
+	Incarnation uint64
+	Next        uint64 // Next is the sequence number of the next event.
+	Segments    []CacheEvent
+}
+
 // OrderKind tells what an upstream is ordered to do.
 type OrderKind string
 
@@ -166,6 +178,7 @@
 	OrderUnload OrderKind = "Unload" // OrderUnload drops a model version.
 	OrderExport OrderKind = "Export" // OrderExport copies a run of cached blocks to the store as one segment.
 	OrderFree   OrderKind = "Free"   // OrderFree frees kept segments.
+	OrderRole   OrderKind = "Role"   // OrderRole changes what an engine does.
 	OrderImport OrderKind = "Import" // OrderImport copies kept segments back ahead of a request.
 )
 
@@ -176,7 +189,10 @@
 	Model    string       `json:",omitempty"`
 	Version  string       `json:",omitempty"`
 	Adapter  string       `json:",omitempty"`
+	Role     string       `json:",omitempty"`
 	Blocks   []string     `json:",omitempty"` // Blocks are the names of the run to export.
+	From     int          `json:",omitempty"` // From is the number of blocks before the run.
+	Parent   string       `json:",omitempty"` // Parent is the name of the block before the run.
 	Segments []SegmentRef `json:",omitempty"` // Segments are what to import or free.
 }
 
--- a/keeper/names.go
+++ b/keeper/names.go
@@ -67,11 +67,24 @@
 // Wire returns the form of block i's name that upstreams use.
 func (c Chain) Wire(i int) string { return hex.EncodeToString(c.raw[i*nameBytes : (i+1)*nameBytes]) }
 
-// ParseName reads the wire form of a name and reports whether it could.
-func ParseName(wire string) (Name, bool) {
+// Raw returns the 16 bytes of block i's name.
+func (c Chain) Raw(i int) (raw [nameBytes]byte) {
+	copy(raw[:], c.raw[i*nameBytes:])
+	return raw
+}
+
+// nameOf returns the short form of a raw name.
+func nameOf(raw [nameBytes]byte) Name { return Name(binary.BigEndian.Uint64(raw[:])) }
+
+// WireName returns the form of a raw name that upstreams use.
+func WireName(raw [16]byte) string { return hex.EncodeToString(raw[:]) }
+
+// ParseWire reads the form that upstreams use and reports whether it could.
+func ParseWire(wire string) (raw [16]byte, ok bool) {
 	b, err := hex.DecodeString(wire)
 	if err != nil || len(b) != nameBytes {
-		return 0, false
+		return raw, false
 	}
-	return Name(binary.BigEndian.Uint64(b)), true
+	copy(raw[:], b)
+	return raw, true
 }
--- a/leaser/holder.go
+++ b/leaser/holder.go
@@ -149,11 +149,7 @@
 
 // Applied handles a record that the table has just applied.
 func (h *Holder) Applied(now time.Time, rec folder.Applied) {
-	for name, l := range h.table.leases {
-		if s, ok := h.seen[name]; !ok || s.lease != l {
-			h.seen[name] = sighting{lease: l, at: now}
-		}
-	}
+	h.sight(now, rec)
 	if rec.Writer != h.writer {
 		return
 	}
@@ -164,6 +160,27 @@
 	}
 }
 
+// sight notes when the leases that a record changed were last seen to change.
+func (h *Holder) sight(now time.Time, rec folder.Applied) {
+	for _, e := range rec.Entries {
+		var body struct {
+			Name   string
+			Leases []Ref
+		}
+		if !e.Decode(&body) {
+			continue
+		}
+		if body.Name != "" {
+			body.Leases = append(body.Leases, Ref{Name: body.Name})
+		}
+		for _, r := range body.Leases {
+			if l := h.table.Lookup(r.Name); h.seen[r.Name].lease != l {
+				h.seen[r.Name] = sighting{lease: l, at: now}
+			}
+		}
+	}
+}
+
 // confirmed takes an entry of this host's own that was read back.
 func (h *Holder) confirmed(e folder.Entry) {
 	if len(h.sent) == 0 {
@@ -217,3 +234,12 @@
 	}
 	return []folder.Entry{folder.NewEntry(KindRelease, Release{Leases: refs})}
 }
+
+// Until returns when this host may no longer act on a lease; the zero time if
+// it does not hold it.
+func (h *Holder) Until(name string) time.Time {
+	if h.Epoch(name) == 0 {
+		return time.Time{}
+	}
+	return h.valid[name]
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -4,11 +4,14 @@
 package messenger
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -27,6 +30,48 @@
 	Full      bool                     `cbor:"9,keyasint,omitempty"` // Full tells that Hosts and Upstreams are all that the sender knows.
 	Demand    *limiter.Demand          `cbor:"10,keyasint,omitempty"`
 	Grants    *limiter.Grants          `cbor:"11,keyasint,omitempty"`
+	Turns     []keeper.Turn            `cbor:"12,keyasint,omitempty"`
+	KeptAsk   *KeptAsk                 `cbor:"13,keyasint,omitempty"`
+	KeptTell  *KeptTell                `cbor:"14,keyasint,omitempty"`
+	Placed    []Placement              `cbor:"15,keyasint,omitempty"`
+}
+
+// Placement tells which upstream computed a prompt last, by the prompt's last
+// block.
+type Placement struct {
+	Upstream string      `cbor:"1,keyasint"`
+	End      keeper.Name `cbor:"2,keyasint"`
+}
+
+// KeptAsk asks the issuer of a group of upstreams for what their stores hold.
+type KeptAsk struct {
+	Sequence  uint64
+	Group     int
+	Epoch     uint64 // Epoch is the issuer's epoch at the last answer.
+	Upstreams []KeptVersion
+}
+
+// KeptVersion is how far a host knows an upstream's store.
+type KeptVersion struct {
+	Upstream string `cbor:"1,keyasint"`
+	Version  uint64 `cbor:"2,keyasint"`
+}
+
+// KeptTell answers a KeptAsk.
+type KeptTell struct {
+	Sequence uint64
+	Group    int
+	Epoch    uint64
+	Stores   []KeptStore
+}
+
+// KeptStore is what may be offered of one upstream's store.
+type KeptStore struct {
+	Upstream  string
+	Version   uint64
+	Full      bool
+	Changes   []keeper.Change `cbor:",omitempty"`
+	Residency time.Duration
 }
 
 // StreamSnapshot is the fold of one stream up to an offset.
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -16,8 +16,11 @@
 
 import "sync"
 
-// maxSavings is the number of retries that a quiet time can save up.
-const maxSavings = 20
+// Bounds of the savings.
+const (
+	maxSavings   = 20 // maxSavings is the number of retries that a quiet time can save up.
+	firstSavings = 10 // firstSavings is what a host begins with, so that the first failures of a quiet one can be retried.
+)
 
 // Budget allows retries as a share of requests. It is safe for concurrent use.
 type Budget struct {
@@ -26,10 +29,9 @@
 	savings float64
 }
 
-// NewBudget returns a budget for a share of requests, with a small saving to
-// begin with so that the first failure of a quiet host can be retried.
+// NewBudget returns a budget for a share of requests.
 func NewBudget(share float64) *Budget {
-	return &Budget{share: share, savings: min(1, share*maxSavings)}
+	return &Budget{share: share, savings: firstSavings}
 }
 
 // SetShare replaces the share.
@@ -50,7 +52,7 @@
 func (b *Budget) Withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.savings < 1 {
+	if b.savings < 1 || b.share == 0 {
 		return false
 	}
 	b.savings--
--- a/router/route.go
+++ b/router/route.go
@@ -33,6 +33,7 @@
 	Target  int
 	Wait    float64 // Wait is the estimated time to the first token, in seconds.
 	Restore int     // Restore is the number of leading tokens to restore from the store; 0 for none.
+	First   bool    // First tells that the target ranks first for the key, as every host can work out.
 	Reused  int     // Reused is the number of leading tokens that need no computing.
 }
 
@@ -181,9 +182,6 @@
 // affinity prefers the first in rendezvous rank when nobody is known to hold
 // the prompt.
 func (r *Router) affinity(pool []Target, req *Request) {
-	if r.opts.NoAffinity || len(req.Holdings) > 0 && !r.opts.NoHoldings {
-		return
-	}
 	first := -1
 	var rank uint64
 	for i := range pool {
@@ -194,7 +192,11 @@
 			first, rank = i, w
 		}
 	}
-	if first < 0 || pool[first].PrefillRate <= 0 {
+	if first < 0 {
+		return
+	}
+	r.costs[first].decision.First = true
+	if r.opts.NoAffinity || pool[first].PrefillRate <= 0 || len(req.Holdings) > 0 && !r.opts.NoHoldings {
 		return
 	}
 	bonus := req.Weights.Time * r.opts.AffinityShare * float64(req.Tokens) / pool[first].PrefillRate
--- a/runner/control.go
+++ b/runner/control.go
@@ -72,6 +72,8 @@
 	Crossed  uint64
 	Revision uint64
 	Pools    []PoolDump
+	Hot      int // Hot is the number of entries of the index for accelerator memory.
+	Kept     int // Kept is the number of segments in stores that the index knows.
 }
 
 // PoolDump is the state of one pool.
@@ -81,11 +83,14 @@
 }
 
 // Dump implements administrator.Control.
-func (c *control) Dump() any {
+func (c *control) Dump() any { return c.dump() }
+
+func (c *control) dump() Dump {
 	h := c.host
 	d := Dump{Settings: h.settings.Redacted(), Peers: h.messenger.Traffic()}
 	h.loop.call(func(now time.Time, n *controller.Node) { d.Control = n.Dump(now) })
 	d.Traffic = TrafficDump{Open: h.server.Open(), Crossed: h.forwarder.Crossed.Load(), Revision: h.publisher.Load().Revision}
+	d.Traffic.Hot, d.Traffic.Kept = h.knowledge.size()
 	for name, waiting := range h.server.Waiting() {
 		d.Traffic.Pools = append(d.Traffic.Pools, PoolDump{Pool: name, Waiting: waiting})
 	}
--- a/runner/host.go
+++ b/runner/host.go
@@ -45,6 +45,7 @@
 	server    *server.Server
 	loop      *loop
 	outcomes  *outcomes
+	knowledge *knowledge
 
 	callers, peers, operators net.Listener
 	peerServer, adminServer   *http.Server
@@ -98,6 +99,7 @@
 	node := controller.NewNode(h.nodeOptions(self))
 	h.loop = newLoop(h.ctx, h, node)
 	h.outcomes = newOutcomes(h.timer.Now())
+	h.knowledge = newKnowledge(h.loop.post)
 	h.messenger = messenger.New(messenger.Options{
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
 		Secret:  []byte(h.settings.PeerSecret),
@@ -110,6 +112,7 @@
 	h.goDo(h.loop.run)
 	h.goDo(h.pollHostList)
 	h.goDo(h.pollLoads)
+	h.goDo(h.pollCaches)
 	h.startTicks()
 	h.logger.Info().Str("Callers", addr.Callers).Str("Peers", addr.Peers).Str("Operators", addr.Operators).Msg("listening")
 	return nil
@@ -137,6 +140,7 @@
 		Limiter:     h.limiter,
 		Budget:      h.budget,
 		Claims:      h.loop,
+		Keeper:      h.knowledge,
 		Recorder:    h.outcomes,
 		Timer:       h.timer,
 		Log:         h.logger,
@@ -304,3 +308,12 @@
 	snap := h.publisher.Load()
 	return snap.Ready && len(snap.Addresses) >= hosts
 }
+
+// Current returns the configuration in force at this host.
+func (h *Host) Current() administrator.Current { return (&control{host: h}).Current() }
+
+// Revision returns the revision that traffic at this host goes by.
+func (h *Host) Revision() uint64 { return h.publisher.Load().Revision }
+
+// Dump returns the state of the host; see administrator.Control.
+func (h *Host) Dump() Dump { return (&control{host: h}).dump() }
--- a/runner/loop.go
+++ b/runner/loop.go
@@ -126,6 +126,14 @@
 			l.publishedResult(a.Result)
 		case controller.SetLimit:
 			l.host.limiter.Configure(l.host.timer.Now(), a.Workspace, a.Limit)
+		case controller.Issue:
+			go l.host.issue(a)
+		case controller.KeptChanged:
+			l.host.knowledge.keptChanged(a)
+		case controller.PlacementsLearned:
+			l.host.knowledge.learned(l.host.timer.Now(), a.Placements)
+		case controller.UpstreamRestarted:
+			l.host.knowledge.restarted(a.Upstream)
 		case controller.ViewChanged:
 			l.host.viewChanged(l.node.View())
 		}
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -4,8 +4,10 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -25,7 +27,7 @@
 	reportInterval = 5 * time.Second
 	wakeInterval   = 50 * time.Millisecond
 	loadTimeout    = time.Second
-	maxLoadBytes   = 1 << 20
+	maxAnswerBytes = 16 << 20
 )
 
 // pollHostList asks for the platform's host list.
@@ -70,23 +72,104 @@
 }
 
 func fetchLoad(ctx context.Context, client *http.Client, address string) (*wire.LoadReport, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	var rep wire.LoadReport
+	return &rep, fetch(ctx, client, "http://"+address+"/load", &rep)
+}
+
+// fetch gets a JSON answer.
+func fetch(ctx context.Context, client *http.Client, url string, dst any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "runner: load")
+		return errors.Wrap(err, "runner: fetch")
 	}
+	return exchange(client, req, dst)
+}
+
+func exchange(client *http.Client, req *http.Request, dst any) error {
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "runner: load")
+		return errors.Wrap(err, "runner: fetch")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("runner: load: status %d", resp.StatusCode)
+		return errors.Errorf("runner: fetch: status %d", resp.StatusCode)
 	}
-	var rep wire.LoadReport
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&rep); err != nil {
-		return nil, errors.Wrap(err, "runner: load")
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(dst)
+	return errors.Wrap(err, "runner: fetch")
+}
+
+// pollCaches asks the upstreams that this host issues orders to what became of
+// their caches.
+func (h *Host) pollCaches() {
+	client := &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	for h.ctx.Err() == nil {
+		var questions []controller.CacheQuestion
+		h.loop.call(func(_ time.Time, n *controller.Node) { questions = n.CacheQuestions() })
+		var all sync.WaitGroup
+		for _, q := range questions {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				h.askCache(client, q)
+			}()
+		}
+		all.Wait()
+		pause(h.ctx, h.settings.Timing.LoadPoll.Std())
+	}
+}
+
+func (h *Host) askCache(client *http.Client, q controller.CacheQuestion) {
+	ev := controller.CacheRead{Upstream: q.Upstream}
+	if q.All {
+		var all wire.KeptSegments
+		if fetch(h.ctx, client, "http://"+q.Address+"/cache/segments", &all) == nil {
+			ev.Segments = &all
+		}
+	} else {
+		var events wire.CacheEvents
+		if fetch(h.ctx, client, fmt.Sprintf("http://%s/cache/events?From=%d", q.Address, q.From), &events) == nil {
+			ev.Events = &events
+		}
+	}
+	if h.ctx.Err() == nil {
+		h.loop.post(ev)
+	}
+}
+
+// orderTimeout bounds the delivery of an order; it is less than what the
+// control plane takes as the longest delivery.
+const orderTimeout = time.Second
+
+var orderClient = &http.Client{Timeout: orderTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+
+// issue gives an order to an upstream unless the lease has run out meanwhile.
+func (h *Host) issue(a controller.Issue) {
+	done := controller.OrderDone{Upstream: a.Upstream, Order: a.Order}
+	body, err := json.Marshal(a.Order)
+	if err == nil && h.timer.Now().Before(a.Until) {
+		var ans wire.OrderAnswer
+		if err = h.deliver(a.Address, body, &ans); err == nil {
+			done.Answer = &ans
+		}
+	}
+	ev := h.logger.Info()
+	if err != nil {
+		ev = h.logger.Warn().Err(err)
+	}
+	ev.Str("Upstream", a.Upstream).Str("Order", string(a.Order.Kind)).Uint64("Fencing", a.Order.Fencing).
+		Bool("Accepted", done.Answer != nil && done.Answer.Accepted).Msg("order")
+	if h.ctx.Err() == nil {
+		h.loop.post(done)
+	}
+}
+
+func (h *Host) deliver(address string, body []byte, ans *wire.OrderAnswer) error {
+	req, err := http.NewRequestWithContext(h.ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "runner: order")
 	}
-	return &rep, nil
+	req.Header.Set("Content-Type", "application/json")
+	return exchange(orderClient, req, ans)
 }
 
 // startTicks subscribes what happens by time.
--- /dev/null
+++ b/runner/system_test.go
@@ -0,0 +1,443 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package runner_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"amaranthgate.example/amaranthgate/caller"
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/emulator"
+	"amaranthgate.example/amaranthgate/internal/deployment"
+	"amaranthgate.example/amaranthgate/internal/wire"
+	"amaranthgate.example/amaranthgate/server"
+)
+
+func start(t *testing.T, opts deployment.Options) *deployment.Deployment {
+	t.Helper()
+	t.Parallel()
+	d, err := deployment.Start(t.Context(), opts)
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	text    string
+	usage   *wire.Usage
+	whole   bool
+	problem server.Problem
+}
+
+type send struct {
+	path   string
+	body   any
+	header map[string]string
+}
+
+func prompt(text string, tokens int, stream bool) send {
+	return send{path: "/v1/completions", body: wire.CompletionRequest{
+		Model: deployment.Model, Prompt: text, MaxTokens: tokens, Stream: stream,
+		StreamOptions: &wire.StreamOptions{IncludeUsage: true},
+	}}
+}
+
+func booking(key, body string) send {
+	return send{path: "/services/Booking/slots", body: body, header: map[string]string{"Idempotency-Key": key}}
+}
+
+// do sends a request to a host and reads the whole answer.
+func do(ctx context.Context, address string, s send) (reply, error) {
+	body, ok := s.body.(string)
+	if !ok {
+		b, err := json.Marshal(s.body)
+		if err != nil {
+			return reply{}, err
+		}
+		body = string(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+s.path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.Token)
+	for k, v := range s.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	return readReply(resp)
+}
+
+func readReply(resp *http.Response) (reply, error) {
+	r := reply{status: resp.StatusCode, header: resp.Header}
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		return r, r.readStream(resp.Body)
+	}
+	b, err := io.ReadAll(resp.Body)
+	r.body = string(b)
+	if resp.StatusCode >= 400 {
+		_ = json.Unmarshal(b, &r.problem)
+		return r, err
+	}
+	var c wire.Chunk
+	if json.Unmarshal(b, &c) == nil && len(c.Choices) > 0 {
+		r.text, r.usage, r.whole = c.Choices[0].Text, c.Usage, true
+	}
+	return r, err
+}
+
+func (r *reply) readStream(body io.Reader) error {
+	for ev, err := range sse.Read(body, nil) {
+		if err != nil {
+			return err
+		}
+		if ev.Type == "error" {
+			_ = json.Unmarshal([]byte(ev.Data), &r.problem)
+			return nil
+		}
+		if ev.Data == "[DONE]" {
+			r.whole = true
+			continue
+		}
+		var c wire.Chunk
+		if err := json.Unmarshal([]byte(ev.Data), &c); err != nil {
+			return err
+		}
+		if c.Usage != nil {
+			r.usage = c.Usage
+		}
+		for _, ch := range c.Choices {
+			r.text += ch.Text
+		}
+	}
+	return nil
+}
+
+func must(t *testing.T, address string, s send) reply {
+	t.Helper()
+	r, err := do(t.Context(), address, s)
+	assert.NilError(t, err)
+	return r
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func text(n int, seed string) string {
+	return strings.Repeat(seed+" 0123456789abcdef ", 1+n/(len(seed)+18))[:n]
+}
+
+// TestAnswersAreWhole checks streams and whole answers against what the engine
+// must say, on every host.
+func TestAnswersAreWhole(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2})
+	for i := range d.Hosts {
+		for _, stream := range []bool{true, false} {
+			r := must(t, d.Callers(i), prompt("Good morning", 7, stream))
+			assert.Equal(t, r.status, 200, r.body)
+			assert.Assert(t, r.whole)
+			assert.Equal(t, r.text, strings.Join(emulator.Answer("Good morning", 7), ""))
+			assert.Equal(t, r.usage.CompletionTokens, 7)
+		}
+	}
+}
+
+// TestResume cuts a stream in the middle: the caller gets the whole answer, as
+// if there had been one attempt.
+func TestResume(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2})
+	for _, fault := range []emulator.EngineFault{{CutAfter: 5}, {NoMarker: true}} {
+		d.Engines[0].SetFault(fault)
+		for i := range 6 {
+			p := fmt.Sprintf("resume %d %v", i, fault)
+			r := must(t, d.Callers(0), prompt(p, 12, true))
+			assert.Assert(t, r.whole, "%+v", r.problem)
+			assert.Equal(t, r.text, strings.Join(emulator.Answer(p, 12), ""))
+			assert.Equal(t, r.usage.CompletionTokens, 12)
+			assert.Equal(t, r.usage.PromptTokens, (len(p)+3)/4)
+		}
+	}
+}
+
+// TestCrossedAnswers lets one engine answer with another attempt's nonce: no
+// caller sees it.
+func TestCrossedAnswers(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2, Services: 2})
+	d.Engines[0].SetFault(emulator.EngineFault{Cross: true})
+	for i := range 6 {
+		p := fmt.Sprintf("crossed %d", i)
+		for _, stream := range []bool{true, false} {
+			r := must(t, d.Callers(0), prompt(p, 5, stream))
+			assert.Equal(t, r.status, 200, r.body)
+			assert.Equal(t, r.text, strings.Join(emulator.Answer(p, 5), ""))
+		}
+	}
+	d.Services[0].SetFault(emulator.EngineFault{Cross: true})
+	d.Services[1].SetFault(emulator.EngineFault{Cross: true})
+	r := must(t, d.Callers(1), booking("crossed", "slot"))
+	assert.Equal(t, r.status, 502, r.body)
+	assert.Equal(t, string(r.problem.Ran), "Unknown")
+}
+
+// TestRunsOnce sends the same key many times at once to all hosts, with an
+// answer that gets lost: it runs once, and nobody is told anything else.
+func TestRunsOnce(t *testing.T) {
+	d := start(t, deployment.Options{Services: 2})
+	for _, lose := range []bool{false, true} {
+		for _, s := range d.Services {
+			s.SetFault(emulator.EngineFault{LoseAnswer: lose, Slow: 20 * time.Millisecond})
+		}
+		key := fmt.Sprintf("once-%v", lose)
+		replies := make([]reply, 12)
+		var all sync.WaitGroup
+		for i := range replies {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				replies[i], _ = do(t.Context(), d.Callers(i%3), booking(key, key))
+			}()
+		}
+		all.Wait()
+		runs := d.Services[0].Executions(key) + d.Services[1].Executions(key)
+		assert.Equal(t, runs, 1)
+		for _, r := range replies {
+			if lose {
+				assert.Equal(t, string(r.problem.Ran), "Unknown", "%d %s", r.status, r.body)
+				continue
+			}
+			assert.Equal(t, r.status, 200, r.body)
+			assert.Equal(t, r.body, replies[0].body)
+		}
+	}
+	other := must(t, d.Callers(0), booking("once-false", "another body"))
+	assert.Equal(t, other.problem.Reason, server.ReasonKeyMismatch)
+}
+
+// TestNotRunIsTrue brings about refusals of requests that may run only once and
+// checks each against the services' own record.
+func TestNotRunIsTrue(t *testing.T) {
+	d := start(t, deployment.Options{Services: 1})
+	svc := d.Services[0]
+	for i, f := range []emulator.EngineFault{{Refuse: true}, {Down: true}, {LoseAnswer: true}, {Cross: true}} {
+		svc.SetFault(f)
+		key := fmt.Sprintf("refused-%d", i)
+		r := must(t, d.Callers(0), booking(key, key))
+		assert.Assert(t, r.status >= 400)
+		if r.problem.Ran == "No" {
+			assert.Equal(t, svc.Executions(key), 0)
+		}
+		svc.SetFault(emulator.EngineFault{})
+		again := must(t, d.Callers(1), booking(key, key))
+		assert.Assert(t, svc.Executions(key) <= 1)
+		if r.problem.Ran == "No" {
+			assert.Equal(t, again.status, 200, again.body) // the key is free again
+		}
+	}
+}
+
+// TestLogDown: prompts go on, a request that needs agreement is refused with
+// the truth, and the same key works when the log is back.
+func TestLogDown(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 1, Services: 1})
+	d.Log.SetFault(emulator.LogFault{Down: true})
+	assert.Equal(t, must(t, d.Callers(0), prompt("still here", 3, true)).status, 200)
+	s := booking("down", "down")
+	s.header[server.HeaderDeadline] = "300ms"
+	s.header[server.HeaderAttempt] = "1"
+	r := must(t, d.Callers(1), s)
+	assert.Equal(t, r.problem.Reason, server.ReasonNoAgreement, r.body)
+	assert.Equal(t, string(r.problem.Ran), "No")
+	assert.Equal(t, d.Services[0].Executions("down"), 0)
+	d.Log.SetFault(emulator.LogFault{})
+	eventually(t, "the key is free", func() bool {
+		r, err := do(t.Context(), d.Callers(2), booking("down", "down"))
+		return err == nil && r.status == 200
+	})
+	assert.Equal(t, d.Services[0].Executions("down"), 1)
+}
+
+// TestLeavingUpstream: an engine that says it is leaving, or that the host list
+// shows as leaving, gets no new work from any host.
+func TestLeavingUpstream(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2})
+	leave := []func(){
+		func() { d.Engines[0].SetLeaving(true) },
+		func() {
+			d.List.PutUpstream(connector.ListedHost{Host: "up", Address: d.Document.Upstreams[1].Address, State: connector.ListedLeaving})
+			d.Engines[0].SetLeaving(false)
+		},
+	}
+	for i, f := range leave {
+		f()
+		eventually(t, "all hosts know", func() bool {
+			for _, h := range d.Hosts {
+				if h.Dump().Control.Upstreams[i].State != "Leaving" || h.Dump().Control.Upstreams[1-i].State != "Live" {
+					return false
+				}
+			}
+			return true
+		})
+		before := d.Engines[i].Total()
+		for j := range 30 {
+			r := must(t, d.Callers(j%3), prompt(fmt.Sprintf("leaving %d %d", i, j), 2, true))
+			assert.Equal(t, r.status, 200, r.body)
+		}
+		assert.Equal(t, d.Engines[i].Total(), before)
+	}
+}
+
+// TestKeptContext lets accelerator memory lose what a prompt had computed: the
+// store brings it back, on a host that did not see the first turn, and no read
+// meets a block that is not whole.
+func TestKeptContext(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2, Engine: emulator.EngineOptions{PrefillRate: 50000}})
+	p := text(30000, "Atto di successione")
+	first := must(t, d.Callers(0), prompt(p, 2, true))
+	assert.Equal(t, first.usage.PromptDetails.CachedTokens, 0)
+	eventually(t, "all hosts know the segment", func() bool {
+		if _, err := do(t.Context(), d.Callers(0), prompt(p, 2, true)); err != nil {
+			return false
+		}
+		for _, h := range d.Hosts {
+			if h.Dump().Traffic.Kept == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, e := range d.Engines {
+		e.ClearCache()
+	}
+	again := must(t, d.Callers(1), prompt(p+" a few more words", 2, true))
+	cached := again.usage.PromptDetails.CachedTokens
+	assert.Assert(t, cached >= len(p)/4-64, "cached %d of %d", cached, len(p)/4)
+	assert.Equal(t, again.text, strings.Join(emulator.Answer(p+" a few more words", 2), ""))
+	for _, e := range d.Engines {
+		assert.Equal(t, e.BadReads(), 0)
+	}
+}
+
+// TestWorkspacesDoNotShareContext sends the same text for two workspaces: the
+// second finds nothing of the first.
+func TestWorkspacesDoNotShareContext(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 1, Document: func(doc *configurer.Document) {
+		w := doc.Workspaces[0]
+		w.Name, w.TokenDigests = "other", []string{configurer.TokenDigest("other-token")}
+		doc.Workspaces = append(doc.Workspaces, w)
+	}})
+	p := text(4000, "shared")
+	must(t, d.Callers(0), prompt(p, 2, true))
+	s := prompt(p, 2, true)
+	s.header = map[string]string{"Authorization": "Bearer other-token"}
+	assert.Equal(t, must(t, d.Callers(0), s).usage.PromptDetails.CachedTokens, 0)
+	assert.Assert(t, must(t, d.Callers(0), prompt(p, 2, true)).usage.PromptDetails.CachedTokens > 0)
+}
+
+// TestRollout swaps the weight version: it is loaded everywhere first, comes
+// into force on all hosts, and new requests find nothing of the old one.
+func TestRollout(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 5, Engine: emulator.EngineOptions{LoadTime: 300 * time.Millisecond}})
+	p := text(4000, "swap")
+	must(t, d.Callers(0), prompt(p, 2, true))
+	assert.Assert(t, must(t, d.Callers(0), prompt(p, 2, true)).usage.PromptDetails.CachedTokens > 0)
+	assert.NilError(t, d.Publish(t.Context(), func(doc *configurer.Document) {
+		doc.Models = []configurer.Model{{Name: deployment.Model, Version: "v1", Next: "v2"}}
+	}))
+	eventually(t, "v2 is in force", func() bool {
+		m, _ := d.Hosts[0].Current().Document.Model(deployment.Model)
+		return m.Version == "v2"
+	})
+	eventually(t, "v2 is in force on all hosts", func() bool {
+		return d.Hosts[0].Revision() == d.Hosts[1].Revision() && d.Hosts[1].Revision() == d.Hosts[2].Revision()
+	})
+	r := must(t, d.Callers(1), prompt(p, 2, true))
+	assert.Equal(t, r.status, 200, r.body)
+	assert.Equal(t, r.header.Get(wire.HeaderVersion), "v2")
+	assert.Equal(t, r.usage.PromptDetails.CachedTokens, 0)
+	at := 0
+	for _, e := range d.Engines {
+		at += e.PeakLoads()
+	}
+	assert.Equal(t, at, 5)
+}
+
+// TestDrainCutsNothing drains a host under load, with callers that still hold
+// its address.
+func TestDrainCutsNothing(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2, Engine: emulator.EngineOptions{TokenInterval: 5 * time.Millisecond, Slots: 64}})
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	failed := []string{}
+	answered := 0
+	for i := range 8 {
+		client := caller.New(caller.Options{Seeds: []string{d.Callers(0), d.Callers(1)}, Token: deployment.Token})
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for j := 0; ; j++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				p := fmt.Sprintf("drain %d %d", i, j)
+				body, _ := json.Marshal(prompt(p, 20, true).body)
+				r, err := clientDo(t.Context(), client, body)
+				mu.Lock()
+				if err != nil || !r.whole || r.text != strings.Join(emulator.Answer(p, 20), "") {
+					failed = append(failed, fmt.Sprintf("%v %+v", err, r.problem))
+				}
+				answered++
+				mu.Unlock()
+			}
+		}()
+	}
+	eventually(t, "load is on", func() bool { mu.Lock(); defer mu.Unlock(); return answered > 50 })
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	assert.Equal(t, d.Hosts[2].Drain(ctx), 0)
+	d.Hosts = d.Hosts[:2]
+	close(stop)
+	all.Wait()
+	assert.DeepEqual(t, failed, []string{})
+}
+
+func clientDo(ctx context.Context, c *caller.Client, body []byte) (reply, error) {
+	resp, err := c.Do(ctx, caller.Request{Path: "/v1/completions", Body: bytes.Clone(body)})
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	return readReply(resp)
+}
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -53,14 +53,13 @@
 	Pool       *publisher.Pool
 	Pages      router.Request // Pages is what routing knows of the request.
 
-	writer   http.ResponseWriter
-	request  *http.Request
-	release  func() // release gives back the place that the wait filter took.
-	pool     *poolState
-	chain    keeper.Chain
-	holdings HoldingSet
-	body     promptBody
-	before   time.Time // before is when the request's claim goes stale; zero if it has none.
+	writer  http.ResponseWriter
+	request *http.Request
+	release func() // release gives back the place that the wait filter took.
+	pool    *poolState
+	chain   keeper.Chain
+	body    promptBody
+	before  time.Time // before is when the request's claim goes stale; zero if it has none.
 }
 
 // Handler answers an exchange.
--- a/server/forward.go
+++ b/server/forward.go
@@ -11,6 +11,7 @@
 
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/internal/wire"
+	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/publisher"
 	"amaranthgate.example/amaranthgate/router"
 )
@@ -106,16 +107,34 @@
 		x.pool.gate.Wake(s.opts.Timer.Now())
 	}()
 	fail := d.send(ctx, up, decision, first)
+	if gotFirst {
+		d.placed(up, decision)
+	}
 	if fail == nil || fail.Cause != forwarder.CauseCaller {
 		up.Instruments.Breaker.Record(s.opts.Timer.Now(), fail == nil || !blames(fail))
 	}
 	return fail
 }
 
+// placed tells what the upstream has computed now.
+func (d *delivery) placed(up *publisher.Upstream, decision router.Decision) {
+	x := d.x
+	if d.server.opts.Keeper == nil || x.Call.Prompt == nil {
+		return
+	}
+	d.server.opts.Keeper.Placed(d.server.opts.Timer.Now(), Placement{
+		Upstream:  up.Name,
+		Workspace: x.Workspace.Name,
+		Chain:     x.chain,
+		Displaced: !decision.First,
+	})
+}
+
 // blames reports whether a failure speaks against the upstream's health.
 func blames(f *forwarder.Failure) bool {
 	switch f.Cause {
-	case forwarder.CauseConnect, forwarder.CauseLost, forwarder.CauseTimeout:
+	case forwarder.CauseConnect, forwarder.CauseLost, forwarder.CauseTimeout,
+		forwarder.CauseCrossed, forwarder.CauseCut, forwarder.CauseMalformed:
 		return true
 	}
 	return false
@@ -201,8 +220,9 @@
 	if set.Stream {
 		set.StreamOptions = &wire.StreamOptions{IncludeUsage: true}
 	}
-	if decision.Restore > 0 && d.x.holdings != nil {
-		set.Restore = d.x.holdings.Segments(decision.Target)
+	if decision.Restore > 0 {
+		set.Restore = d.server.opts.Keeper.Segments(d.server.opts.Timer.Now(), up.Name, x.chain, decision.Restore)
+		set.RestoreWithin = int(keeper.LongestWait.Milliseconds())
 	}
 	if len(d.text) > 0 {
 		d.continueFrom(&set)
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -102,7 +102,7 @@
 		Weights: x.weights(),
 	}
 	if s.opts.Keeper != nil {
-		x.holdings = s.opts.Keeper.Lookup(s.opts.Timer.Now(), x.Pool, x.chain, &x.Pages)
+		s.opts.Keeper.Lookup(s.opts.Timer.Now(), x.Workspace.Name, x.Pool, x.chain, &x.Pages)
 	}
 }
 
--- a/server/prompt.go
+++ b/server/prompt.go
@@ -20,7 +20,7 @@
 const maxMaxTokens = 1 << 20
 
 // reserved are the fields of a prompt that only the system may set.
-var reserved = []string{"priority", "cache_salt", "weight_version", "kv_restore", "kv_transfer_params", "continue_final_message"}
+var reserved = []string{"priority", "cache_salt", "weight_version", "kv_restore", "kv_restore_within_ms", "kv_transfer_params", "continue_final_message"}
 
 // promptBody is the body of a prompt with the fields that the system does not
 // know, which are passed on.
--- a/server/server.go
+++ b/server/server.go
@@ -35,18 +35,23 @@
 	Finish(out claimer.Outcome)
 }
 
-// HoldingSet is what upstreams hold of one prompt.
-type HoldingSet interface {
-	// Segments returns the kept segments to restore at a target of the pool.
-	Segments(target int) []wire.SegmentRef
+// Placement is a prompt that an upstream has computed.
+type Placement struct {
+	Upstream  string
+	Workspace string
+	Chain     keeper.Chain
+	Displaced bool // Displaced tells that it is not the upstream that every host would guess.
 }
 
 // Keeper knows what upstreams hold.
 type Keeper interface {
-	// Lookup fills in what is known of a prompt.
-	Lookup(now time.Time, pool *publisher.Pool, chain keeper.Chain, pages *router.Request) HoldingSet
-	// Placed tells that an upstream computed a prompt.
-	Placed(now time.Time, upstream string, p keeper.Placement)
+	// Lookup fills in what is known of a prompt of a workspace.
+	Lookup(now time.Time, workspace string, pool *publisher.Pool, chain keeper.Chain, pages *router.Request)
+	// Segments returns what an upstream is to restore of the first tokens of a
+	// prompt; nil if that cannot be done any more.
+	Segments(now time.Time, upstream string, chain keeper.Chain, tokens int) []wire.SegmentRef
+	// Placed tells that an upstream has computed a prompt.
+	Placed(now time.Time, p Placement)
 }
 
 // Recorder takes the outcomes of requests for the reports.
--- a/tracker/upstream.go
+++ b/tracker/upstream.go
@@ -49,6 +49,7 @@
 	Waiting       int
 	WaitingTokens int
 	Models        []wire.LoadedModel
+	Role          string
 }
 
 // UpstreamOptions set the times for upstreams.
@@ -156,6 +157,7 @@
 		Waiting:       rep.Waiting,
 		WaitingTokens: rep.WaitingTokens,
 		Models:        rep.Models,
+		Role:          rep.Role,
 	}
 	u.MergeLoad(now, d)
 	state := UpstreamLive
