Tell peers what is under way, keep answers, reserve whole upstreams

Load reports are half a second old and a host corrects them by its own sends only, one in eight; stores kept prompts without answers; slots reserved on every engine let an urgent prompt wait behind a chunk of a long one.

Now hosts tell each other every 50 ms what they have under way, turns are kept with their answers once they are whole, a restore is always offered when a segment is kept, and a class reserves whole upstreams.

--- a/configurer/document.go
+++ b/configurer/document.go
@@ -198,3 +198,15 @@
 	}
 	return &c
 }
+
+// ReservedAbove returns the share of upstreams that is reserved for classes
+// more urgent than a rank.
+func ReservedAbove(classes []Class, rank int) float64 {
+	var share float64
+	for _, c := range classes {
+		if c.Rank < rank {
+			share += c.Reserved
+		}
+	}
+	return share
+}
--- a/controller/event.go
+++ b/controller/event.go
@@ -201,11 +201,10 @@
 
 // KeptChanged tells what may be offered of an upstream's store.
 type KeptChanged struct {
-	Upstream  string
-	Full      bool // Full tells that Changes replace all that was known.
-	Changes   []keeper.Change
-	Until     time.Time // Until is how long the segments may be offered.
-	Residency time.Duration
+	Upstream string
+	Full     bool // Full tells that Changes replace all that was known.
+	Changes  []keeper.Change
+	Until    time.Time // Until is how long the segments may be offered.
 }
 
 // PlacementsLearned are placements that other hosts told.
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -100,6 +100,9 @@
 	if m.KeptTell != nil {
 		n.keptTold(now, *m.KeptTell)
 	}
+	if m.Sends != nil {
+		n.peerSends(now, ev.From, m.Sends)
+	}
 	if len(m.Placed) > 0 {
 		n.do(PlacementsLearned{Placements: m.Placed})
 	}
--- a/controller/node.go
+++ b/controller/node.go
@@ -85,6 +85,9 @@
 	lastWants    time.Time
 	lastFull     map[string]time.Time
 	lastTold     map[string]time.Time // lastTold is when a host was last told that it is suspected.
+	sends        map[string]peerSends // sends is what other hosts have under way, by host.
+	sentAny      bool                 // sentAny tells that the last message about own sends was not empty.
+	lastSends    time.Time
 	leaving      bool
 	readyAt      time.Time            // readyAt is when the node was first ready.
 	better       map[string]time.Time // better is since when another host is the better candidate for a lease held here.
@@ -104,6 +107,7 @@
 		leases:       leaser.NewTable(),
 		upstreams:    tracker.NewUpstreams(tracker.UpstreamOptions{}),
 		shares:       limiter.NewShares(grantLife),
+		sends:        make(map[string]peerSends),
 		awaited:      make(map[string]bool),
 		marks:        make(map[string]loadMark),
 		incarnations: make(map[string]uint64),
@@ -206,6 +210,9 @@
 			due = min(due, d)
 		}
 	}
+	if n.fullMesh() {
+		due = min(due, sendsInterval-now.Sub(n.lastSends))
+	}
 	if n.viewDirty {
 		due = min(due, viewInterval-now.Sub(n.viewAt))
 	}
@@ -270,6 +277,7 @@
 	n.tickLimits(now)
 	n.tickOrders(now)
 	n.tickKept(now)
+	n.tickSends(now)
 	n.flushLoads(now)
 	n.askSnapshots(now)
 }
--- a/controller/stores.go
+++ b/controller/stores.go
@@ -25,8 +25,6 @@
 	settled     bool   // settled tells that nobody else can change the store any more.
 	fenced      bool   // fenced tells that the upstream has seen this issuer's fencing number.
 	read        bool   // read tells that all segments were read since.
-	residency   time.Duration
-	cachedAt    map[string]time.Time // cachedAt samples when blocks were cached.
 }
 
 // tickStores carries on the plans of a group's stores.
@@ -53,7 +51,6 @@
 			BlockBytes: u.BytesPerToken * keeper.TokensPerBlock,
 			LinkRate:   u.LinkRate,
 		}),
-		cachedAt: make(map[string]time.Time),
 	}
 }
 
@@ -166,16 +163,9 @@
 	}
 }
 
-// sampled is the part of blocks of which the time in memory is measured: one
-// in as many.
-const sampled = 16
-
-// residencyGain is the weight of the newest measurement.
-const residencyGain = 0.1
-
 func (st *issuedStore) event(now time.Time, e wire.CacheEvent) {
 	raw, ok := keeper.ParseWire(e.Block)
-	if !ok && e.Kind != wire.CacheCleared {
+	if !ok {
 		return
 	}
 	switch e.Kind {
@@ -184,22 +174,6 @@
 		st.plan.Sealed(now, raw, e.Generation, e.Blocks, e.From, parent)
 	case wire.SegmentFreed:
 		st.plan.Gone(raw, e.Generation)
-	case wire.BlockCached:
-		if raw[0]%sampled == 0 {
-			st.cachedAt[e.Block] = now
-		}
-	case wire.BlockEvicted:
-		at, ok := st.cachedAt[e.Block]
-		if !ok {
-			return
-		}
-		delete(st.cachedAt, e.Block)
-		if st.residency == 0 {
-			st.residency = now.Sub(at)
-		}
-		st.residency += time.Duration(residencyGain * float64(now.Sub(at)-st.residency))
-	case wire.CacheCleared:
-		clear(st.cachedAt)
 	}
 }
 
@@ -291,11 +265,10 @@
 		}
 		changes, full := st.plan.Since(version)
 		tell.Stores = append(tell.Stores, messenger.KeptStore{
-			Upstream:  u.Upstream,
-			Version:   st.plan.Version(),
-			Full:      full,
-			Changes:   changes,
-			Residency: st.residency,
+			Upstream: u.Upstream,
+			Version:  st.plan.Version(),
+			Full:     full,
+			Changes:  changes,
 		})
 	}
 	if from == n.opts.Self.Host {
@@ -317,11 +290,10 @@
 	for _, s := range tell.Stores {
 		n.kept.versions[s.Upstream] = s.Version
 		n.do(KeptChanged{
-			Upstream:  s.Upstream,
-			Full:      s.Full,
-			Changes:   s.Changes,
-			Until:     asked.Add(keeper.KeptLease),
-			Residency: s.Residency,
+			Upstream: s.Upstream,
+			Full:     s.Full,
+			Changes:  s.Changes,
+			Until:    asked.Add(keeper.KeptLease),
 		})
 	}
 }
--- a/controller/view.go
+++ b/controller/view.go
@@ -23,11 +23,11 @@
 	}
 	n.viewDirty = false
 	n.viewAt = now
-	n.view = n.snapshot()
+	n.view = n.snapshot(now)
 	n.do(ViewChanged{})
 }
 
-func (n *Node) snapshot() *publisher.Snapshot {
+func (n *Node) snapshot(now time.Time) *publisher.Snapshot {
 	doc := n.config.Document()
 	if doc == nil {
 		doc = &configurer.Document{}
@@ -36,8 +36,15 @@
 	s.Ready = n.Ready()
 	s.Leaving = n.leaving
 	s.Addresses = n.addresses()
+	peers, fresh := n.livePeers(now)
 	for i := range doc.Upstreams {
-		n.addUpstream(s, &doc.Upstreams[i])
+		u := &doc.Upstreams[i]
+		n.addUpstream(s, u, peerLoad(peers, fresh, u.Name))
+	}
+	for _, pools := range []map[string]*publisher.Pool{s.Engines, s.Services} {
+		for _, p := range pools {
+			p.Reserve(doc.Classes)
+		}
 	}
 	return s
 }
@@ -67,7 +74,7 @@
 }
 
 // addUpstream puts an upstream into the pools that it belongs to.
-func (n *Node) addUpstream(s *publisher.Snapshot, u *configurer.Upstream) {
+func (n *Node) addUpstream(s *publisher.Snapshot, u *configurer.Upstream, peers router.PeerLoad) {
 	record, digest, _ := n.upstreams.Lookup(u.Name)
 	in := n.opts.Registry.Get(u.Name)
 	target := router.Target{
@@ -85,6 +92,7 @@
 			WaitingTokens: digest.WaitingTokens,
 			Base:          n.marks[u.Name].mark,
 		},
+		Peers: peers,
 		Meter: &in.Meter,
 	}
 	if u.Kind == configurer.KindService {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,6 +174,7 @@
 // generator makes each token from the whole text before it.
 type generator struct {
 	hash *xxhash.Digest
+	text strings.Builder
 }
 
 func newGenerator(prompt string) *generator {
@@ -185,6 +187,7 @@
 	sum := g.hash.Sum64()
 	t := string([]byte{letters[sum&63], letters[sum>>6&63], letters[sum>>12&63], ' '})
 	_, _ = g.hash.WriteString(t)
+	g.text.WriteString(t)
 	return t
 }
 
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -49,6 +49,7 @@
 	w.Header().Set(wire.HeaderNonce, id)
 	w.Header().Set(wire.HeaderVersion, r.version)
 	g := newGenerator(prompt)
+	defer func() { r.engine.cache.use(keeper.NewChain(r.req.CacheSalt, prompt+g.text.String()), nil) }()
 	if r.req.Stream {
 		r.stream(w, hr, id, g)
 		return
--- a/experimenter/quantiles.go
+++ b/experimenter/quantiles.go
@@ -22,7 +22,9 @@
 func NewTimes() *Times { return &Times{histogram: hdrhistogram.New(1, int64(largest), 3)} }
 
 // Add adds a duration.
-func (t *Times) Add(d time.Duration) { _ = t.histogram.RecordValue(min(max(int64(d), 1), int64(largest))) }
+func (t *Times) Add(d time.Duration) {
+	_ = t.histogram.RecordValue(min(max(int64(d), 1), int64(largest)))
+}
 
 // Merge adds all durations of another collection.
 func (t *Times) Merge(o *Times) { t.histogram.Merge(o.histogram) }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -186,13 +186,14 @@
 		if ch.Delta != nil {
 			text = ch.Delta.Content
 		}
-		e.Text += escapeText(text)
+		e.Text += EscapeText(text)
 		e.Last = e.Last || ch.FinishReason != nil
 	}
 	return e, nil
 }
 
-func escapeText(text string) string {
+// EscapeText returns text as it stands inside a JSON string.
+func EscapeText(text string) string {
 	if text == "" {
 		return ""
 	}
--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -17,6 +17,7 @@
 		Name:  "experiment",
 		Usage: "measure the system on this machine",
 		Commands: []*cli.Command{
+			e.decisionsCommand(),
 			{
 				Name:  "forward",
 				Usage: "what a host adds to a direct call of the same engine",
@@ -41,3 +42,49 @@
 		},
 	}
 }
+
+func (e *env) decisionsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "decisions",
+		Usage: "what the decisions are worth on a seeded workload, in virtual time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "Association", Usage: "`NAME`: Association or Nilewater"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the workload"},
+			&cli.FloatFlag{Name: "scale", Value: 1, Usage: "`FACTOR` on the simulated time"},
+			&cli.DurationFlag{Name: "lag", Value: experimenter.Healthy.Lag, Usage: "`AGE` of load reports and cache events"},
+			&cli.FloatFlag{Name: "event-loss", Usage: "`SHARE` of cache events lost"},
+			&cli.BoolFlag{Name: "no-burst", Usage: "leave out the bursts of the bad day"},
+			&cli.BoolFlag{Name: "zone-down", Usage: "lose an availability zone in the middle"},
+			&cli.FloatFlag{Name: "links", Value: 1, Usage: "`FACTOR` on the links' rate"},
+			&cli.IntFlag{Name: "policies", Usage: "compare only the first `NUMBER` of policies"},
+			&cli.IntFlag{Name: "workers", Value: 6, Usage: "`NUMBER` of policies at once"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			spec, err := experimenter.Deployment(c.String("deployment"))
+			if err != nil {
+				return withCode(ExitUsage, err)
+			}
+			spec.For = time.Duration(float64(spec.For) * c.Float("scale"))
+			spec.Warm = time.Duration(float64(spec.Warm) * c.Float("scale"))
+			if c.Bool("no-burst") {
+				for i := range spec.Classes {
+					spec.Classes[i].Burst.Factor = 0
+				}
+			}
+			for i := range spec.Classes {
+				spec.Classes[i].Burst.From = time.Duration(float64(spec.Classes[i].Burst.From) * c.Float("scale"))
+				spec.Classes[i].Burst.For = time.Duration(float64(spec.Classes[i].Burst.For) * c.Float("scale"))
+			}
+			cond := experimenter.Conditions{Lag: c.Duration("lag"), EventLoss: c.Float("event-loss"), LinkFactor: c.Float("links")}
+			if c.Bool("zone-down") {
+				cond.ZoneDown = spec.Warm + (spec.For-spec.Warm)/2
+			}
+			policies := experimenter.Policies()
+			if n := c.Int("policies"); n > 0 {
+				policies = policies[:min(n, len(policies))]
+			}
+			experimenter.Print(e.out, experimenter.Compare(spec, policies, cond, c.Uint64("seed"), c.Int("workers")))
+			return nil
+		},
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -80,14 +80,16 @@
 	var text strings.Builder
 	for i, m := range r.Messages {
 		if r.Continue && i == len(r.Messages)-1 {
+			text.WriteString("assistant: ")
 			text.WriteString(m.Content)
-			break
+			return text.String()
 		}
 		text.WriteString(m.Role)
 		text.WriteString(": ")
 		text.WriteString(m.Content)
 		text.WriteString("\n")
 	}
+	text.WriteString("assistant: ")
 	return text.String()
 }
 
--- a/keeper/doc.go
+++ b/keeper/doc.go
@@ -13,7 +13,7 @@
 // Two parts, both free of I/O and clocks:
 //
 //   - Index is one host's knowledge of which upstream holds what. What is in
-//     accelerator memory is a guess that fades with age; what is kept in a store
+//     accelerator memory is a guess, who computed it last; what is kept in a store
 //     is told by the upstream's issuer and may be used only for a short time
 //     after it was asked for.
 //   - Store is the issuer's plan for one upstream: what to export, what to free.
--- a/keeper/index.go
+++ b/keeper/index.go
@@ -4,7 +4,6 @@
 package keeper
 
 import (
-	"math"
 	"time"
 )
 
@@ -12,17 +11,12 @@
 // it asked.
 const KeptLease = 3 * time.Second
 
-// defaultResidency is the age at which blocks are taken to be evicted from
-// accelerator memory before anything was measured.
-const defaultResidency = 2 * time.Minute
-
 // maxHolders bounds the upstreams that are remembered for one block.
 const maxHolders = 3
 
 // IndexOptions set up an index.
 type IndexOptions struct {
-	Capacity int  // Capacity bounds the entries for accelerator memory; default 1<<20.
-	NoFading bool // NoFading trusts entries for ever, for measurements.
+	Capacity int // Capacity bounds the entries for accelerator memory; default 1<<20.
 }
 
 // Index is what one host knows of what upstreams hold. It is not safe for
@@ -40,8 +34,7 @@
 
 type indexUpstream struct {
 	name      string
-	epoch     uint32 // epoch grows when all that an upstream held is gone.
-	residency time.Duration
+	epoch     uint32    // epoch grows when all that an upstream held is gone.
 	keptUntil time.Time // keptUntil is until when kept segments may be offered.
 }
 
@@ -81,19 +74,11 @@
 	if !ok {
 		id = uint16(len(x.upstreams))
 		x.ids[upstream] = id
-		x.upstreams = append(x.upstreams, indexUpstream{name: upstream, residency: defaultResidency})
+		x.upstreams = append(x.upstreams, indexUpstream{name: upstream})
 	}
 	return id
 }
 
-// SetResidency takes an issuer's measurement of how long blocks stay in an
-// upstream's accelerator memory.
-func (x *Index) SetResidency(upstream string, d time.Duration) {
-	if d > 0 {
-		x.upstreams[x.ID(upstream)].residency = d
-	}
-}
-
 // Reset forgets all that an upstream held: it was started anew.
 func (x *Index) Reset(upstream string) {
 	id := x.ID(upstream)
@@ -150,20 +135,6 @@
 	x.next = (x.next + 1) % len(x.ring)
 }
 
-// trust returns the chance that what a holder computed is still there.
-func (x *Index) trust(now time.Time, h hotHolder) float64 {
-	u := &x.upstreams[h.upstream]
-	if h.at == 0 || h.epoch != u.epoch {
-		return 0
-	}
-	if x.opts.NoFading {
-		return 1
-	}
-	age := float64(now.UnixNano()-h.at) / float64(u.residency)
-	// Certain up to half the residency, nothing left at twice it.
-	return math.Max(0, math.Min(1, (2-age)/1.5))
-}
-
 // Kept is one segment as an issuer tells it.
 type Kept struct {
 	Upstream   string
@@ -238,9 +209,8 @@
 // Found is what one upstream is believed to hold of a prompt.
 type Found struct {
 	Upstream uint16
-	Cached   int     // Cached is the number of leading blocks in accelerator memory.
-	Trust    float64 // Trust is the chance that Cached is true.
-	Kept     int     // Kept is the number of leading blocks in memory and store together.
+	Cached   int // Cached is the number of leading blocks that it computed last.
+	Kept     int // Kept is the number of leading blocks in memory and store together.
 }
 
 // Lookup is the answer of an index about one prompt. It may be reused.
@@ -257,8 +227,8 @@
 		if e, ok := x.hot[name]; ok {
 			l.Known = max(l.Known, i+1)
 			for _, h := range e.holders {
-				if t := x.trust(now, h); t > 0 {
-					l.add(h.upstream, i+1, t)
+				if h.at != 0 && h.epoch == x.upstreams[h.upstream].epoch {
+					l.add(h.upstream, i+1)
 				}
 			}
 		}
@@ -271,18 +241,14 @@
 	}
 }
 
-func (l *Lookup) add(id uint16, blocks int, trust float64) {
+func (l *Lookup) add(id uint16, blocks int) {
 	for i := range l.Found {
-		f := &l.Found[i]
-		if f.Upstream != id {
-			continue
-		}
-		if float64(blocks)*trust > float64(f.Cached)*f.Trust {
-			f.Cached, f.Trust = blocks, trust
+		if l.Found[i].Upstream == id {
+			l.Found[i].Cached = max(l.Found[i].Cached, blocks)
+			return
 		}
-		return
 	}
-	l.Found = append(l.Found, Found{Upstream: id, Cached: blocks, Trust: trust})
+	l.Found = append(l.Found, Found{Upstream: id, Cached: blocks})
 }
 
 // whole reports whether the segments of an upstream make up the first n blocks.
--- a/keeper/names.go
+++ b/keeper/names.go
@@ -43,19 +43,28 @@
 
 // NewChain names the whole blocks of a text. Each name is the SHA-256 digest
 // of the name before it and the block's text, cut to 16 bytes.
-func NewChain(salt, text string) Chain {
+func NewChain(salt, text string) Chain { return Chain{}.Extend(salt, text) }
+
+// Extend returns the chain of a text that goes on after the blocks of c. The
+// text must begin where the last block of c ends.
+func (c Chain) Extend(salt, text string) Chain {
 	n := len(text) / BlockBytes
-	c := Chain{raw: make([]byte, 0, n*nameBytes)}
+	out := Chain{raw: make([]byte, len(c.raw), len(c.raw)+n*nameBytes)}
+	copy(out.raw, c.raw)
 	buf := make([]byte, nameBytes+BlockBytes)
-	root := sha256.Sum256([]byte(salt))
-	copy(buf, root[:nameBytes])
+	if len(c.raw) == 0 {
+		root := sha256.Sum256([]byte(salt))
+		copy(buf, root[:nameBytes])
+	} else {
+		copy(buf, c.raw[len(c.raw)-nameBytes:])
+	}
 	for i := range n {
 		copy(buf[nameBytes:], text[i*BlockBytes:(i+1)*BlockBytes])
 		sum := sha256.Sum256(buf)
 		copy(buf, sum[:nameBytes])
-		c.raw = append(c.raw, sum[:nameBytes]...)
+		out.raw = append(out.raw, sum[:nameBytes]...)
 	}
-	return c
+	return out
 }
 
 // Len returns the number of blocks.
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -60,6 +60,9 @@
 type Store struct {
 	opts     StoreOptions
 	segments map[[16]byte]*segment
+	writing  map[[16]byte]struct{} // writing are the segments that are being exported.
+	leaving  map[[16]byte]struct{} // leaving are the segments that are freeing or freed.
+	leavingN int                   // leavingN is the number of blocks of those.
 	queue    []queuedTurn
 	used     int // used is the number of blocks of all segments that are not freed.
 	nextFree time.Time
@@ -104,7 +107,12 @@
 	if opts.LeastChance == 0 {
 		opts.LeastChance = 0.05
 	}
-	return &Store{opts: opts, segments: make(map[[16]byte]*segment)}
+	return &Store{
+		opts:     opts,
+		segments: make(map[[16]byte]*segment),
+		writing:  make(map[[16]byte]struct{}),
+		leaving:  make(map[[16]byte]struct{}),
+	}
 }
 
 // Replace begins the plan anew with another's options, because the store was
@@ -178,8 +186,8 @@
 
 // giveUp drops exports that were never sealed: the blocks were evicted first.
 func (s *Store) giveUp(now time.Time) {
-	for name, seg := range s.segments {
-		if seg.state == SegmentWriting && now.Sub(seg.at) > exportTimeout {
+	for name := range s.writing {
+		if seg := s.segments[name]; now.Sub(seg.at) > exportTimeout {
 			s.drop(name, seg)
 		}
 	}
@@ -215,6 +223,7 @@
 		parent.children++
 	}
 	s.segments[end] = &segment{state: SegmentWriting, blocks: n, from: t.From, parent: t.Parent, chance: t.Chance, at: now, used: now}
+	s.writing[end] = struct{}{}
 	s.used += n
 	if rate := s.opts.LinkRate * s.opts.ExportShare; rate > 0 {
 		s.nextFree = now.Add(time.Duration(float64(n) * s.opts.BlockBytes / rate * float64(time.Second)))
@@ -222,22 +231,19 @@
 	return Export{Blocks: t.Blocks, From: t.From, Parent: t.Parent}, true
 }
 
-// highWater is the part of a store above which segments are freed.
-const highWater = 0.95
+// Above the high water mark of a store segments are freed down to the low one.
+const (
+	highWater = 0.95
+	lowWater  = 0.90
+)
 
 // makeRoom begins to free the least valuable segments when the store is nearly
 // full. A segment on which others rest is not freed before them.
 func (s *Store) makeRoom(now time.Time) {
-	leaving := 0
-	for _, seg := range s.segments {
-		if seg.state == SegmentFreeing || seg.state == SegmentFreed {
-			leaving += seg.blocks
-		}
-	}
-	over := s.used - leaving - int(highWater*float64(s.opts.Capacity))
-	if over <= 0 {
+	if float64(s.used-s.leavingN) <= highWater*float64(s.opts.Capacity) {
 		return
 	}
+	over := s.used - s.leavingN - int(lowWater*float64(s.opts.Capacity))
 	type candidate struct {
 		name  [16]byte
 		seg   *segment
@@ -261,6 +267,8 @@
 		}
 		over -= c.seg.blocks
 		c.seg.state, c.seg.at = SegmentFreeing, now
+		s.leaving[c.name] = struct{}{}
+		s.leavingN += c.seg.blocks
 		s.change(true, c.name, c.seg)
 	}
 }
@@ -274,7 +282,8 @@
 // freeable returns the segments that nobody can refer to any more.
 func (s *Store) freeable(now time.Time) []Ref {
 	var refs []Ref
-	for name, seg := range s.segments {
+	for name := range s.leaving {
+		seg := s.segments[name]
 		switch {
 		case seg.state == SegmentFreeing && now.Sub(seg.at) >= KeptLease+s.opts.LongestRead:
 			seg.state = SegmentFreed
@@ -304,6 +313,7 @@
 	if seg.state == SegmentFreeing || seg.state == SegmentFreed {
 		return
 	}
+	delete(s.writing, name)
 	seg.state, seg.generation, seg.at = SegmentSealed, generation, now
 	s.change(false, name, seg)
 }
@@ -322,6 +332,11 @@
 
 func (s *Store) drop(name [16]byte, seg *segment) {
 	delete(s.segments, name)
+	delete(s.writing, name)
+	if _, ok := s.leaving[name]; ok {
+		delete(s.leaving, name)
+		s.leavingN -= seg.blocks
+	}
 	s.used -= seg.blocks
 	if p := s.segments[seg.parent]; p != nil && seg.from > 0 {
 		p.children--
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -4,8 +4,6 @@
 package messenger
 
 import (
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -34,6 +32,20 @@
 	KeptAsk   *KeptAsk                 `cbor:"13,keyasint,omitempty"`
 	KeptTell  *KeptTell                `cbor:"14,keyasint,omitempty"`
 	Placed    []Placement              `cbor:"15,keyasint,omitempty"`
+	Sends     *Sends                   `cbor:"16,keyasint,omitempty"`
+}
+
+// Sends tells what a host has under way at the upstreams; those left out have
+// nothing.
+type Sends struct {
+	Upstreams []SendCount
+}
+
+// SendCount is what a host has under way at one upstream.
+type SendCount struct {
+	Upstream string `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint"`
+	Tokens   int    `cbor:"3,keyasint,omitempty"` // Tokens are prompt tokens not yet computed.
 }
 
 // Placement tells which upstream computed a prompt last, by the prompt's last
@@ -67,11 +79,10 @@
 
 // KeptStore is what may be offered of one upstream's store.
 type KeptStore struct {
-	Upstream  string
-	Version   uint64
-	Full      bool
-	Changes   []keeper.Change `cbor:",omitempty"`
-	Residency time.Duration
+	Upstream string
+	Version  uint64
+	Full     bool
+	Changes  []keeper.Change `cbor:",omitempty"`
 }
 
 // StreamSnapshot is the fold of one stream up to an offset.
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -37,8 +37,25 @@
 type Pool struct {
 	Targets   []router.Target
 	Upstreams []Upstream // Upstreams has the same order as Targets.
+
+	reserved map[int][]bool // reserved marks, by rank, the targets kept for more urgent classes.
+}
+
+// Reserve works out which targets each class must leave to more urgent ones. It
+// is called once, before the pool is published.
+func (p *Pool) Reserve(classes []configurer.Class) {
+	p.reserved = make(map[int][]bool, len(classes))
+	for _, c := range classes {
+		if share := configurer.ReservedAbove(classes, c.Rank); share > 0 {
+			p.reserved[c.Rank] = router.Reserved(p.Targets, share)
+		}
+	}
 }
 
+// ReservedFrom marks the targets that a rank must leave to more urgent classes;
+// nil if there are none.
+func (p *Pool) ReservedFrom(rank int) []bool { return p.reserved[rank] }
+
 // Snapshot is all that traffic needs to know. It is immutable.
 type Snapshot struct {
 	Ready     bool // Ready tells that a configuration is in force here.
--- a/router/meter.go
+++ b/router/meter.go
@@ -57,6 +57,9 @@
 // InFlight returns the number of requests sent and not ended.
 func (m *Meter) InFlight() int { return int(m.started.Load() - m.finished.Load()) }
 
+// Pending returns the number of prompt tokens sent and not computed.
+func (m *Meter) Pending() int { return int(m.tokens.Load() - m.prefilled.Load()) }
+
 // AddLink notes bytes ordered over the tier link; negative when they moved.
 func (m *Meter) AddLink(bytes int64) { m.linkBytes.Add(bytes) }
 
--- a/router/route.go
+++ b/router/route.go
@@ -12,10 +12,9 @@
 
 // Holding is what one target is believed to hold of a prompt.
 type Holding struct {
-	Target int     // Target is an index into the pool.
-	Cached int     // Cached is the number of leading tokens in accelerator memory.
-	Kept   int     // Kept is the number of leading tokens in memory or store together.
-	Trust  float64 // Trust is the chance that Cached is still true.
+	Target int // Target is an index into the pool.
+	Cached int // Cached is the number of leading tokens in accelerator memory.
+	Kept   int // Kept is the number of leading tokens in memory or store together.
 }
 
 // Request is what routing must know of a request.
@@ -25,7 +24,7 @@
 	Known    int    // Known is the number of leading tokens that were computed before.
 	Holdings []Holding
 	Weights  configurer.RoutingWeights
-	Exclude  []int // Exclude lists targets that were tried already.
+	Exclude  []bool // Exclude marks targets that may not be used; nil for none.
 }
 
 // Decision is where a request goes.
@@ -86,7 +85,7 @@
 	r.costs = slices.Grow(r.costs[:0], len(pool))[:len(pool)]
 	best := -1
 	for i := range pool {
-		if !pool[i].Usable || slices.Contains(req.Exclude, i) {
+		if !pool[i].Usable || i < len(req.Exclude) && req.Exclude[i] {
 			r.costs[i].value = -1
 			continue
 		}
@@ -117,7 +116,8 @@
 type part struct {
 	target  int
 	cached  float64 // cached is the expected number of leading tokens in accelerator memory.
-	restore float64 // restore is the number of tokens to move over the link.
+	restore float64 // restore is the expected number of tokens to move over the link.
+	kept    int     // kept is the number of leading tokens that the target may restore; 0 to compute instead.
 }
 
 func (r *Router) total(t *Target, req *Request, p part) cost {
@@ -136,11 +136,7 @@
 	if !t.Near {
 		value += req.Weights.Time * req.Weights.FarZone.Std().Seconds()
 	}
-	d := Decision{Target: p.target, Wait: wait, Reused: int(reused)}
-	if p.restore > 0 {
-		d.Restore = int(reused)
-	}
-	return cost{value: value, decision: d}
+	return cost{value: value, decision: Decision{Target: p.target, Wait: wait, Reused: int(reused), Restore: p.kept}}
 }
 
 func (r *Router) queueTime(t *Target) float64 {
@@ -155,7 +151,9 @@
 }
 
 // holdings improves the costs of targets that hold part of the prompt. Restore
-// competes with computing again; the cheaper way is taken.
+// competes with computing again; the cheaper way is taken. A target may restore
+// although the host believes it has everything in memory: if the belief is
+// wrong, that costs the link and not the computing.
 func (r *Router) holdings(pool []Target, req *Request) {
 	if r.opts.NoHoldings {
 		return
@@ -165,16 +163,16 @@
 			continue
 		}
 		t := &pool[h.Target]
-		cached := float64(min(h.Cached, req.Tokens)) * h.Trust
+		cached := float64(min(h.Cached, req.Tokens))
 		r.improve(h.Target, r.total(t, req, part{target: h.Target, cached: cached}))
-		if kept := float64(min(h.Kept, req.Tokens)); kept > cached && !r.opts.NoRestore {
-			r.improve(h.Target, r.total(t, req, part{target: h.Target, cached: cached, restore: kept - cached}))
+		if kept := min(h.Kept, req.Tokens); kept > 0 && !r.opts.NoRestore {
+			r.improve(h.Target, r.total(t, req, part{target: h.Target, cached: cached, restore: max(0, float64(kept)-cached), kept: kept}))
 		}
 	}
 }
 
 func (r *Router) improve(i int, c cost) {
-	if c.value < r.costs[i].value {
+	if c.value <= r.costs[i].value {
 		r.costs[i] = c
 	}
 }
@@ -188,7 +186,7 @@
 		if r.costs[i].value < 0 {
 			continue
 		}
-		if w := rendezvous(pool[i].Hash, req.Key); first < 0 || w > rank {
+		if w := Rendezvous(pool[i].Hash, req.Key); first < 0 || w > rank {
 			first, rank = i, w
 		}
 	}
@@ -203,9 +201,9 @@
 	r.costs[first].value = max(0, r.costs[first].value-bonus)
 }
 
-// rendezvous returns the weight of a node for a key: the finalizer of
+// Rendezvous returns the weight of a node for a key: the finalizer of
 // SplitMix64 over both.
-func rendezvous(node, key uint64) uint64 {
+func Rendezvous(node, key uint64) uint64 {
 	x := node ^ key*0x9e3779b97f4a7c15
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
--- a/router/target.go
+++ b/router/target.go
@@ -3,7 +3,12 @@
 
 package router
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Load is the newest report of an upstream's load.
 type Load struct {
@@ -13,6 +18,13 @@
 	Base          Mark // Base is what this host had sent when the report was made.
 }
 
+// PeerLoad is what the other hosts said they have under way at an upstream.
+type PeerLoad struct {
+	Fresh    bool // Fresh tells that all live hosts said so a moment ago.
+	Requests int
+	Tokens   int // Tokens are prompt tokens not yet computed.
+}
+
 // Target is an upstream as routing sees it.
 type Target struct {
 	Name          string
@@ -24,15 +36,21 @@
 	LinkRate      float64 // LinkRate is in bytes per second.
 	BytesPerToken float64
 	Load          Load
+	Peers         PeerLoad
 	Meter         *Meter
 }
 
 // NameHash returns the value for Target.Hash.
 func NameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
-// requests returns the estimated number of requests at t now.
+// requests returns the estimated number of requests at t now: what all hosts
+// say they have under way, or, where they are silent, the last report of load
+// corrected by what this host has sent since.
 func (t *Target) requests() float64 {
 	now := t.Meter.Mark()
+	if t.Peers.Fresh {
+		return float64(int(now.Started-now.Finished) + t.Peers.Requests)
+	}
 	n := t.Load.Running + t.Load.Waiting
 	n += int(now.Started-t.Load.Base.Started) - int(now.Finished-t.Load.Base.Finished)
 	return float64(max(n, int(now.Started-now.Finished), 0))
@@ -42,6 +60,9 @@
 // compute.
 func (t *Target) backlog() float64 {
 	now := t.Meter.Mark()
+	if t.Peers.Fresh {
+		return float64(int(now.Tokens-now.Prefilled) + t.Peers.Tokens)
+	}
 	n := t.Load.WaitingTokens
 	n += int(now.Tokens-t.Load.Base.Tokens) - int(now.Prefilled-t.Load.Base.Prefilled)
 	return float64(max(n, 0))
@@ -80,3 +101,37 @@
 	}
 	return requests, slots
 }
+
+// OccupancyWithout is Occupancy over the targets that are not excluded.
+func OccupancyWithout(pool []Target, exclude []bool) (requests, slots float64) {
+	for i := range pool {
+		if pool[i].Usable && (i >= len(exclude) || !exclude[i]) {
+			requests += pool[i].requests()
+			slots += pool[i].Slots
+		}
+	}
+	return requests, slots
+}
+
+// Reserved marks the targets that are kept for more urgent requests: as many of
+// the usable ones as a share of them, rounded to the nearest, and never all.
+// The first in the order of their hashes are taken, so that every host keeps
+// the same ones. It returns nil if there are none.
+func Reserved(pool []Target, share float64) []bool {
+	var usable []int
+	for i := range pool {
+		if pool[i].Usable {
+			usable = append(usable, i)
+		}
+	}
+	n := min(int(share*float64(len(usable))+0.5), len(usable)-1)
+	if n <= 0 {
+		return nil
+	}
+	slices.SortFunc(usable, func(a, b int) int { return cmp.Compare(pool[a].Hash, pool[b].Hash) })
+	marks := make([]bool, len(pool))
+	for _, i := range usable[:n] {
+		marks[i] = true
+	}
+	return marks
+}
--- a/runner/knowledge.go
+++ b/runner/knowledge.go
@@ -58,7 +58,6 @@
 					Target: i,
 					Cached: f.Cached * keeper.TokensPerBlock,
 					Kept:   f.Kept * keeper.TokensPerBlock,
-					Trust:  f.Trust,
 				})
 			}
 		}
@@ -134,7 +133,6 @@
 		}
 	}
 	k.index.Refresh(a.Upstream, a.Until)
-	k.index.SetResidency(a.Upstream, a.Residency)
 }
 
 func (k *knowledge) learned(now time.Time, list []messenger.Placement) {
--- a/server/answer.go
+++ b/server/answer.go
@@ -89,11 +89,21 @@
 	d.begin(resp)
 	d.count(c.Usage)
 	d.outcome.Tokens = c.Usage.CompletionTokens
+	d.keepText(&c.Choices[0])
 	d.x.writer.Header().Set("Content-Type", "application/json")
 	d.finish(http.StatusOK, body)
 	return nil
 }
 
+// keepText notes the text of a whole answer.
+func (d *delivery) keepText(c *wire.Choice) {
+	text := c.Text
+	if c.Message != nil {
+		text = c.Message.Content
+	}
+	d.text = append(d.text, forwarder.EscapeText(text)...)
+}
+
 // begin notes that an answer has come from an upstream.
 func (d *delivery) begin(resp *forwarder.Response) {
 	if d.outcome.FirstToken == 0 {
--- a/server/forward.go
+++ b/server/forward.go
@@ -108,7 +108,7 @@
 	}()
 	fail := d.send(ctx, up, decision, first)
 	if gotFirst {
-		d.placed(up, decision)
+		d.placed(up, decision, fail == nil)
 	}
 	if fail == nil || fail.Cause != forwarder.CauseCaller {
 		up.Instruments.Breaker.Record(s.opts.Timer.Now(), fail == nil || !blames(fail))
@@ -116,16 +116,24 @@
 	return fail
 }
 
-// placed tells what the upstream has computed now.
-func (d *delivery) placed(up *publisher.Upstream, decision router.Decision) {
+// placed tells what the upstream has computed now: the prompt, and the answer
+// too if it is whole, because the next turn repeats it.
+func (d *delivery) placed(up *publisher.Upstream, decision router.Decision, whole bool) {
 	x := d.x
+	chain := x.chain
+	if text, ok := forwarder.UnescapeText(string(d.text)); ok && whole && len(text) > 0 {
+		prompt := x.Call.Prompt.PromptText()
+		m, _ := x.Snapshot.Document.Model(x.Call.Prompt.Model)
+		salt := d.server.salt(x.Workspace.Name, m.Name, m.Version)
+		chain = chain.Extend(salt, prompt[chain.Len()*keeper.BlockBytes:]+text)
+	}
 	if d.server.opts.Keeper == nil || x.Call.Prompt == nil {
 		return
 	}
 	d.server.opts.Keeper.Placed(d.server.opts.Timer.Now(), Placement{
 		Upstream:  up.Name,
 		Workspace: x.Workspace.Name,
-		Chain:     x.chain,
+		Chain:     chain,
 		Displaced: !decision.First,
 	})
 }
@@ -143,14 +151,8 @@
 // choose routes the request among the targets that may still be tried.
 func (d *delivery) choose() (int, router.Decision, bool) {
 	x := d.x
-	x.Pages.Exclude = append(x.Pages.Exclude[:0], d.tried...)
 	now := d.server.opts.Timer.Now()
-	for i := range x.Pool.Upstreams {
-		up := &x.Pool.Upstreams[i]
-		if !d.fits(up) || up.Instruments.Breaker.Open(now) {
-			x.Pages.Exclude = append(x.Pages.Exclude, i)
-		}
-	}
+	x.Pages.Exclude = d.excluded(now)
 	x.pool.mu.Lock()
 	decision, ok := x.pool.router.Route(x.Pool.Targets, &x.Pages)
 	x.pool.mu.Unlock()
@@ -164,6 +166,24 @@
 	return decision.Target, decision, true
 }
 
+// excluded marks the targets that may not be chosen: those kept for more urgent
+// classes, those tried already, and those that do not answer.
+func (d *delivery) excluded(now time.Time) []bool {
+	pool := d.x.Pool
+	marks := make([]bool, len(pool.Targets))
+	copy(marks, pool.ReservedFrom(d.x.Class.Rank))
+	for _, i := range d.tried {
+		marks[i] = true
+	}
+	for i := range pool.Upstreams {
+		up := &pool.Upstreams[i]
+		if !d.fits(up) || up.Instruments.Breaker.Open(now) {
+			marks[i] = true
+		}
+	}
+	return marks
+}
+
 // fits reports whether an upstream has the weight version that a continued
 // answer needs.
 func (d *delivery) fits(up *publisher.Upstream) bool {
--- a/server/pools.go
+++ b/server/pools.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/publisher"
 	"amaranthgate.example/amaranthgate/router"
 	"amaranthgate.example/amaranthgate/scheduler"
@@ -80,30 +79,17 @@
 	if p == nil {
 		return true // forward refuses it with the right reason
 	}
-	requests, slots := router.Occupancy(p.Targets)
+	requests, slots := router.OccupancyWithout(p.Targets, p.ReservedFrom(rank))
 	if slots == 0 {
 		return true
 	}
-	free := 1 - reservedAbove(s.opts.Publisher.Load().Document.Classes, rank)
-	return requests+float64(granted) < slots*free*s.overcommit()
-}
-
-// reservedAbove returns the share of slots reserved for classes more urgent
-// than a rank.
-func reservedAbove(classes []configurer.Class, rank int) float64 {
-	var share float64
-	for _, c := range classes {
-		if c.Rank < rank {
-			share += c.Reserved
-		}
-	}
-	return share
+	return requests+float64(granted) < slots*overcommit
 }
 
 // overcommit is the part of the slots that may be in use before requests wait
 // here. Slightly more than the slots keeps engines busy over the lag of load
 // reports.
-func (s *Server) overcommit() float64 { return 1.1 }
+const overcommit = 1.1
 
 // leastTime returns the least time that a request takes from its start.
 func (s *Server) leastTime(x *Exchange) time.Duration {
