Kill, freeze and cut real processes under a load of bookings

Cause: promises were proved in one process only.

Found and mended: every failure to open an attempt was taken as the caller's going away, because the attempt's context was ended before it was asked; so nothing was retried elsewhere and callers saw 499. An error without a nonce from a server in front of an upstream counted as crossed; no longer.

--- /dev/null
+++ b/cmd/amaranthgate/process_test.go
@@ -0,0 +1,482 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/controller"
+	"amaranthgate.example/amaranthgate/emulator"
+	"amaranthgate.example/amaranthgate/internal/deployment"
+	"amaranthgate.example/amaranthgate/internal/faultproxy"
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/runner"
+	"amaranthgate.example/amaranthgate/server"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "amaranthgate")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "amaranthgate")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// system is a platform and upstreams in this process, and hosts as processes of
+// their own.
+type system struct {
+	*deployment.Deployment
+	t        *testing.T
+	platform *faultproxy.Proxy // platform stands before log and host list.
+	proxies  map[string]*faultproxy.Proxy
+	hosts    []*process
+}
+
+// process is one host.
+type process struct {
+	cmd  *exec.Cmd
+	addr runner.Addresses
+	done chan struct{}
+	code int
+}
+
+func startSystem(t *testing.T, hosts int, opts deployment.Options) *system {
+	t.Helper()
+	t.Parallel()
+	s := &system{t: t, proxies: make(map[string]*faultproxy.Proxy)}
+	opts.Wrap = func(address string) string {
+		p, err := faultproxy.New(address)
+		assert.NilError(t, err)
+		t.Cleanup(p.Close)
+		s.proxies[address] = p
+		return p.Address()
+	}
+	d, err := deployment.StartUpstreams(opts)
+	assert.NilError(t, err)
+	s.Deployment = d
+	t.Cleanup(d.Close)
+	s.platform, err = faultproxy.New(strings.TrimPrefix(d.Platform, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(s.platform.Close)
+	d.Platform = "http://" + s.platform.Address()
+	for i := range hosts {
+		s.hosts = append(s.hosts, s.startHost(i))
+	}
+	s.publishFirst()
+	return s
+}
+
+// startHost starts the i-th host as a process and puts it on the host list.
+func (s *system) startHost(i int) *process {
+	settings := s.HostSettings(i, deployment.Options{})
+	text, err := json.Marshal(settings)
+	assert.NilError(s.t, err)
+	path := filepath.Join(s.t.TempDir(), "settings.jsonc")
+	assert.NilError(s.t, os.WriteFile(path, text, 0o600))
+	p := &process{cmd: exec.Command(binary, "serve", "--settings", path), done: make(chan struct{})}
+	logs, err := p.cmd.StderrPipe()
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, p.cmd.Start())
+	lines := bufio.NewScanner(logs)
+	for lines.Scan() {
+		if json.Unmarshal(lines.Bytes(), &p.addr) == nil && p.addr.Callers != "" {
+			break
+		}
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, logs)
+		_ = p.cmd.Wait()
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.done)
+	}()
+	s.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	})
+	s.List.PutHost(connector.ListedHost{Host: settings.Host, Address: p.addr.Peers, AvailabilityZone: settings.AvailabilityZone, State: connector.ListedLive})
+	return p
+}
+
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+func (s *system) publishFirst() {
+	path := filepath.Join(s.t.TempDir(), "configuration.json")
+	assert.NilError(s.t, os.WriteFile(path, s.Document.Encode(), 0o600))
+	eventually(s.t, "the first configuration is accepted", func() bool {
+		out, err := exec.Command(binary, "publish", "--operators", s.hosts[0].addr.Operators, "--token", deployment.Operator, "--id", "first", "--configuration", path).CombinedOutput()
+		return err == nil || strings.Contains(string(out), string(configurer.FateAccepted))
+	})
+	for i := range s.hosts {
+		s.waitReady(i)
+	}
+	eventually(s.t, "the duties are taken", func() bool {
+		d := s.dump(0)
+		return d.Leases["Claims-0"].Holder != "" && d.Leases["Claims-1"].Holder != ""
+	})
+}
+
+func (s *system) waitReady(i int) {
+	eventually(s.t, "the host is ready", func() bool {
+		resp, err := http.Get("http://" + s.hosts[i].addr.Callers + "/v1/health")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(60*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// dump returns the control state of a host.
+func (s *system) dump(i int) controller.Dump {
+	out, err := exec.Command(binary, "dump", "--operators", s.hosts[i].addr.Operators, "--token", deployment.Operator).Output()
+	if err != nil {
+		return controller.Dump{}
+	}
+	var d runner.Dump
+	assert.NilError(s.t, json.Unmarshal(out, &d))
+	return d.Control
+}
+
+// ownerOf returns the index of the host that owns a range of claims.
+func (s *system) ownerOf(lease string) int {
+	for i := range s.hosts {
+		if d := s.dump(i); d.Writer != "" {
+			holder, _, _ := strings.Cut(d.Leases[lease].Holder, "#")
+			for j := range s.hosts {
+				if holder == fmt.Sprintf("host-%d", j+1) {
+					return j
+				}
+			}
+		}
+	}
+	s.t.Fatal("nobody owns the range")
+	return 0
+}
+
+// answer is what a caller learned.
+type answer struct {
+	status int
+	body   string
+	ran    string
+	reason server.Reason
+}
+
+// book sends a request that may run only once.
+func book(ctx context.Context, address, key string, first bool) (answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/services/Booking/slots", strings.NewReader(key))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.Token)
+	req.Header.Set("Idempotency-Key", key)
+	req.Header.Set("Amaranthgate-Deadline", "8s")
+	if first {
+		req.Header.Set("Amaranthgate-Attempt", "1")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, body: string(b)}
+	var p server.Problem
+	if resp.StatusCode >= 400 && json.Unmarshal(b, &p) == nil {
+		a.ran, a.reason = string(p.Ran), p.Reason
+	}
+	return a, err
+}
+
+// bookings is a load of requests that may run only once, each repeated with the
+// same key until it is answered or known to be lost.
+type bookings struct {
+	mu       sync.Mutex
+	answered int
+	notRun   []string // notRun are keys whose only attempt was refused as not run.
+	lies     []string
+}
+
+// run sends bookings through all hosts until ctx ends.
+func (b *bookings) run(ctx context.Context, s *system, workers int) {
+	var all sync.WaitGroup
+	for w := range workers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for i := 0; ctx.Err() == nil; i++ {
+				b.one(ctx, s, fmt.Sprintf("key-%d-%d", w, i), w+i)
+			}
+		}()
+	}
+	all.Wait()
+}
+
+func (b *bookings) one(ctx context.Context, s *system, key string, n int) {
+	for try := range 4 {
+		a, err := book(context.WithoutCancel(ctx), s.hosts[(n+try)%len(s.hosts)].addr.Callers, key, try == 0)
+		b.mu.Lock()
+		switch {
+		case err != nil:
+		case a.status == http.StatusOK:
+			b.answered++
+			if runs := s.runs()[key]; runs != 1 {
+				b.lies = append(b.lies, fmt.Sprintf("%s was answered and ran %d times", key, runs))
+			}
+		case a.ran == "No" && try == 0:
+			b.notRun = append(b.notRun, key)
+		}
+		done := err == nil && (a.status == http.StatusOK || a.ran == "No" && try == 0 || a.reason == server.ReasonMayHaveRun)
+		b.mu.Unlock()
+		if done {
+			return
+		}
+	}
+}
+
+// runs returns the services' own record of how often each key ran.
+func (s *system) runs() map[string]int {
+	out := make(map[string]int)
+	for _, svc := range s.Services {
+		for key, n := range svc.Runs() {
+			out[key] += n
+		}
+	}
+	return out
+}
+
+// check looks at the services' own record.
+func (b *bookings) check(t *testing.T, runs map[string]int) {
+	t.Helper()
+	for key, n := range runs {
+		assert.Assert(t, n <= 1, "%s ran %d times", key, n)
+	}
+	for _, key := range b.notRun {
+		assert.Equal(t, runs[key], 0, "%s was refused as not run", key)
+	}
+	assert.DeepEqual(t, b.lies, []string(nil))
+	assert.Assert(t, b.answered > 0)
+}
+
+// fault is one thing that happens to a system under load.
+type fault struct {
+	Name  string
+	Steps []faultStep
+}
+
+type faultStep struct {
+	Do    string
+	Host  string // Host is "owner" for the owner of the first range, else "other".
+	Fault faultproxy.Fault
+	Log   emulator.LogFault
+}
+
+// TestBookingsUnderFaults keeps a load of bookings on while the faults of the
+// data file happen, and checks every word against the service's own record.
+func TestBookingsUnderFaults(t *testing.T) {
+	text, err := os.ReadFile("testdata/faults.jsonc")
+	assert.NilError(t, err)
+	var file struct{ Cases []fault }
+	_, faults := strictjson.Decode(text, &file)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, f := range file.Cases {
+		t.Run(f.Name, func(t *testing.T) {
+			s := startSystem(t, 3, deployment.Options{Services: 2})
+			ctx, cancel := context.WithCancel(t.Context())
+			b := &bookings{}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				b.run(ctx, s, 6)
+			}()
+			b.wait(t, s, 30)
+			for _, step := range f.Steps {
+				s.step(step)
+			}
+			b.wait(t, s, 30)
+			cancel()
+			<-done
+			b.check(t, s.runs())
+		})
+	}
+}
+
+// wait waits until more bookings were answered.
+func (b *bookings) wait(t *testing.T, _ *system, more int) {
+	t.Helper()
+	count := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.answered
+	}
+	from := count()
+	eventually(t, "bookings go on", func() bool { return count() >= from+more })
+}
+
+func (s *system) step(st faultStep) {
+	host := s.ownerOf("Claims-0")
+	if st.Host == "other" {
+		host = (host + 1) % len(s.hosts)
+	}
+	switch st.Do {
+	case "Kill":
+		s.hosts[host].signal(syscall.SIGKILL)
+		<-s.hosts[host].done
+		s.List.RemoveHost(fmt.Sprintf("host-%d", host+1))
+		s.hosts[host] = s.startHost(host)
+	case "Freeze": // past the lease, then on
+		s.hosts[host].signal(syscall.SIGSTOP)
+		time.Sleep(4500 * time.Millisecond)
+		s.hosts[host].signal(syscall.SIGCONT)
+	case "Upstream":
+		for _, p := range s.proxies {
+			p.Set(st.Fault)
+		}
+		time.Sleep(700 * time.Millisecond)
+		for _, p := range s.proxies {
+			p.Set(faultproxy.Fault{})
+		}
+	case "Platform":
+		s.platform.Set(st.Fault)
+		time.Sleep(1500 * time.Millisecond)
+		s.platform.Set(faultproxy.Fault{})
+	case "Log":
+		s.Log.SetFault(st.Log)
+		time.Sleep(1500 * time.Millisecond)
+		s.Log.SetFault(emulator.LogFault{})
+	default:
+		s.t.Fatalf("unknown step %q", st.Do)
+	}
+}
+
+// TestDrainByTerm ends a host by SIGTERM under load: no request is cut and it
+// exits with 0.
+func TestDrainByTerm(t *testing.T) {
+	s := startSystem(t, 2, deployment.Options{Engines: 1, Engine: emulator.EngineOptions{TokenInterval: 20 * time.Millisecond, Slots: 64}})
+	replies := make(chan error, 8)
+	for i := range cap(replies) {
+		go func() { replies <- streamed(s.hosts[1].addr.Callers, fmt.Sprintf("drain %d", i), 60) }()
+	}
+	eventually(t, "streams are open", func() bool { return s.Engines[0].Total() == cap(replies) })
+	s.hosts[1].signal(syscall.SIGTERM)
+	for range cap(replies) {
+		assert.NilError(t, <-replies)
+	}
+	<-s.hosts[1].done
+	assert.Equal(t, s.hosts[1].code, 0)
+}
+
+// TestSecondSignal ends a host at once: it says that it cut requests.
+func TestSecondSignal(t *testing.T) {
+	s := startSystem(t, 2, deployment.Options{Engines: 1, Engine: emulator.EngineOptions{TokenInterval: 50 * time.Millisecond, Slots: 64}})
+	reply := make(chan error, 1)
+	go func() { reply <- streamed(s.hosts[1].addr.Callers, "cut", 10000) }()
+	eventually(t, "the stream is open", func() bool { return s.Engines[0].Total() == 1 })
+	s.hosts[1].signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
+	s.hosts[1].signal(syscall.SIGTERM)
+	<-s.hosts[1].done
+	assert.Equal(t, s.hosts[1].code, 3)
+	assert.Assert(t, <-reply != nil)
+}
+
+// streamed reads a stream and returns an error unless it is whole and its own.
+func streamed(address, prompt string, tokens int) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, deployment.Model, prompt, tokens)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.Token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if !strings.HasSuffix(string(b), "data: [DONE]\n\n") {
+		return fmt.Errorf("not whole: %q", b[max(0, len(b)-200):])
+	}
+	for _, token := range emulator.Answer(prompt, tokens) {
+		if !strings.Contains(string(b), fmt.Sprintf("%q", token)) {
+			return fmt.Errorf("token %q is missing", token)
+		}
+	}
+	return nil
+}
+
+// TestRestartWithLogDown kills a host while the log is down and starts it anew:
+// it serves what its peers have in force, and the revision does not go back.
+func TestRestartWithLogDown(t *testing.T) {
+	s := startSystem(t, 3, deployment.Options{Engines: 1})
+	s.Log.SetFault(emulator.LogFault{Down: true})
+	s.hosts[2].signal(syscall.SIGKILL)
+	<-s.hosts[2].done
+	s.hosts[2] = s.startHost(2)
+	s.waitReady(2)
+	assert.Equal(t, s.dump(2).Revision, uint64(1))
+	assert.NilError(t, streamed(s.hosts[2].addr.Callers, "while the log is down", 3))
+}
+
+// TestCheckCommand prints every fault with its line.
+func TestCheckCommand(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "settings.jsonc")
+	text := "{\n  // two faults\n  \"Host\": \"h\",\n  \"Hots\": 1,\n  \"AvailabilityZone\": 7\n}\n"
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	out, err := exec.Command(binary, "check", "--settings", path).CombinedOutput()
+	var exit *exec.ExitError
+	assert.Assert(t, err != nil)
+	assert.Assert(t, asExit(err, &exit) && exit.ExitCode() == 2)
+	assert.Assert(t, strings.Contains(string(out), "line 4: /Hots: unknown name"), string(out))
+	assert.Assert(t, strings.Contains(string(out), "line 5: /AvailabilityZone: want string, got number"), string(out))
+	_, faults := loader.Parse([]byte(text))
+	assert.Equal(t, len(faults), 2)
+}
+
+func asExit(err error, to **exec.ExitError) bool {
+	e, ok := err.(*exec.ExitError)
+	*to = e
+	return ok
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -153,8 +153,9 @@
 	resp, err := f.transport(a.Address).RoundTrip(req)
 	if err != nil {
 		watch.stop()
+		fail := openFailure(ctx, err, connected.Load()) // before cancel, which ends ctx
 		cancel(nil)
-		return nil, openFailure(ctx, err, connected.Load())
+		return nil, fail
 	}
 	r := &Response{forwarder: f, attempt: a, ctx: ctx, cancel: cancel, watch: watch, resp: resp}
 	if fail := r.head(); fail != nil {
@@ -226,7 +227,8 @@
 	if said := r.resp.Header.Get(wire.HeaderRan); said == "no" {
 		return &Failure{Cause: CauseRefused, Ran: RanNo, Status: r.resp.StatusCode, RetryAfter: retryAfter(r.resp.Header), Detail: r.text()}
 	}
-	if got := r.resp.Header.Get(wire.HeaderNonce); got != r.attempt.Nonce {
+	failed := r.resp.StatusCode >= http.StatusBadRequest // a server in front of the upstream may know no nonces
+	if got := r.resp.Header.Get(wire.HeaderNonce); got != r.attempt.Nonce && (got != "" || !failed) {
 		r.forwarder.Crossed.Add(1)
 		return &Failure{Cause: CauseCrossed, Ran: RanUnknown, Status: r.resp.StatusCode, Detail: "the answer names another attempt"}
 	}
--- a/runner/system_test.go
+++ b/runner/system_test.go
@@ -189,6 +189,19 @@
 	}
 }
 
+// TestRetryElsewhere takes one engine down: every prompt is answered, by the
+// other one.
+func TestRetryElsewhere(t *testing.T) {
+	d := start(t, deployment.Options{Engines: 2})
+	d.Engines[0].SetFault(emulator.EngineFault{Down: true})
+	for i := range 20 {
+		p := fmt.Sprintf("elsewhere %d", i)
+		r := must(t, d.Callers(i%3), prompt(p, 3, true))
+		assert.Equal(t, r.status, 200, r.body)
+		assert.Equal(t, r.text, strings.Join(emulator.Answer(p, 3), ""))
+	}
+}
+
 // TestCrossedAnswers lets one engine answer with another attempt's nonce: no
 // caller sees it.
 func TestCrossedAnswers(t *testing.T) {
@@ -233,6 +246,7 @@
 		for _, r := range replies {
 			if lose {
 				assert.Equal(t, string(r.problem.Ran), "Unknown", "%d %s", r.status, r.body)
+				assert.Assert(t, r.status == 502 || r.status == 409, "%d %s", r.status, r.body)
 				continue
 			}
 			assert.Equal(t, r.status, 200, r.body)
