Make the contract test of Open give one verdict

Cause: a proxy that resets at accept races with the dial, so the attempt failed sometimes before and sometimes after it was connected. The case now has nobody listen.

--- a/forwarder/open_test.go
+++ b/forwarder/open_test.go
@@ -27,6 +27,7 @@
 	Status  int
 	SaysNo  bool // SaysNo lets the upstream say that it did not run the request.
 	NoNonce bool
+	Closed  bool // Closed lets nobody listen.
 	Gone    duration.Duration // Gone is when the caller goes away.
 	Cause   Cause
 	Ran     Ran
@@ -73,6 +74,9 @@
 		}
 	}
 	p.Set(c.Fault)
+	if c.Closed {
+		p.Close()
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	if c.Gone > 0 {
