Make idle control cheaper and pass changes on between hosts

Changes took up to 4.0 s in force while the log had a slow spell, because all hosts' reads had come into step.

Now only what is new makes a view or a message, the slow part of a tick runs every 100 ms, and models are left out while they are the same. Hosts pass a record of the configuration on as soon as they have read it, and their reads wait for times of their own.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strings"
 	"time"
@@ -72,6 +73,8 @@
 	mux.HandleFunc("GET /v1/report", a.getReport)
 	mux.HandleFunc("GET /debug/state", a.getState)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.opts.Metrics(w) })
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	a.addConsole(mux)
 	return http.NewCrossOriginProtection().Handler(a.authenticate(mux))
 }
--- a/administrator/doc.go
+++ b/administrator/doc.go
@@ -22,6 +22,7 @@
 //	GET  /v1/hosts                hosts and the revision in force on each
 //	GET  /v1/report               service delivered
 //	GET  /debug/state             the state dump
+//	GET  /debug/pprof/            profiles, as go tool pprof reads them
 //	GET  /metrics                 metrics in the Prometheus text format
 //	GET  /                        the console
 //
--- a/controller/leases.go
+++ b/controller/leases.go
@@ -35,10 +35,9 @@
 
 func (n *Node) tickLeases(now time.Time) {
 	s := n.streams[leaser.StreamName]
-	if n.leaving || !n.Ready() || now.Sub(n.lastLeases) < leaseInterval {
+	if n.leaving || !n.Ready() {
 		return
 	}
-	n.lastLeases = now
 	if n.readyAt.IsZero() {
 		n.readyAt = now
 	}
@@ -58,9 +57,8 @@
 
 // Times of the spread of duties.
 const (
-	leaseInterval = 100 * time.Millisecond // leaseInterval is the time between two looks at the leases.
-	settleIn      = time.Second            // settleIn is how long a host that became ready gets to know the others before it acquires.
-	yieldAfter    = 20 * time.Second       // yieldAfter is how long a better candidate must be live before a lease is handed over.
+	settleIn   = time.Second      // settleIn is how long a host that became ready gets to know the others before it acquires.
+	yieldAfter = 20 * time.Second // yieldAfter is how long a better candidate must be live before a lease is handed over.
 )
 
 // misplaced returns the leases held here for which another host has been the
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -9,6 +9,7 @@
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/connector"
+	"amaranthgate.example/amaranthgate/folder"
 	"amaranthgate.example/amaranthgate/leaser"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/router"
@@ -82,6 +83,9 @@
 		n.steps(now, n.claimant.Answer(now, r))
 	}
 	n.answerWants(ev.From, m.Wants)
+	for _, r := range m.Records {
+		n.recordTold(now, r)
+	}
 	if m.Snapshot != nil {
 		n.adopt(now, *m.Snapshot)
 	}
@@ -191,8 +195,38 @@
 	}
 	n.marks[ev.Upstream] = loadMark{mark: ev.Mark, at: now}
 	_, digest, _ := n.upstreams.Lookup(ev.Upstream)
-	n.loads = append(n.loads, digest)
 	n.viewDirty = true
+	n.tellLoad(now, digest)
+}
+
+// Intervals of load digests that say nothing new.
+const (
+	loadAgain   = 2 * time.Second
+	modelsAgain = 10 * time.Second
+)
+
+// toldLoad is the last digest of an upstream that this host passed on.
+type toldLoad struct {
+	digest   tracker.LoadDigest
+	at       time.Time
+	modelsAt time.Time
+}
+
+// tellLoad passes a digest on if it says something new or the last is old. The
+// models are left out while they are the same.
+func (n *Node) tellLoad(now time.Time, d tracker.LoadDigest) {
+	told := n.told[d.Upstream]
+	if tracker.SameLoad(told.digest, d) && now.Sub(told.at) < loadAgain {
+		return
+	}
+	next := toldLoad{digest: d, at: now, modelsAt: told.modelsAt}
+	if tracker.SameModels(told.digest, d) && now.Sub(told.modelsAt) < modelsAgain {
+		d.Models, d.Role, d.Same = nil, "", true
+	} else {
+		next.modelsAt = now
+	}
+	n.told[d.Upstream] = next
+	n.loads = append(n.loads, d)
 }
 
 // restarted tells the index when an upstream has begun a new incarnation.
@@ -324,6 +358,16 @@
 	return false
 }
 
+// recordTold takes a record that a peer has read from the log and this host has
+// not yet, if it is the next one.
+func (n *Node) recordTold(now time.Time, r messenger.StreamRecord) {
+	s := n.streams[r.Stream]
+	if s == nil || isClaims(r.Stream) || r.Record.Offset != s.fold.Next() || !s.fold.Ready() {
+		return
+	}
+	n.feed(now, s, r.Stream, folder.Page{Next: r.Record.Offset + 1, Records: []folder.Raw{r.Record}})
+}
+
 // adopt takes a peer's snapshot of a stream that cannot be read.
 func (n *Node) adopt(now time.Time, snap messenger.StreamSnapshot) {
 	s := n.streams[snap.Stream]
--- a/controller/node.go
+++ b/controller/node.go
@@ -74,6 +74,7 @@
 	kept      keptView
 
 	awaited      map[string]bool // awaited holds the IDs of changes that were published here.
+	told         map[string]toldLoad
 	marks        map[string]loadMark
 	incarnations map[string]uint64 // incarnations are those of upstreams.
 	loads        []tracker.LoadDigest
@@ -81,12 +82,12 @@
 	turns        map[string][]keeper.Turn // turns wait to be sent, by host.
 	lastBeat     time.Time
 	lastLoads    time.Time
-	lastLeases   time.Time
+	lastSlow     time.Time
 	lastWants    time.Time
 	lastFull     map[string]time.Time
-	lastTold     map[string]time.Time // lastTold is when a host was last told that it is suspected.
-	sends        map[string]peerSends // sends is what other hosts have under way, by host.
-	sentAny      bool                 // sentAny tells that the last message about own sends was not empty.
+	lastTold     map[string]time.Time  // lastTold is when a host was last told that it is suspected.
+	sends        map[string]peerSends  // sends is what other hosts have under way, by host.
+	said         []messenger.SendCount // said is what the other hosts were last told.
 	lastSends    time.Time
 	leaving      bool
 	readyAt      time.Time            // readyAt is when the node was first ready.
@@ -109,6 +110,7 @@
 		shares:       limiter.NewShares(grantLife),
 		sends:        make(map[string]peerSends),
 		awaited:      make(map[string]bool),
+		told:         make(map[string]toldLoad),
 		marks:        make(map[string]loadMark),
 		incarnations: make(map[string]uint64),
 		lastFull:     make(map[string]time.Time),
@@ -211,7 +213,7 @@
 		}
 	}
 	if n.fullMesh() {
-		due = min(due, sendsInterval-now.Sub(n.lastSends))
+		due = min(due, sendsInterval)
 	}
 	if n.viewDirty {
 		due = min(due, viewInterval-now.Sub(n.viewAt))
@@ -243,17 +245,42 @@
 	}
 	s.failing = false
 	was := s.fold.Ready()
-	applied := s.fold.Feed(ev.Page)
+	applied := n.feed(now, s, ev.Stream, ev.Page)
+	s.queue.Read(ev.Began, s.fold.Next() >= ev.Page.Next, applied)
+	if !was && s.fold.Ready() {
+		n.viewDirty = true
+	}
+}
+
+// feed folds a page. Records of the configuration are passed on to the
+// neighbours, so that a change is in force everywhere as soon as any host has
+// read it.
+func (n *Node) feed(now time.Time, s *followed, stream string, p folder.Page) []folder.Applied {
+	was := s.fold.Ready()
+	applied := s.fold.Feed(p)
 	for _, rec := range applied {
 		if hasCheckpoint(rec) {
 			s.marked = now
 		}
 		s.applied(now, rec)
 	}
-	s.queue.Read(ev.Began, s.fold.Next() >= ev.Page.Next, applied)
-	if !was && s.fold.Ready() {
-		n.viewDirty = true
+	if was && stream == configurer.StreamName && len(applied) > 0 {
+		n.passOn(stream, p.Records, applied[0].Offset)
+	}
+	return applied
+}
+
+// maxPassedOn bounds the records that are passed on at once.
+const maxPassedOn = 16
+
+func (n *Node) passOn(stream string, records []folder.Raw, from uint64) {
+	m := &messenger.Message{}
+	for _, r := range records {
+		if r.Offset >= from && len(m.Records) < maxPassedOn {
+			m.Records = append(m.Records, messenger.StreamRecord{Stream: stream, Record: r})
+		}
 	}
+	n.spread("", m)
 }
 
 func (n *Node) logFailed(now time.Time, stream string) {
@@ -269,7 +296,16 @@
 	}
 }
 
+// slowTick is the time between two looks at what does not hurry.
+const slowTick = 100 * time.Millisecond
+
 func (n *Node) tick(now time.Time) {
+	n.tickSends(now)
+	n.flushLoads(now)
+	if now.Sub(n.lastSlow) < slowTick {
+		return
+	}
+	n.lastSlow = now
 	n.beat(now)
 	n.tickLeases(now)
 	n.tickClaims(now)
@@ -277,8 +313,6 @@
 	n.tickLimits(now)
 	n.tickOrders(now)
 	n.tickKept(now)
-	n.tickSends(now)
-	n.flushLoads(now)
 	n.askSnapshots(now)
 }
 
--- a/controller/script_test.go
+++ b/controller/script_test.go
@@ -126,6 +126,11 @@
 		if got := s.results[st.ID]; string(got.Fate) != st.Want {
 			return fmt.Sprintf("fate %q, want %q", got.Fate, st.Want)
 		}
+	case "WantOneOf": // one of two racing changes is accepted, the other has a conflict
+		a, b := s.results[st.ID].Fate, s.results[st.Value].Fate
+		if a == b || a != configurer.FateAccepted && b != configurer.FateAccepted || a != configurer.FateConflict && b != configurer.FateConflict {
+			return fmt.Sprintf("fates %q and %q", a, b)
+		}
 	case "WantRevision":
 		return s.wantRevision(st)
 	case "WantReady":
--- a/controller/sends.go
+++ b/controller/sends.go
@@ -4,6 +4,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"amaranthgate.example/amaranthgate/messenger"
@@ -16,7 +18,8 @@
 // too large for a full mesh they do not, and go by load reports.
 const (
 	sendsInterval = 50 * time.Millisecond
-	sendsFresh    = 500 * time.Millisecond // sendsFresh is how long a statement holds.
+	sendsFresh    = 3 * time.Second // sendsFresh is how long a statement holds that is not replaced.
+	sendsAgain    = time.Second     // sendsAgain is when a statement that says nothing new is repeated.
 )
 
 // peerSends is what another host has under way.
@@ -34,7 +37,6 @@
 	if doc == nil || now.Sub(n.lastSends) < sendsInterval || !n.fullMesh() {
 		return
 	}
-	idle := now.Sub(n.lastSends) < sendsFresh/2
 	s := &messenger.Sends{}
 	for i := range doc.Upstreams {
 		m := &n.opts.Registry.Get(doc.Upstreams[i].Name).Meter
@@ -42,10 +44,10 @@
 			s.Upstreams = append(s.Upstreams, messenger.SendCount{Upstream: doc.Upstreams[i].Name, Requests: requests, Tokens: m.Pending()})
 		}
 	}
-	if len(s.Upstreams) == 0 && !n.sentAny && idle {
+	if slices.Equal(s.Upstreams, n.said) && now.Sub(n.lastSends) < sendsAgain {
 		return
 	}
-	n.sentAny = len(s.Upstreams) > 0
+	n.said = s.Upstreams
 	n.lastSends = now
 	n.spread("", &messenger.Message{Sends: s})
 }
@@ -55,8 +57,11 @@
 	for _, c := range s.Upstreams {
 		p.counts[c.Upstream] = c
 	}
+	old := n.sends[from]
 	n.sends[from] = p
-	n.viewDirty = true
+	if !maps.Equal(old.counts, p.counts) || now.Sub(old.at) > sendsFresh {
+		n.viewDirty = true
+	}
 }
 
 // livePeers returns what each other live host has said, and false unless all
--- a/forwarder/open_test.go
+++ b/forwarder/open_test.go
@@ -27,7 +27,7 @@
 	Status  int
 	SaysNo  bool // SaysNo lets the upstream say that it did not run the request.
 	NoNonce bool
-	Closed  bool // Closed lets nobody listen.
+	Closed  bool              // Closed lets nobody listen.
 	Gone    duration.Duration // Gone is when the caller goes away.
 	Cause   Cause
 	Ran     Ran
--- a/internal/commander/emulate.go
+++ b/internal/commander/emulate.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,37 +14,42 @@
 	"github.com/urfave/cli/v3"
 
 	"amaranthgate.example/amaranthgate/emulator"
+	"amaranthgate.example/amaranthgate/internal/deployment"
 )
 
 func (e *env) emulateCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "emulate",
-		Usage: "run a stand-in for the platform: its log and host list, in memory",
-		Description: "For trying out several processes on one machine. Hosts are put on the list by\n" +
-			"PUT /v1/hosts/{name}; faults of the log are set by PUT /faults/log.",
+		Usage: "run stand-ins for platform and upstreams, for several hosts on one machine",
+		Description: "Prints the URL for Log and HostList in the hosts' settings, and writes a configuration\n" +
+			"document about the upstreams. Hosts are put on the list by PUT /v1/hosts/{name}, faults of\n" +
+			"the log are set by PUT /faults/log.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ADDRESS` to listen on"},
 			&cli.DurationFlag{Name: "latency", Value: 2 * time.Millisecond, Usage: "`TIME` of an append"},
 			&cli.DurationFlag{Name: "retention", Value: 24 * time.Hour, Usage: "`TIME` for which records are kept"},
-			&cli.DurationFlag{Name: "lag", Value: time.Second, Usage: "`TIME` by which the host list lags"},
+			&cli.IntFlag{Name: "engines", Value: 2, Usage: "`NUMBER` of engines"},
+			&cli.IntFlag{Name: "services", Value: 1, Usage: "`NUMBER` of plain services"},
+			&cli.StringFlag{Name: "configuration", Usage: "`FILE` to write the configuration document to"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			l, err := net.Listen("tcp", c.String("listen"))
-			if err != nil {
-				return err
-			}
-			log := emulator.NewLog(emulator.LogOptions{Latency: c.Duration("latency"), Retention: c.Duration("retention")})
-			fmt.Fprintf(e.out, "platform at http://%s\n", l.Addr())
-			srv := &http.Server{Handler: emulator.PlatformHandler(log, emulator.NewHostList(c.Duration("lag"))), ReadHeaderTimeout: 10 * time.Second}
 			ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			go func() {
-				<-ctx.Done()
-				_ = srv.Close()
-			}()
-			if err := srv.Serve(l); err != http.ErrServerClosed {
+			d, err := deployment.StartUpstreams(deployment.Options{
+				Engines: c.Int("engines"), Services: c.Int("services"),
+				LogLatency: c.Duration("latency"), Retention: c.Duration("retention"),
+				Engine: emulator.EngineOptions{PrefillRate: 20000, TokenInterval: 25 * time.Millisecond, LoadTime: time.Second},
+			})
+			if err != nil {
 				return err
 			}
+			defer d.Close()
+			if path := c.String("configuration"); path != "" {
+				if err := os.WriteFile(path, d.Document.Encode(), 0o644); err != nil {
+					return err
+				}
+			}
+			fmt.Fprintf(e.out, "platform at %s\n", d.Platform)
+			<-ctx.Done()
 			return nil
 		},
 	}
--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -18,6 +18,9 @@
 		Usage: "measure the system on this machine",
 		Commands: []*cli.Command{
 			e.decisionsCommand(),
+			e.claimsCommand(),
+			e.changesCommand(),
+			e.controlCommand(),
 			{
 				Name:  "forward",
 				Usage: "what a host adds to a direct call of the same engine",
@@ -88,3 +91,64 @@
 		},
 	}
 }
+
+func (e *env) claimsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "claims",
+		Usage: "what requests that may run only once cost, and the take-over after an owner's death",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "`NUMBER` of hosts"},
+			&cli.FloatFlag{Name: "rate", Value: 4000, Usage: "`REQUESTS` per second, half of them with a claim"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "`TIME` to measure"},
+			&cli.DurationFlag{Name: "latency", Value: 5 * time.Millisecond, Usage: "`TIME` of an append"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := experimenter.Claims(ctx, experimenter.ClaimsOptions{
+				Hosts: c.Int("hosts"), Rate: c.Float("rate"), For: c.Duration("for"), LogLatency: c.Duration("latency"),
+			})
+			if err == nil {
+				r.Print(e.out)
+			}
+			return err
+		},
+	}
+}
+
+func (e *env) changesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "changes",
+		Usage: "how fast a change of the configuration is in force on all hosts",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "`NUMBER` of hosts"},
+			&cli.IntFlag{Name: "changes", Value: 200, Usage: "`NUMBER` of changes"},
+			&cli.IntFlag{Name: "workspaces", Value: 10, Usage: "`NUMBER` of workspaces in the document"},
+			&cli.DurationFlag{Name: "latency", Value: 5 * time.Millisecond, Usage: "`TIME` of an append"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := experimenter.Changes(ctx, experimenter.ChangesOptions{
+				Hosts: c.Int("hosts"), Changes: c.Int("changes"), Workspaces: c.Int("workspaces"), LogLatency: c.Duration("latency"),
+			})
+			if err == nil {
+				r.Print(e.out)
+			}
+			return err
+		},
+	}
+}
+
+func (e *env) controlCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "what control costs hosts that carry no traffic",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "hosts", Value: []int{8, 16, 32}, Usage: "`NUMBERS` of hosts"},
+			&cli.IntSliceFlag{Name: "engines", Value: []int{22}, Usage: "`NUMBERS` of engines"},
+			&cli.DurationFlag{Name: "for", Value: 8 * time.Second, Usage: "`TIME` to measure each"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			points, err := experimenter.Control(ctx, experimenter.ControlOptions{Hosts: c.IntSlice("hosts"), Engines: c.IntSlice("engines"), For: c.Duration("for")})
+			experimenter.PrintControl(e.out, points)
+			return err
+		},
+	}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -33,6 +33,13 @@
 	KeptTell  *KeptTell                `cbor:"14,keyasint,omitempty"`
 	Placed    []Placement              `cbor:"15,keyasint,omitempty"`
 	Sends     *Sends                   `cbor:"16,keyasint,omitempty"`
+	Records   []StreamRecord           `cbor:"17,keyasint,omitempty"` // Records were just read from the log by the sender.
+}
+
+// StreamRecord is a record of one stream of the log.
+type StreamRecord struct {
+	Stream string
+	Record folder.Raw
 }
 
 // Sends tells what a host has under way at the upstreams; those left out have
--- a/runner/loop.go
+++ b/runner/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -151,7 +152,7 @@
 // Bounds of reading the log.
 const (
 	readLimit = 512
-	readWait  = 2 * time.Second
+	readWait  = 2 * time.Second // readWait is the mean wait for new records.
 	readPause = 100 * time.Millisecond
 )
 
@@ -184,7 +185,9 @@
 			wait = 0
 			continue
 		}
-		wait = readWait
+		// Hosts that read a change together must not wait in step for ever: one
+		// of them shall be about to read when the log is slow.
+		wait = readWait/2 + time.Duration(rand.Int64N(int64(readWait)))
 		if page.Earliest > from {
 			from = page.Earliest
 		}
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -25,7 +25,7 @@
 	listInterval   = time.Second
 	usageInterval  = time.Second
 	reportInterval = 5 * time.Second
-	wakeInterval   = 50 * time.Millisecond
+	wakeInterval   = 100 * time.Millisecond
 	loadTimeout    = time.Second
 	maxAnswerBytes = 16 << 20
 )
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -70,6 +70,7 @@
 	self    HostRecord
 	records map[string]*hostEntry
 	listed  map[string]connector.ListedHost
+	near    []string // near caches Neighbours; nil when it must be worked out anew.
 }
 
 type hostEntry struct {
@@ -117,6 +118,7 @@
 	}
 	e := h.records[r.Host]
 	if e == nil {
+		h.near = nil
 		h.records[r.Host] = &hostEntry{record: r, changed: now, heard: now}
 		return []HostRecord{r}
 	}
@@ -126,6 +128,9 @@
 	if r.Incarnation > e.record.Incarnation {
 		e.heard = now
 	}
+	if e.record.State != r.State || e.record.Peers != r.Peers {
+		h.near = nil
+	}
 	e.record = r
 	e.changed = now
 	return []HostRecord{r}
@@ -158,6 +163,7 @@
 			continue
 		}
 		if e == nil {
+			h.near = nil
 			r := HostRecord{Host: l.Host, State: HostJoining, AvailabilityZone: l.AvailabilityZone, Peers: l.Address}
 			h.records[l.Host] = &hostEntry{record: r, changed: now, heard: now}
 			continue
@@ -194,10 +200,12 @@
 			}
 		case HostGone:
 			if _, still := h.listed[name]; !still && now.Sub(e.changed) > h.opts.Forget {
+				h.near = nil
 				delete(h.records, name)
 			}
 		case HostJoining:
 			if _, still := h.listed[name]; !still {
+				h.near = nil
 				delete(h.records, name)
 			}
 		}
@@ -206,6 +214,7 @@
 }
 
 func (h *Hosts) declare(now time.Time, e *hostEntry, s HostState) HostRecord {
+	h.near = nil
 	e.record.State = s
 	e.changed = now
 	return e.record
@@ -249,7 +258,14 @@
 // in a small system, else its successors on a ring by hash, which keeps the
 // graph connected, and some picks by rendezvous, which keep it shallow.
 func (h *Hosts) Neighbours() []string {
-	var names []string
+	if h.near == nil {
+		h.near = h.neighbours()
+	}
+	return h.near
+}
+
+func (h *Hosts) neighbours() []string {
+	names := []string{}
 	for n, e := range h.records {
 		if e.record.State != HostGone && e.record.Peers != "" {
 			names = append(names, n)
--- a/tracker/upstream.go
+++ b/tracker/upstream.go
@@ -4,6 +4,7 @@
 package tracker
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -50,8 +51,17 @@
 	WaitingTokens int
 	Models        []wire.LoadedModel
 	Role          string
+	Same          bool // Same tells that Models and Role are left out, being as they were.
 }
 
+// SameLoad reports whether two digests say the same but for their stamps.
+func SameLoad(a, b LoadDigest) bool {
+	return a.Running == b.Running && a.Waiting == b.Waiting && a.WaitingTokens == b.WaitingTokens && SameModels(a, b)
+}
+
+// SameModels reports whether two digests name the same models and role.
+func SameModels(a, b LoadDigest) bool { return a.Role == b.Role && slices.Equal(a.Models, b.Models) }
+
 // UpstreamOptions set the times for upstreams.
 type UpstreamOptions struct {
 	Watchers  int           // Watchers is the number of hosts that ask an upstream for its load; default 2.
@@ -126,6 +136,9 @@
 		return false
 	}
 	e.stamps[d.Watcher] = d.Stamp
+	if d.Same {
+		d.Models, d.Role, d.Same = e.digest.Models, e.digest.Role, false
+	}
 	e.digest = d
 	e.loadAt = now
 	return true
