Keep shared limits within the whole and reach them from the first request

Cause: tests of the shared limits showed three faults. (1) Shares of all hosts summed to 1.014 of a limit when an answer of the divider was lost: it counted the smaller share it had sent, the host still used the larger one. (2) A workspace that was idle at a host had only the floor of its burst there: 4 of a burst of 10 were answered. (3) The divider's waiting time began with the first demand instead of with its lease.

Now the divider counts what a host says it holds until it hears otherwise, older answers are ignored, a host asks out of turn when it must refuse, tokens move with shares, and waiting begins with the lease.

Conclusion: the overshoot is bounded by one burst for each host.

--- a/controller/limits.go
+++ b/controller/limits.go
@@ -29,14 +29,9 @@
 
 // demanded answers another host's demand, if this one holds the lease.
 func (n *Node) demanded(now time.Time, from string, dem limiter.Demand) {
-	epoch, ok := n.holder.Valid(now, leaseLimits)
-	if !ok {
-		n.divider = nil
+	if n.tickDivider(now); n.divider == nil {
 		return
 	}
-	if n.divider == nil || n.divider.Epoch() != epoch {
-		n.divider = limiter.NewDivider(now, epoch, grantLife)
-	}
 	g := n.divider.Grant(now, from, dem)
 	if from == n.opts.Self.Host {
 		n.granted(now, g)
@@ -51,7 +46,20 @@
 	}
 }
 
+// tickDivider begins to divide when the lease is taken, not when the first
+// demand comes: by then the grants of the host before it may have ended.
+func (n *Node) tickDivider(now time.Time) {
+	epoch, ok := n.holder.Valid(now, leaseLimits)
+	switch {
+	case !ok:
+		n.divider = nil
+	case n.divider == nil || n.divider.Epoch() != epoch:
+		n.divider = limiter.NewDivider(now, epoch, grantLife)
+	}
+}
+
 func (n *Node) tickLimits(now time.Time) {
+	n.tickDivider(now)
 	for _, w := range n.shares.Expired(now) {
 		n.setLimit(now, w)
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -64,8 +64,10 @@
 // New returns a limiter that knows no workspace.
 func New() *Limiter { return &Limiter{workspaces: make(map[string]*bucket)} }
 
-// Configure sets the limit of a workspace. Tokens in the bucket are kept as far
-// as the new depth allows.
+// Configure sets the limit of a workspace. A deeper bucket gets the difference
+// as tokens and a shallower one gives it up, below zero if need be. So shares
+// that move to and fro make no tokens: what all hosts admit above the rate is at
+// most one burst for each host, however often shares move.
 func (l *Limiter) Configure(now time.Time, workspace string, limit Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,8 +77,8 @@
 		return
 	}
 	b.refill(now)
+	b.tokens = min(b.tokens+limit.Burst-b.limit.Burst, limit.Burst)
 	b.limit = limit
-	b.tokens = min(b.tokens, limit.Burst)
 }
 
 // Retain forgets the workspaces for which keep is false.
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -103,7 +103,9 @@
 		target = min(target, w.Granted)
 	}
 	share := max(0, min(target, 1-Reserve-others))
-	hosts[host] = allotment{share: share, rate: w.Rate, until: now.Add(d.life)}
+	// Until the host asks again it is not known whether it has got this answer;
+	// it may still use what it says it holds.
+	hosts[host] = allotment{share: max(share, w.Granted), rate: w.Rate, until: now.Add(d.life)}
 	return share
 }
 
@@ -123,6 +125,7 @@
 type Shares struct {
 	life     time.Duration
 	sequence uint64
+	taken    uint64 // taken is the newest demand that was answered.
 	asked    map[uint64]time.Time
 	grants   map[string]heldGrant
 	rates    map[string]float64
@@ -180,6 +183,10 @@
 		return nil
 	}
 	delete(s.asked, g.Sequence)
+	if g.Sequence < s.taken {
+		return nil // a newer answer came first
+	}
+	s.taken = g.Sequence
 	var changed []string
 	for _, w := range g.Shares {
 		s.grants[w.Workspace] = heldGrant{share: w.Share, until: at.Add(s.life)}
--- a/router/route.go
+++ b/router/route.go
@@ -59,14 +59,12 @@
 // Router decides. It is not safe for concurrent use; give each goroutine its
 // own, or guard it.
 type Router struct {
-	opts  Options
-	rng   *rand.Rand
-	costs []cost
-}
-
-type cost struct {
-	value    float64
-	decision Decision
+	opts   Options
+	rng    *rand.Rand
+	values []float64 // values are the costs of the targets; negative for those that cannot be used.
+	better []part    // better are the ways that are cheaper than to compute everything.
+	far    float64   // far is the cost of leaving the availability zone.
+	first  int       // first is the target that ranks first for the key.
 }
 
 // New returns a router that draws from rng.
@@ -82,19 +80,21 @@
 
 // Route returns the decision for a request, and false if no target is usable.
 func (r *Router) Route(pool []Target, req *Request) (Decision, bool) {
-	r.costs = slices.Grow(r.costs[:0], len(pool))[:len(pool)]
-	best := -1
+	r.values = slices.Grow(r.values[:0], len(pool))[:len(pool)]
+	r.better = r.better[:0]
+	r.far = req.Weights.Time * req.Weights.FarZone.Std().Seconds()
 	for i := range pool {
 		if !pool[i].Usable || i < len(req.Exclude) && req.Exclude[i] {
-			r.costs[i].value = -1
+			r.values[i] = -1
 			continue
 		}
-		r.costs[i] = r.bare(&pool[i], i, req)
+		r.values[i] = r.bare(&pool[i], req)
 	}
 	r.holdings(pool, req)
 	r.affinity(pool, req)
-	for i := range r.costs {
-		if r.costs[i].value >= 0 && (best < 0 || r.costs[i].value < r.costs[best].value) {
+	best := -1
+	for i, v := range r.values {
+		if v >= 0 && (best < 0 || v < r.values[best]) {
 			best = i
 		}
 	}
@@ -104,39 +104,58 @@
 	if !r.opts.NoTwoChoices {
 		best = r.twoChoices(pool, best)
 	}
-	return r.costs[best].decision, true
-}
-
-// bare returns the cost at a target that holds nothing of the prompt.
-func (r *Router) bare(t *Target, i int, req *Request) cost {
-	return r.total(t, req, part{target: i})
+	return r.decision(pool, req, best), true
 }
 
 // part is one way to serve a request at a target.
 type part struct {
 	target  int
-	cached  float64 // cached is the expected number of leading tokens in accelerator memory.
+	cached  float64 // cached is the number of leading tokens that are believed to be in accelerator memory.
 	restore float64 // restore is the expected number of tokens to move over the link.
 	kept    int     // kept is the number of leading tokens that the target may restore; 0 to compute instead.
 }
 
-func (r *Router) total(t *Target, req *Request, p part) cost {
-	var prefill, again float64
+// bare returns the cost at a target that holds nothing of the prompt.
+func (r *Router) bare(t *Target, req *Request) float64 {
+	value, _ := r.cost(t, req, part{})
+	return value
+}
+
+// cost returns the weighed cost of one way, and the time to the first token.
+func (r *Router) cost(t *Target, req *Request, p part) (value, wait float64) {
+	var prefill, again, link float64
 	reused := p.cached + p.restore
 	if t.PrefillRate > 0 {
 		prefill = (float64(req.Tokens) - reused) / t.PrefillRate
 		again = max(0, float64(req.Known)-reused) / t.PrefillRate
 	}
-	var link float64
 	if p.restore > 0 {
 		link = t.linkSeconds(p.restore)
 	}
-	wait := r.queueTime(t) + prefill + link
-	value := req.Weights.Time*wait + req.Weights.Recompute*again + req.Weights.Link*link
+	wait = r.queueTime(t) + prefill + link
+	value = req.Weights.Time*wait + req.Weights.Recompute*again + req.Weights.Link*link
 	if !t.Near {
-		value += req.Weights.Time * req.Weights.FarZone.Std().Seconds()
+		value += r.far
+	}
+	return value, wait
+}
+
+// decision describes the best way at a target.
+func (r *Router) decision(pool []Target, req *Request, target int) Decision {
+	p := part{target: target}
+	for _, b := range r.better {
+		if b.target == target {
+			p = b // the last one is the cheapest
+		}
+	}
+	_, wait := r.cost(&pool[target], req, p)
+	return Decision{
+		Target:  target,
+		Wait:    wait,
+		Reused:  int(p.cached + p.restore),
+		Restore: p.kept,
+		First:   target == r.first,
 	}
-	return cost{value: value, decision: Decision{Target: p.target, Wait: wait, Reused: int(reused), Restore: p.kept}}
 }
 
 func (r *Router) queueTime(t *Target) float64 {
@@ -159,46 +178,44 @@
 		return
 	}
 	for _, h := range req.Holdings {
-		if h.Target >= len(pool) || r.costs[h.Target].value < 0 {
+		if h.Target >= len(pool) || r.values[h.Target] < 0 {
 			continue
 		}
-		t := &pool[h.Target]
 		cached := float64(min(h.Cached, req.Tokens))
-		r.improve(h.Target, r.total(t, req, part{target: h.Target, cached: cached}))
+		r.improve(pool, req, part{target: h.Target, cached: cached})
 		if kept := min(h.Kept, req.Tokens); kept > 0 && !r.opts.NoRestore {
-			r.improve(h.Target, r.total(t, req, part{target: h.Target, cached: cached, restore: max(0, float64(kept)-cached), kept: kept}))
+			r.improve(pool, req, part{target: h.Target, cached: cached, restore: max(0, float64(kept)-cached), kept: kept})
 		}
 	}
 }
 
-func (r *Router) improve(i int, c cost) {
-	if c.value <= r.costs[i].value {
-		r.costs[i] = c
+// improve takes a way if it is no dearer than the best one known.
+func (r *Router) improve(pool []Target, req *Request, p part) {
+	value, _ := r.cost(&pool[p.target], req, p)
+	if value <= r.values[p.target] {
+		r.values[p.target] = value
+		r.better = append(r.better, p)
 	}
 }
 
 // affinity prefers the first in rendezvous rank when nobody is known to hold
 // the prompt.
 func (r *Router) affinity(pool []Target, req *Request) {
-	first := -1
+	r.first = -1
 	var rank uint64
 	for i := range pool {
-		if r.costs[i].value < 0 {
+		if r.values[i] < 0 {
 			continue
 		}
-		if w := Rendezvous(pool[i].Hash, req.Key); first < 0 || w > rank {
-			first, rank = i, w
+		if w := Rendezvous(pool[i].Hash, req.Key); r.first < 0 || w > rank {
+			r.first, rank = i, w
 		}
 	}
-	if first < 0 {
-		return
-	}
-	r.costs[first].decision.First = true
-	if r.opts.NoAffinity || pool[first].PrefillRate <= 0 || len(req.Holdings) > 0 && !r.opts.NoHoldings {
+	if r.first < 0 || r.opts.NoAffinity || pool[r.first].PrefillRate <= 0 || len(req.Holdings) > 0 && !r.opts.NoHoldings {
 		return
 	}
-	bonus := req.Weights.Time * r.opts.AffinityShare * float64(req.Tokens) / pool[first].PrefillRate
-	r.costs[first].value = max(0, r.costs[first].value-bonus)
+	bonus := req.Weights.Time * r.opts.AffinityShare * float64(req.Tokens) / pool[r.first].PrefillRate
+	r.values[r.first] = max(0, r.values[r.first]-bonus)
 }
 
 // Rendezvous returns the weight of a node for a key: the finalizer of
@@ -215,10 +232,10 @@
 // twoChoices takes two random targets among those nearly as cheap as the best
 // and returns the one with fewer requests of this host.
 func (r *Router) twoChoices(pool []Target, best int) int {
-	limit := r.costs[best].value*(1+nearlyEqual) + nearlyEqualSeconds
+	limit := r.values[best]*(1+nearlyEqual) + nearlyEqualSeconds
 	a, b, n := best, best, 0
-	for i := range r.costs {
-		if r.costs[i].value < 0 || r.costs[i].value > limit {
+	for i, v := range r.values {
+		if v < 0 || v > limit {
 			continue
 		}
 		n++
--- a/router/target.go
+++ b/router/target.go
@@ -46,20 +46,21 @@
 // requests returns the estimated number of requests at t now: what all hosts
 // say they have under way, or, where they are silent, the last report of load
 // corrected by what this host has sent since.
-func (t *Target) requests() float64 {
-	now := t.Meter.Mark()
+func (t *Target) requests() float64 { return t.requestsAt(t.Meter.Mark()) }
+
+func (t *Target) requestsAt(now Mark) float64 {
+	own := int(now.Started - now.Finished)
 	if t.Peers.Fresh {
-		return float64(int(now.Started-now.Finished) + t.Peers.Requests)
+		return float64(own + t.Peers.Requests)
 	}
 	n := t.Load.Running + t.Load.Waiting
 	n += int(now.Started-t.Load.Base.Started) - int(now.Finished-t.Load.Base.Finished)
-	return float64(max(n, int(now.Started-now.Finished), 0))
+	return float64(max(n, own, 0))
 }
 
-// backlog returns the estimated number of prompt tokens that t has yet to
+// backlogAt returns the estimated number of prompt tokens that t has yet to
 // compute.
-func (t *Target) backlog() float64 {
-	now := t.Meter.Mark()
+func (t *Target) backlogAt(now Mark) float64 {
 	if t.Peers.Fresh {
 		return float64(int(now.Tokens-now.Prefilled) + t.Peers.Tokens)
 	}
@@ -71,11 +72,12 @@
 // queue returns the estimated time until t starts on a new request, in
 // seconds.
 func (t *Target) queue() float64 {
+	now := t.Meter.Mark()
 	var s float64
 	if t.PrefillRate > 0 {
-		s = t.backlog() / t.PrefillRate
+		s = t.backlogAt(now) / t.PrefillRate
 	}
-	if over := t.requests() + 1 - t.Slots; over > 0 {
+	if over := t.requestsAt(now) + 1 - t.Slots; over > 0 {
 		s += over / t.Slots * t.Meter.Hold()
 	}
 	return s
--- a/runner/host.go
+++ b/runner/host.go
@@ -46,6 +46,7 @@
 	loop      *loop
 	outcomes  *outcomes
 	knowledge *knowledge
+	urger     *urger
 
 	callers, peers, operators net.Listener
 	peerServer, adminServer   *http.Server
@@ -100,6 +101,7 @@
 	h.loop = newLoop(h.ctx, h, node)
 	h.outcomes = newOutcomes(h.timer.Now())
 	h.knowledge = newKnowledge(h.loop.post)
+	h.urger = newUrger(h)
 	h.messenger = messenger.New(messenger.Options{
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
 		Secret:  []byte(h.settings.PeerSecret),
@@ -140,6 +142,7 @@
 		Limiter:     h.limiter,
 		Budget:      h.budget,
 		Claims:      h.loop,
+		Shares:      h.urger,
 		Keeper:      h.knowledge,
 		Recorder:    h.outcomes,
 		Timer:       h.timer,
--- a/runner/loop.go
+++ b/runner/loop.go
@@ -127,6 +127,7 @@
 			l.publishedResult(a.Result)
 		case controller.SetLimit:
 			l.host.limiter.Configure(l.host.timer.Now(), a.Workspace, a.Limit)
+			l.host.urger.changed(a.Workspace)
 		case controller.Issue:
 			go l.host.issue(a)
 		case controller.KeptChanged:
--- a/runner/system_test.go
+++ b/runner/system_test.go
@@ -455,3 +455,44 @@
 	defer resp.Body.Close()
 	return readReply(resp)
 }
+
+// TestLimitHoldsOverAllHosts sends more than a workspace's limit to all hosts
+// at once, from the first moment on and then for a while: a burst at one host
+// is served although the workspace was idle there, all hosts together stay
+// within the limit, and the rest is refused as not run with advice when to come
+// back.
+func TestLimitHoldsOverAllHosts(t *testing.T) {
+	const rate, burst = 40, 20
+	d := start(t, deployment.Options{Services: 1, Document: func(doc *configurer.Document) {
+		doc.Workspaces[0].RequestsPerSecond, doc.Workspaces[0].Burst = rate, burst
+	}})
+	eventually(t, "somebody divides limits", func() bool {
+		return d.Hosts[0].Dump().Control.Leases["Limits"].Holder != ""
+	})
+	time.Sleep(11 * time.Second) // the divider's first life
+	began := time.Now()
+	answered, refused := 0, 0
+	for i := range 10 {
+		if r := must(t, d.Callers(0), booking(fmt.Sprintf("burst-%d", i), "b")); r.status == 200 {
+			answered++
+		}
+	}
+	assert.Assert(t, answered >= 8, "%d of a burst of 10 were answered", answered)
+	for time.Since(began) < 4*time.Second {
+		for i := range d.Hosts {
+			r := must(t, d.Callers(i), booking("", "c"))
+			switch {
+			case r.status == 200:
+				answered++
+			default:
+				refused++
+				assert.Equal(t, r.status, 429, r.body)
+				assert.Equal(t, string(r.problem.Ran), "No")
+				assert.Assert(t, r.header.Get("Retry-After") != "")
+			}
+		}
+	}
+	most := rate*time.Since(began).Seconds() + 2*burst
+	assert.Assert(t, float64(answered) <= most, "%d answered, at most %g may be", answered, most)
+	assert.Assert(t, refused > 0)
+}
--- /dev/null
+++ b/scheduler/queue_test.go
@@ -0,0 +1,113 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func item(class string, rank int, weight float64, workspace string) *Item {
+	return &Item{Class: class, Rank: rank, ClassWeight: weight, Workspace: workspace, WorkspaceWeight: 1, Cost: 100, Latest: time.Unix(1<<40, 0)}
+}
+
+func always(string, int) bool { return true }
+
+// TestBurstDelaysOnlyItself lets one workspace queue a hundred requests before
+// another queues one: that one is not behind them.
+func TestBurstDelaysOnlyItself(t *testing.T) {
+	var q Queue
+	for range 100 {
+		q.Push(item("c", 0, 1, "large"))
+	}
+	q.Pop(always)
+	q.Push(item("c", 0, 1, "small"))
+	for i := range 3 {
+		if q.Pop(always).Workspace == "small" {
+			return
+		}
+		assert.Assert(t, i < 2, "the small workspace waits behind the burst")
+	}
+}
+
+// TestClassesShareByWeight counts what leaves a full queue.
+func TestClassesShareByWeight(t *testing.T) {
+	var q Queue
+	for range 200 {
+		q.Push(item("heavy", 0, 3, "w"))
+		q.Push(item("light", 1, 1, "w"))
+	}
+	count := map[string]int{}
+	for range 100 {
+		count[q.Pop(always).Class]++
+	}
+	assert.Assert(t, count["heavy"] >= 73 && count["heavy"] <= 77, "%v", count)
+}
+
+// TestRoomByRank leaves what has no room in the queue.
+func TestRoomByRank(t *testing.T) {
+	var q Queue
+	q.Push(item("summary", 2, 1, "w"))
+	q.Push(item("alert", 0, 1, "w"))
+	urgent := func(_ string, rank int) bool { return rank == 0 }
+	assert.Equal(t, q.Pop(urgent).Class, "alert")
+	assert.Assert(t, q.Pop(urgent) == nil)
+	assert.Equal(t, q.Len(), 1)
+}
+
+func TestLateAreTakenOut(t *testing.T) {
+	var q Queue
+	a, b := item("c", 0, 1, "w"), item("c", 0, 1, "w")
+	a.Latest = time.Unix(10, 0)
+	q.Push(a)
+	q.Push(b)
+	late := q.Late(time.Unix(11, 0))
+	assert.Equal(t, len(late), 1)
+	assert.Assert(t, late[0] == a)
+	assert.Assert(t, q.Pop(always) == b)
+	assert.Assert(t, !q.Remove(b))
+}
+
+// TestGateCountsWhatItGranted grants no more than there is room, although what
+// was granted is counted elsewhere only later.
+func TestGateCountsWhatItGranted(t *testing.T) {
+	started := 0
+	g := NewGate(func(_ string, _, granted int) bool { return started+granted < 2 })
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.Equal(t, g.Enter(ctx, item("c", 0, 1, "w")), Granted)
+	assert.Equal(t, g.Enter(ctx, item("c", 0, 1, "w")), Granted)
+	verdicts := make(chan Verdict)
+	go func() { verdicts <- g.Enter(ctx, item("c", 0, 1, "w")) }()
+	for g.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	g.Wake(time.Unix(0, 0))
+	assert.Equal(t, g.Waiting(), 1)
+	g.Started() // given up without being counted
+	g.Wake(time.Unix(0, 0))
+	assert.Equal(t, <-verdicts, Granted)
+	go func() { verdicts <- g.Enter(ctx, item("c", 0, 1, "w")) }()
+	for g.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	assert.Equal(t, <-verdicts, Canceled)
+}
+
+// BenchmarkQueue measures a push and a pop with many workspaces waiting.
+func BenchmarkQueue(b *testing.B) {
+	var q Queue
+	for i := range 4700 {
+		q.Push(item("c", 0, 1, fmt.Sprint(i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		it := q.Pop(always)
+		q.Push(it)
+	}
+}
--- a/server/filters.go
+++ b/server/filters.go
@@ -67,6 +67,9 @@
 func (s *Server) limit(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) Outcome {
 		r := s.opts.Limiter.Admit(s.opts.Timer.Now(), x.Workspace.Name)
+		if !r.Admitted && s.opts.Shares != nil && s.opts.Shares.Urge(ctx, x.Workspace.Name) {
+			r = s.opts.Limiter.Admit(s.opts.Timer.Now(), x.Workspace.Name)
+		}
 		if !r.Admitted {
 			reason := ReasonRateLimited
 			if r.Refusal == limiter.RefusedConcurrency {
--- a/server/server.go
+++ b/server/server.go
@@ -54,18 +54,28 @@
 	Placed(now time.Time, p Placement)
 }
 
+// Shares moves shares of the workspaces' limits between hosts.
+type Shares interface {
+	// Urge asks for a larger share of a workspace's limit. It reports false if
+	// that was asked a moment ago; else it returns when the answer is there or
+	// did not come soon.
+	Urge(ctx context.Context, workspace string) bool
+}
+
 // Recorder takes the outcomes of requests for the reports.
 type Recorder interface {
 	Record(x *Exchange, o Outcome, took time.Duration)
 }
 
-// Options set up a server. All but Keeper and Recorder are required.
+// Options set up a server. All but Shares, Keeper and Recorder are
+// required.
 type Options struct {
 	Publisher   *publisher.Publisher
 	Forwarder   *forwarder.Forwarder
 	Limiter     *limiter.Limiter
 	Budget      *retrier.Budget
 	Claims      Claims
+	Shares      Shares
 	Keeper      Keeper
 	Recorder    Recorder
 	Timer       timer.Service
