--- /dev/null
+++ b/messenger/message_test.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package messenger
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// FuzzDecode feeds anything that a peer could send.
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(&Message{Digest: 1, Hosts: []tracker.HostRecord{{Host: "a"}}, Claims: []claimer.Message{{Range: 1, Request: &claimer.Request{Nonce: "n"}}}}))
+	f.Add([]byte{0xa1, 0x02, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x9f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if _, err := Decode(Encode(m)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// connect starts two messengers, the first with one secret and the second with
+// another.
+func connect(t *testing.T, secrets [2]string) (from *Messenger, address string, got chan *Message) {
+	got = make(chan *Message, 1)
+	to := New(Options{Self: Hello{Host: "b"}, Secret: []byte(secrets[1]), Receive: func(_ string, m *Message) { got <- m }, Log: zerolog.Nop()})
+	srv := httptest.NewServer(to.Handler())
+	from = New(Options{Self: Hello{Host: "a"}, Secret: []byte(secrets[0]), Up: func(string) {}, Log: zerolog.Nop()})
+	t.Cleanup(func() {
+		from.Close()
+		to.Close()
+		srv.Close()
+	})
+	return from, srv.Listener.Addr().String(), got
+}
+
+func TestSend(t *testing.T) {
+	from, address, got := connect(t, [2]string{"secret", "secret"})
+	for {
+		from.Send("b", address, &Message{Digest: 7})
+		select {
+		case m := <-got:
+			assert.Equal(t, m.Digest, uint64(7))
+			return
+		case <-time.After(10 * time.Millisecond): // the first ones may come before the connection
+		}
+	}
+}
+
+// TestWrongSecret keeps strangers out.
+func TestWrongSecret(t *testing.T) {
+	from, address, got := connect(t, [2]string{"guess", "secret"})
+	for from.Traffic().Dropped < 3 {
+		from.Send("b", address, &Message{Digest: 7})
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, len(got), 0)
+}
