--- a/controller/membership.go
+++ b/controller/membership.go
@@ -66,6 +66,7 @@
 		Digest:    n.hosts.Digest(),
 		Hosts:     n.hosts.All(),
 		Upstreams: n.upstreams.All(),
+		Loads:     n.upstreams.Loads(),
 	}})
 }
 
--- a/controller/script_test.go
+++ b/controller/script_test.go
@@ -34,9 +34,10 @@
 
 // script is a scripted run of several hosts, read from a data file.
 type script struct {
-	Hosts int
-	Seed  uint64
-	Steps []step
+	Hosts   int
+	Engines int // Engines is the number of engines in the first document.
+	Seed    uint64
+	Steps   []step
 }
 
 // step is one thing that happens, and what must hold then.
@@ -69,6 +70,7 @@
 	_, faults := strictjson.Decode(text, &sc)
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	sim := newSimulation(sc.Seed, sc.Hosts)
+	sim.addEngines(sc.Engines)
 	byKey := make(map[string]*simAttempt)
 	for i, st := range sc.Steps {
 		sim.run(st.After.Std())
@@ -110,6 +112,20 @@
 		s.logSlow = st.Wait.Std()
 	case "LogLoses":
 		s.lose = 0.5
+	case "PublishNext":
+		s.publishNext(st.Host, st.ID, st.Value)
+	case "WantVersion":
+		for _, n := range s.names {
+			if h := s.hosts[n]; h.alive {
+				if m, _ := h.node.Configuration().Document().Model("m"); m.Version != st.Want {
+					return fmt.Sprintf("%s has version %s in force", n, m.Version)
+				}
+			}
+		}
+	case "WantPeak":
+		if got := fmt.Sprint(s.peak); got != st.Want {
+			return fmt.Sprintf("%s engines loaded at once, want %s", got, st.Want)
+		}
 	case "Expire":
 		s.expire(st.Value, st.Keep)
 	case "Publish":
@@ -159,6 +175,13 @@
 	if key, ok := strings.CutPrefix(host, "owner of "); ok {
 		return s.owner(key)
 	}
+	if lease, ok := strings.CutPrefix(host, "holder of "); ok {
+		for _, n := range s.names {
+			if h := s.hosts[n]; h.alive {
+				return h.node.holderOf(lease)
+			}
+		}
+	}
 	if key, ok := strings.CutPrefix(host, "not owner of "); ok {
 		for _, n := range s.names {
 			if n != s.owner(key) && s.hosts[n].alive {
--- a/controller/simulation_test.go
+++ b/controller/simulation_test.go
@@ -38,6 +38,9 @@
 	mute    map[string]bool // mute holds hosts that cannot append to it.
 	hold    map[string]bool // hold holds hosts whose appends arrive late and without answer.
 
+	engines map[string]*simEngine
+	peak    int // peak is the largest number of engines that loaded at once.
+
 	appends  int
 	messages int
 	runs     map[claimer.Key]int // runs counts executions by key.
@@ -110,6 +113,7 @@
 		runs:    make(map[claimer.Key]int),
 		ran:     make(map[string]bool),
 		results: make(map[string]configurer.Result),
+		engines: make(map[string]*simEngine),
 		highest: make(map[string]uint64),
 	}
 	for i := range hosts {
@@ -188,6 +192,7 @@
 	h.carryOut(h.node.Start(s.now))
 	h.tick(h.life)
 	h.listed(h.life)
+	h.watch(h.life)
 }
 
 func (s *simulation) kill(name string) {
@@ -267,6 +272,8 @@
 			h.settle(a.Settled)
 		case Published:
 			h.sim.results[a.Result.ID] = a.Result
+		case Issue:
+			h.issue(a)
 		case ViewChanged:
 			h.viewed()
 		}
@@ -534,7 +541,7 @@
 		cfg := h.node.Configuration()
 		doc := cfg.Document()
 		if doc == nil {
-			doc = simDocument()
+			doc = simDocument().WithUpstreams(s.upstreams())
 		}
 		d, err := configurer.NewDelta(id, host, cfg.Revision(), cfg.Document(), doc.WithModelVersion("m", version))
 		if err != nil {
--- a/experimenter/engine.go
+++ b/experimenter/engine.go
@@ -66,7 +66,6 @@
 	restore  int // restore is the number of leading tokens that the host wants restored.
 	left     int // left is the number of prompt tokens to compute.
 	reused   int
-	started  time.Duration
 	onFirst  func()
 	onFinish func()
 }
--- a/forwarder/open_test.go
+++ b/forwarder/open_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,9 +49,9 @@
 }
 
 func runOpen(t *testing.T, c openCase, once bool) {
-	runs := 0
+	var runs atomic.Int64
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		runs++
+		runs.Add(1)
 		if !c.NoNonce {
 			w.Header().Set(wire.HeaderNonce, r.Header.Get(wire.HeaderNonce))
 		}
@@ -91,19 +92,18 @@
 	assert.Assert(t, fail != nil)
 	assert.Equal(t, fail.Cause, c.Cause, "%+v", fail)
 	assert.Equal(t, fail.Ran, c.Ran, "%+v", fail)
-	assert.Assert(t, runs <= 1)
+	assert.Assert(t, runs.Load() <= 1)
 	if fail.Ran == RanNo && !c.SaysNo {
-		assert.Equal(t, runs, 0)
+		assert.Equal(t, runs.Load(), int64(0))
 	}
 }
 
 // TestNotSentAgain breaks a kept connection after the request has arrived: what
 // may run only once is not sent a second time by the transport.
 func TestNotSentAgain(t *testing.T) {
-	runs := 0
+	var runs atomic.Int64
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		runs++
-		if runs == 2 {
+		if runs.Add(1) == 2 {
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set(wire.HeaderNonce, r.Header.Get(wire.HeaderNonce))
@@ -121,5 +121,5 @@
 			resp.Close()
 		}
 	}
-	assert.Equal(t, runs, 2)
+	assert.Equal(t, runs.Load(), int64(2))
 }
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package reporter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/internal/foldcheck"
+)
+
+var start = time.Date(2026, 3, 14, 8, 0, 0, 0, time.UTC)
+
+func batch(t *testing.T, g *Gatherer, outcomes ...Outcome) folder.Entry {
+	t.Helper()
+	for _, o := range outcomes {
+		g.Record(o)
+	}
+	e, ok := g.Flush(start)
+	assert.Assert(t, ok)
+	return e
+}
+
+func TestTableRestores(t *testing.T) {
+	g := NewGatherer(start)
+	answered := Outcome{Workspace: "w", Class: "c", Ran: "Yes", OnTime: true, FirstToken: 30 * time.Millisecond}
+	foldcheck.Run(t, func() folder.State { return NewTable() }, []foldcheck.Written{
+		{Writer: "a", Entry: batch(t, g, answered, Outcome{Workspace: "w", Class: "c", Reason: "RateLimited", Ran: "No"})},
+		{Writer: "a", Entry: batch(t, g, answered, Outcome{Workspace: "v", Class: "c", Once: &OnceLine{RequestID: "r"}})},
+		{Writer: "a", Entry: batch(t, g, Outcome{Workspace: "w", Class: "c", Reason: "MayHaveRun", Ran: "Unknown"})},
+	})
+}
+
+// TestGapsAreShown loses a batch: the report says so and does not count it as
+// zero.
+func TestGapsAreShown(t *testing.T) {
+	g := NewGatherer(start)
+	table := NewTable()
+	first := batch(t, g, Outcome{Workspace: "w", Class: "c", OnTime: true, FirstToken: time.Millisecond})
+	batch(t, g, Outcome{Workspace: "w", Class: "c"}) // never arrives
+	third := batch(t, g, Outcome{Workspace: "w", Class: "c", FirstToken: time.Second})
+	table.Apply(folder.Position{}, "a", first)
+	table.Apply(folder.Position{}, "a", third)
+	table.Apply(folder.Position{}, "a", third) // a second copy
+	r := table.Report()
+	assert.Equal(t, len(r.Gaps), 1)
+	assert.Equal(t, r.Gaps[0].First, uint64(2))
+	assert.Equal(t, r.Gaps[0].Last, uint64(2))
+	assert.Equal(t, r.Rows[0].Answered, uint64(2))
+	assert.Equal(t, r.Rows[0].OnTime, uint64(1))
+	q, ok := r.Rows[0].Quantile(0.95)
+	assert.Assert(t, ok)
+	assert.Equal(t, q, time.Second)
+}
--- a/server/forward.go
+++ b/server/forward.go
@@ -18,12 +18,13 @@
 
 // delivery is the state of a request over its attempts.
 type delivery struct {
-	server  *Server
-	x       *Exchange
-	outcome Outcome
-	tried   []int
-	text    []byte // text is what the caller has, escaped as in JSON.
-	version string // version is the weight version of the first attempt whose text the caller has.
+	server     *Server
+	x          *Exchange
+	outcome    Outcome
+	mayHaveRun bool // mayHaveRun tells that some attempt may have run.
+	tried      []int
+	text       []byte // text is what the caller has, escaped as in JSON.
+	version    string // version is the weight version of the first attempt whose text the caller has.
 }
 
 // forward sends the request to an upstream and its answer back, with retries
@@ -34,14 +35,21 @@
 	}
 	d := &delivery{server: s, x: x}
 	s.opts.Budget.Request()
+	var last *forwarder.Failure
 	for {
 		fail := d.attempt(ctx)
 		if fail == nil {
 			return d.outcome
 		}
+		if fail.Cause == causeNoTarget && last != nil {
+			fail = last // what the last upstream said tells the caller more
+			return d.failed(ctx, fail)
+		}
+		d.mayHaveRun = d.mayHaveRun || fail.Ran != forwarder.RanNo
 		if !d.again(ctx, fail) {
 			return d.failed(ctx, fail)
 		}
+		last = fail
 	}
 }
 
@@ -272,7 +280,7 @@
 	o.Ran = fail.Ran
 	o.Detail = fail.Detail
 	o.RetryAfter = fail.RetryAfter
-	if o.Attempts > 1 && o.Ran == forwarder.RanNo && d.x.Repeatable {
+	if d.mayHaveRun && o.Ran == forwarder.RanNo {
 		o.Ran = forwarder.RanUnknown // an earlier attempt may have run
 	}
 	switch {
--- a/tracker/upstream.go
+++ b/tracker/upstream.go
@@ -132,8 +132,8 @@
 // is news.
 func (u *Upstreams) MergeLoad(now time.Time, d LoadDigest) bool {
 	e := u.entry(d.Upstream)
-	if d.Stamp <= e.stamps[d.Watcher] {
-		return false
+	if d.Stamp <= e.stamps[d.Watcher] || d.Same && e.digest.Stamp == 0 {
+		return false // old, or about models that this host was never told
 	}
 	e.stamps[d.Watcher] = d.Stamp
 	if d.Same {
@@ -255,6 +255,17 @@
 	return out
 }
 
+// Loads returns the newest load digest of every upstream that has one.
+func (u *Upstreams) Loads() []LoadDigest {
+	var out []LoadDigest
+	for _, e := range u.records {
+		if e.digest.Stamp > 0 {
+			out = append(out, e.digest)
+		}
+	}
+	return out
+}
+
 // Watches reports whether a host is among the watchers of an upstream.
 func (u *Upstreams) Watches(hosts []string, host, upstream string) bool {
 	place := Place(hosts, host, upstream)
--- /dev/null
+++ b/tracker/upstream_test.go
@@ -0,0 +1,102 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/internal/wire"
+)
+
+var now = time.Unix(1000, 0)
+
+// TestModelsAreKnownFirst gives a new host a digest that leaves the models out:
+// it does not take the upstream as one without models.
+func TestModelsAreKnownFirst(t *testing.T) {
+	u := NewUpstreams(UpstreamOptions{})
+	assert.Assert(t, !u.MergeLoad(now, LoadDigest{Upstream: "u", Watcher: "a", Stamp: 5, Same: true}))
+	full := LoadDigest{Upstream: "u", Watcher: "b", Stamp: 1, Models: []wire.LoadedModel{{Name: "m", Version: "v"}}}
+	assert.Assert(t, u.MergeLoad(now, full))
+	assert.Assert(t, u.MergeLoad(now, LoadDigest{Upstream: "u", Watcher: "a", Stamp: 6, Running: 3, Same: true}))
+	_, d, _ := u.Lookup("u")
+	assert.Equal(t, d.Running, 3)
+	assert.DeepEqual(t, d.Models, full.Models)
+}
+
+// TestLeavingIsSticky: one live report does not bring an upstream back, a new
+// incarnation does.
+func TestLeavingIsSticky(t *testing.T) {
+	u := NewUpstreams(UpstreamOptions{})
+	live := wire.LoadReport{Incarnation: 7, State: wire.LoadLive}
+	u.Reported(now, "a", "u", live)
+	_, news := u.Leave("u")
+	assert.Assert(t, news)
+	u.Reported(now.Add(time.Second), "a", "u", live)
+	r, _, _ := u.Lookup("u")
+	assert.Equal(t, r.State, UpstreamLeaving)
+	u.Reported(now.Add(2*time.Second), "a", "u", wire.LoadReport{Incarnation: 8, State: wire.LoadLive})
+	r, _, _ = u.Lookup("u")
+	assert.Equal(t, r.State, UpstreamLive)
+}
+
+// TestListedAsLeaving holds against gossip from hosts that do not know yet.
+func TestListedAsLeaving(t *testing.T) {
+	u := NewUpstreams(UpstreamOptions{})
+	u.Listed("u", true)
+	u.Merge(UpstreamRecord{Upstream: "u", Incarnation: 9, State: UpstreamLive})
+	r, _, _ := u.Lookup("u")
+	assert.Equal(t, r.State, UpstreamLeaving)
+}
+
+// TestRefute: a host that is suspected says so with a higher version.
+func TestRefute(t *testing.T) {
+	h := NewHosts(HostRecord{Host: "a", Incarnation: 1, State: HostLive}, HostOptions{Suspect: time.Second})
+	news := h.Merge(now, HostRecord{Host: "a", Incarnation: 1, Version: 1, State: HostSuspect})
+	assert.Equal(t, len(news), 1)
+	assert.Equal(t, news[0].State, HostLive)
+	assert.Equal(t, news[0].Version, uint64(2))
+	assert.Equal(t, len(h.Merge(now, HostRecord{Host: "a", Incarnation: 1, Version: 1, State: HostGone})), 0)
+}
+
+// TestMeshIsConnected builds 410 views and walks the neighbours' graph.
+func TestMeshIsConnected(t *testing.T) {
+	const n = 410
+	names := make([]string, n)
+	for i := range names {
+		names[i] = "host-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+	}
+	edges := make(map[string][]string)
+	for _, self := range names {
+		h := NewHosts(HostRecord{Host: self, State: HostLive}, HostOptions{Suspect: time.Second})
+		for _, o := range names {
+			if o != self {
+				h.Merge(now, HostRecord{Host: o, Incarnation: 1, Version: 1, State: HostLive, Peers: o})
+			}
+		}
+		near := h.Neighbours()
+		assert.Equal(t, len(near), 4)
+		edges[self] = near
+	}
+	depth := map[string]int{names[0]: 0}
+	queue := []string{names[0]}
+	for len(queue) > 0 {
+		at := queue[0]
+		queue = queue[1:]
+		for _, o := range edges[at] {
+			if _, seen := depth[o]; !seen {
+				depth[o] = depth[at] + 1
+				queue = append(queue, o)
+			}
+		}
+	}
+	assert.Equal(t, len(depth), n)
+	deepest := 0
+	for _, d := range depth {
+		deepest = max(deepest, d)
+	}
+	assert.Assert(t, deepest <= 10, "%d hops", deepest)
+}
