Audit claims under faults, measure leaving upstreams, draw plots

Found and mended: the process tests read the list of hosts while a step replaced one (a race the detector showed on a clean clone, in the test alone); a draining host could end before its last report was handled.

--- a/cmd/amaranthgate/process_test.go
+++ b/cmd/amaranthgate/process_test.go
@@ -57,7 +57,31 @@
 	t        *testing.T
 	platform *faultproxy.Proxy // platform stands before log and host list.
 	proxies  map[string]*faultproxy.Proxy
-	hosts    []*process
+
+	mu    sync.Mutex
+	hosts []*process
+}
+
+// host returns the i-th host's process.
+func (s *system) host(i int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts[i]
+}
+
+// count returns the number of hosts.
+func (s *system) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.hosts)
+}
+
+// replace starts the i-th host anew.
+func (s *system) replace(i int) {
+	p := s.startHost(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts[i] = p
 }
 
 // process is one host.
@@ -132,10 +156,10 @@
 	path := filepath.Join(s.t.TempDir(), "configuration.json")
 	assert.NilError(s.t, os.WriteFile(path, s.Document.Encode(), 0o600))
 	eventually(s.t, "the first configuration is accepted", func() bool {
-		out, err := exec.Command(binary, "publish", "--operators", s.hosts[0].addr.Operators, "--token", deployment.Operator, "--id", "first", "--configuration", path).CombinedOutput()
+		out, err := exec.Command(binary, "publish", "--operators", s.host(0).addr.Operators, "--token", deployment.Operator, "--id", "first", "--configuration", path).CombinedOutput()
 		return err == nil || strings.Contains(string(out), string(configurer.FateAccepted))
 	})
-	for i := range s.hosts {
+	for i := range s.count() {
 		s.waitReady(i)
 	}
 	eventually(s.t, "the duties are taken", func() bool {
@@ -146,7 +170,7 @@
 
 func (s *system) waitReady(i int) {
 	eventually(s.t, "the host is ready", func() bool {
-		resp, err := http.Get("http://" + s.hosts[i].addr.Callers + "/v1/health")
+		resp, err := http.Get("http://" + s.host(i).addr.Callers + "/v1/health")
 		if err != nil {
 			return false
 		}
@@ -167,7 +191,7 @@
 
 // dump returns the control state of a host.
 func (s *system) dump(i int) controller.Dump {
-	out, err := exec.Command(binary, "dump", "--operators", s.hosts[i].addr.Operators, "--token", deployment.Operator).Output()
+	out, err := exec.Command(binary, "dump", "--operators", s.host(i).addr.Operators, "--token", deployment.Operator).Output()
 	if err != nil {
 		return controller.Dump{}
 	}
@@ -178,10 +202,10 @@
 
 // ownerOf returns the index of the host that owns a range of claims.
 func (s *system) ownerOf(lease string) int {
-	for i := range s.hosts {
+	for i := range s.count() {
 		if d := s.dump(i); d.Writer != "" {
 			holder, _, _ := strings.Cut(d.Leases[lease].Holder, "#")
-			for j := range s.hosts {
+			for j := range s.count() {
 				if holder == fmt.Sprintf("host-%d", j+1) {
 					return j
 				}
@@ -252,7 +276,7 @@
 
 func (b *bookings) one(ctx context.Context, s *system, key string, n int) {
 	for try := range 4 {
-		a, err := book(context.WithoutCancel(ctx), s.hosts[(n+try)%len(s.hosts)].addr.Callers, key, try == 0)
+		a, err := book(context.WithoutCancel(ctx), s.host((n+try)%s.count()).addr.Callers, key, try == 0)
 		b.mu.Lock()
 		switch {
 		case err != nil:
@@ -354,18 +378,18 @@
 func (s *system) step(st faultStep) {
 	host := s.ownerOf("Claims-0")
 	if st.Host == "other" {
-		host = (host + 1) % len(s.hosts)
+		host = (host + 1) % s.count()
 	}
 	switch st.Do {
 	case "Kill":
-		s.hosts[host].signal(syscall.SIGKILL)
-		<-s.hosts[host].done
+		s.host(host).signal(syscall.SIGKILL)
+		<-s.host(host).done
 		s.List.RemoveHost(fmt.Sprintf("host-%d", host+1))
-		s.hosts[host] = s.startHost(host)
+		s.replace(host)
 	case "Freeze": // past the lease, then on
-		s.hosts[host].signal(syscall.SIGSTOP)
+		s.host(host).signal(syscall.SIGSTOP)
 		time.Sleep(4500 * time.Millisecond)
-		s.hosts[host].signal(syscall.SIGCONT)
+		s.host(host).signal(syscall.SIGCONT)
 	case "Upstream":
 		for _, p := range s.proxies {
 			p.Set(st.Fault)
@@ -393,28 +417,28 @@
 	s := startSystem(t, 2, deployment.Options{Engines: 1, Engine: emulator.EngineOptions{TokenInterval: 20 * time.Millisecond, Slots: 64}})
 	replies := make(chan error, 8)
 	for i := range cap(replies) {
-		go func() { replies <- streamed(s.hosts[1].addr.Callers, fmt.Sprintf("drain %d", i), 60) }()
+		go func() { replies <- streamed(s.host(1).addr.Callers, fmt.Sprintf("drain %d", i), 60) }()
 	}
 	eventually(t, "streams are open", func() bool { return s.Engines[0].Total() == cap(replies) })
-	s.hosts[1].signal(syscall.SIGTERM)
+	s.host(1).signal(syscall.SIGTERM)
 	for range cap(replies) {
 		assert.NilError(t, <-replies)
 	}
-	<-s.hosts[1].done
-	assert.Equal(t, s.hosts[1].code, 0)
+	<-s.host(1).done
+	assert.Equal(t, s.host(1).code, 0)
 }
 
 // TestSecondSignal ends a host at once: it says that it cut requests.
 func TestSecondSignal(t *testing.T) {
 	s := startSystem(t, 2, deployment.Options{Engines: 1, Engine: emulator.EngineOptions{TokenInterval: 50 * time.Millisecond, Slots: 64}})
 	reply := make(chan error, 1)
-	go func() { reply <- streamed(s.hosts[1].addr.Callers, "cut", 10000) }()
+	go func() { reply <- streamed(s.host(1).addr.Callers, "cut", 10000) }()
 	eventually(t, "the stream is open", func() bool { return s.Engines[0].Total() == 1 })
-	s.hosts[1].signal(syscall.SIGTERM)
+	s.host(1).signal(syscall.SIGTERM)
 	time.Sleep(200 * time.Millisecond)
-	s.hosts[1].signal(syscall.SIGTERM)
-	<-s.hosts[1].done
-	assert.Equal(t, s.hosts[1].code, 3)
+	s.host(1).signal(syscall.SIGTERM)
+	<-s.host(1).done
+	assert.Equal(t, s.host(1).code, 3)
 	assert.Assert(t, <-reply != nil)
 }
 
@@ -451,12 +475,12 @@
 func TestRestartWithLogDown(t *testing.T) {
 	s := startSystem(t, 3, deployment.Options{Engines: 1})
 	s.Log.SetFault(emulator.LogFault{Down: true})
-	s.hosts[2].signal(syscall.SIGKILL)
-	<-s.hosts[2].done
-	s.hosts[2] = s.startHost(2)
+	s.host(2).signal(syscall.SIGKILL)
+	<-s.host(2).done
+	s.replace(2)
 	s.waitReady(2)
 	assert.Equal(t, s.dump(2).Revision, uint64(1))
-	assert.NilError(t, streamed(s.hosts[2].addr.Callers, "while the log is down", 3))
+	assert.NilError(t, streamed(s.host(2).addr.Callers, "while the log is down", 3))
 }
 
 // TestCheckCommand prints every fault with its line.
--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -21,6 +22,7 @@
 			e.claimsCommand(),
 			e.changesCommand(),
 			e.controlCommand(),
+			e.leavingCommand(),
 			{
 				Name:  "forward",
 				Usage: "what a host adds to a direct call of the same engine",
@@ -59,6 +61,7 @@
 			&cli.BoolFlag{Name: "no-burst", Usage: "leave out the bursts of the bad day"},
 			&cli.BoolFlag{Name: "zone-down", Usage: "lose an availability zone in the middle"},
 			&cli.FloatFlag{Name: "links", Value: 1, Usage: "`FACTOR` on the links' rate"},
+			&cli.StringFlag{Name: "plot", Usage: "`FILE` to draw the most urgent class's times to, svg or png"},
 			&cli.IntFlag{Name: "policies", Usage: "compare only the first `NUMBER` of policies"},
 			&cli.IntFlag{Name: "workers", Value: 6, Usage: "`NUMBER` of policies at once"},
 		},
@@ -86,7 +89,11 @@
 			if n := c.Int("policies"); n > 0 {
 				policies = policies[:min(n, len(policies))]
 			}
-			experimenter.Print(e.out, experimenter.Compare(spec, policies, cond, c.Uint64("seed"), c.Int("workers")))
+			results := experimenter.Compare(spec, policies, cond, c.Uint64("seed"), c.Int("workers"))
+			experimenter.Print(e.out, results)
+			if path := c.String("plot"); path != "" {
+				return experimenter.WritePlot(path, results, 0)
+			}
 			return nil
 		},
 	}
@@ -101,10 +108,11 @@
 			&cli.FloatFlag{Name: "rate", Value: 4000, Usage: "`REQUESTS` per second, half of them with a claim"},
 			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "`TIME` to measure"},
 			&cli.DurationFlag{Name: "latency", Value: 5 * time.Millisecond, Usage: "`TIME` of an append"},
+			&cli.BoolFlag{Name: "faults", Usage: "let the log fail in turns and end an owner's process in the middle"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			r, err := experimenter.Claims(ctx, experimenter.ClaimsOptions{
-				Hosts: c.Int("hosts"), Rate: c.Float("rate"), For: c.Duration("for"), LogLatency: c.Duration("latency"),
+				Faults: c.Bool("faults"), Hosts: c.Int("hosts"), Rate: c.Float("rate"), For: c.Duration("for"), LogLatency: c.Duration("latency"),
 			})
 			if err == nil {
 				r.Print(e.out)
@@ -152,3 +160,21 @@
 		},
 	}
 }
+
+func (e *env) leavingCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "leaving",
+		Usage: "how fast all hosts stop sending work to an engine that says it is leaving",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "`NUMBER` of hosts"},
+			&cli.IntFlag{Name: "times", Value: 20, Usage: "`NUMBER` of engines that leave"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			t, err := experimenter.Leaving(ctx, c.Int("hosts"), c.Int("times"))
+			if err == nil {
+				fmt.Fprintf(e.out, "no new work from any host after  %s  (%d engines)\n", t, t.Count())
+			}
+			return err
+		},
+	}
+}
--- a/runner/host.go
+++ b/runner/host.go
@@ -276,11 +276,11 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	for ctx.Err() == nil {
+		pause(ctx, 20*time.Millisecond) // what was posted before is handled first
 		idle := true
 		if !h.loop.call(func(_ time.Time, n *controller.Node) { idle = n.Idle() }) || idle {
 			return
 		}
-		pause(ctx, 20*time.Millisecond)
 	}
 }
 
@@ -320,3 +320,17 @@
 
 // Dump returns the state of the host; see administrator.Control.
 func (h *Host) Dump() Dump { return (&control{host: h}).dump() }
+
+// Routable reports whether this host would send new work to an engine.
+func (h *Host) Routable(model, upstream string) bool {
+	pool := h.publisher.Load().Engines[model]
+	if pool == nil {
+		return false
+	}
+	for i := range pool.Targets {
+		if pool.Targets[i].Name == upstream {
+			return pool.Targets[i].Usable
+		}
+	}
+	return false
+}
