Write CBOR in one place; name what routing knows

Cause: the bounds and modes of CBOR stood twice, in folder and messenger, and had once differed in how they wrote times; publishing stood twice in the deployment; 'Pages' told nobody that it holds what routing knows of a request.

Conclusion: one codec, one publish, Routing.

--- a/folder/record.go
+++ b/folder/record.go
@@ -8,6 +8,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"amaranthgate.example/amaranthgate/internal/codec"
 )
 
 // Kind names the type of an entry.
@@ -52,7 +54,7 @@
 
 // NewEntry encodes a body. It panics if the body cannot be encoded.
 func NewEntry(kind Kind, body any) Entry {
-	b, err := encMode.Marshal(body)
+	b, err := codec.Marshal(body)
 	if err != nil {
 		panic("folder: entry cannot be encoded: " + err.Error())
 	}
@@ -61,45 +63,14 @@
 
 // Decode reads the body of an entry into dst and reports whether it could.
 // Entries that cannot be decoded are ignored by every host alike.
-func (e Entry) Decode(dst any) bool { return decMode.Unmarshal(e.Body, dst) == nil }
+func (e Entry) Decode(dst any) bool { return codec.Unmarshal(e.Body, dst) == nil }
 
 // Size returns the approximate number of bytes that e takes in a record.
 func (e Entry) Size() int { return len(e.Kind) + len(e.Body) + 8 }
 
-// maxElements bounds arrays and maps in records, against hostile input.
-const maxElements = 1 << 20
-
-var (
-	decMode = mustDecMode()
-	encMode = mustEncMode()
-)
-
-// mustEncMode keeps times whole: a state that was restored from a checkpoint
-// must equal one that was folded.
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, Sort: cbor.SortBytewiseLexical}.EncMode()
-	if err != nil {
-		panic("folder: " + err.Error())
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  16,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic("folder: " + err.Error())
-	}
-	return m
-}
-
 // Encode returns the body under which r is appended.
 func (r Record) Encode() []byte {
-	b, err := encMode.Marshal(r)
+	b, err := codec.Marshal(r)
 	if err != nil {
 		panic("folder: record cannot be encoded: " + err.Error())
 	}
@@ -109,7 +80,7 @@
 // DecodeRecord reads a record from the body of an append.
 func DecodeRecord(body []byte) (Record, error) {
 	var r Record
-	if err := decMode.Unmarshal(body, &r); err != nil {
+	if err := codec.Unmarshal(body, &r); err != nil {
 		return Record{}, errors.Wrap(err, "folder: not a record")
 	}
 	if r.Writer == "" || r.Sequence == 0 {
--- a/folder/stream.go
+++ b/folder/stream.go
@@ -8,6 +8,8 @@
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+
+	"amaranthgate.example/amaranthgate/internal/codec"
 )
 
 // State is folded from the entries of a stream. Apply must depend on nothing
@@ -235,7 +237,7 @@
 
 // EncodeCBOR is the usual body of State.EncodeState.
 func EncodeCBOR(v any) []byte {
-	b, err := encMode.Marshal(v)
+	b, err := codec.Marshal(v)
 	if err != nil {
 		panic("folder: state cannot be encoded: " + err.Error())
 	}
@@ -244,5 +246,5 @@
 
 // DecodeCBOR is the usual body of State.DecodeState.
 func DecodeCBOR(b []byte, dst any) error {
-	return errors.Wrap(decMode.Unmarshal(b, dst), "folder: state cannot be decoded")
+	return errors.Wrap(codec.Unmarshal(b, dst), "folder: state cannot be decoded")
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -251,20 +251,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	res, ok := d.Hosts[0].Publish(ctx, delta)
-	if !ok || res.Fate != configurer.FateAccepted {
-		return errors.Errorf("deployment: the configuration did not come into force: %+v", res)
-	}
-	return d.wait(ctx, func() bool {
-		for _, h := range d.Hosts {
-			if !h.Serving(hosts) {
-				return false
-			}
-		}
-		return true
-	})
+	return d.publish(ctx, delta, func(h *runner.Host, _ uint64) bool { return h.Serving(hosts) })
 }
 
 // Publish changes the document and waits until it is in force on all hosts.
@@ -276,6 +263,11 @@
 	if err != nil {
 		return err
 	}
+	return d.publish(ctx, delta, func(h *runner.Host, revision uint64) bool { return h.Revision() >= revision })
+}
+
+// publish publishes a change and waits until all hosts are as wanted.
+func (d *Deployment) publish(ctx context.Context, delta configurer.Delta, wanted func(h *runner.Host, revision uint64) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	res, ok := d.Hosts[0].Publish(ctx, delta)
@@ -284,7 +276,7 @@
 	}
 	return d.wait(ctx, func() bool {
 		for _, h := range d.Hosts {
-			if h.Revision() < res.Revision {
+			if !wanted(h, res.Revision) {
 				return false
 			}
 		}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -4,11 +4,11 @@
 package messenger
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/internal/codec"
 	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/tracker"
@@ -105,41 +105,12 @@
 	Incarnation uint64
 }
 
-// Bounds on what a peer may send.
-const (
-	maxMessageBytes = 32 << 20
-	maxElements     = 1 << 17
-)
-
-var (
-	decMode = mustDecMode()
-	encMode = mustEncMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic("messenger: " + err.Error())
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  16,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic("messenger: " + err.Error())
-	}
-	return m
-}
+// maxMessageBytes bounds one message of a peer.
+const maxMessageBytes = 32 << 20
 
 // Encode returns the wire form of a message.
 func Encode(m *Message) []byte {
-	b, err := encMode.Marshal(m)
+	b, err := codec.Marshal(m)
 	if err != nil {
 		panic("messenger: message cannot be encoded: " + err.Error())
 	}
@@ -150,7 +121,7 @@
 // hosts of neighbouring versions understand each other.
 func Decode(b []byte) (*Message, error) {
 	var m Message
-	if err := decMode.Unmarshal(b, &m); err != nil {
+	if err := codec.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(err, "messenger: not a message")
 	}
 	return &m, nil
--- a/runner/knowledge.go
+++ b/runner/knowledge.go
@@ -41,11 +41,11 @@
 }
 
 // Lookup implements server.Keeper.
-func (k *knowledge) Lookup(now time.Time, workspace string, pool *publisher.Pool, chain keeper.Chain, pages *router.Request) {
+func (k *knowledge) Lookup(now time.Time, workspace string, pool *publisher.Pool, chain keeper.Chain, req *router.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.index.Lookup(now, chain, &k.lookup)
-	pages.Known = k.lookup.Known * keeper.TokensPerBlock
+	req.Known = k.lookup.Known * keeper.TokensPerBlock
 	k.count(workspace, k.lookup.Known > 0)
 	if len(k.lookup.Found) == 0 {
 		return
@@ -54,7 +54,7 @@
 		id := k.index.ID(pool.Targets[i].Name)
 		for _, f := range k.lookup.Found {
 			if f.Upstream == id {
-				pages.Holdings = append(pages.Holdings, router.Holding{
+				req.Holdings = append(req.Holdings, router.Holding{
 					Target: i,
 					Cached: f.Cached * keeper.TokensPerBlock,
 					Kept:   f.Kept * keeper.TokensPerBlock,
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -51,7 +51,7 @@
 	Repeatable bool
 	Call       Call
 	Pool       *publisher.Pool
-	Pages      router.Request // Pages is what routing knows of the request.
+	Routing    router.Request // Routing is what routing knows of the request.
 
 	writer  http.ResponseWriter
 	request *http.Request
--- a/server/filters.go
+++ b/server/filters.go
@@ -203,5 +203,5 @@
 	if x.Call.Prompt == nil {
 		return 1
 	}
-	return float64(x.Pages.Tokens + x.Call.Prompt.MaxTokens)
+	return float64(x.Routing.Tokens + x.Call.Prompt.MaxTokens)
 }
--- a/server/forward.go
+++ b/server/forward.go
@@ -99,7 +99,7 @@
 	up := &x.Pool.Upstreams[i]
 	d.outcome.Upstream = up.Name
 	start := s.opts.Timer.Now()
-	tokens := x.Pages.Tokens - decision.Reused
+	tokens := x.Routing.Tokens - decision.Reused
 	up.Instruments.Meter.Start(tokens)
 	x.release()
 	gotFirst := false
@@ -160,9 +160,9 @@
 func (d *delivery) choose() (int, router.Decision, bool) {
 	x := d.x
 	now := d.server.opts.Timer.Now()
-	x.Pages.Exclude = d.excluded(now)
+	x.Routing.Exclude = d.excluded(now)
 	x.pool.mu.Lock()
-	decision, ok := x.pool.router.Route(x.Pool.Targets, &x.Pages)
+	decision, ok := x.pool.router.Route(x.Pool.Targets, &x.Routing)
 	x.pool.mu.Unlock()
 	if !ok {
 		return 0, decision, false
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -75,7 +75,7 @@
 		x.Repeatable = v == "true"
 	}
 	x.Pool = poolOf(x.Snapshot.Services, svc.Name)
-	x.Pages = router.Request{Key: router.NameHash(x.ID), Weights: x.weights()}
+	x.Routing = router.Request{Key: router.NameHash(x.ID), Weights: x.weights()}
 	return next(ctx, x)
 }
 
@@ -96,13 +96,13 @@
 	text := x.Call.Prompt.PromptText()
 	salt := s.salt(x.Workspace.Name, m.Name, m.Version)
 	x.chain = keeper.NewChain(salt, text)
-	x.Pages = router.Request{
+	x.Routing = router.Request{
 		Key:     router.NameHash(salt + text[:min(len(text), keyBytes)]),
 		Tokens:  (len(text) + keeper.BytesPerToken - 1) / keeper.BytesPerToken,
 		Weights: x.weights(),
 	}
 	if s.opts.Keeper != nil {
-		s.opts.Keeper.Lookup(s.opts.Timer.Now(), x.Workspace.Name, x.Pool, x.chain, &x.Pages)
+		s.opts.Keeper.Lookup(s.opts.Timer.Now(), x.Workspace.Name, x.Pool, x.chain, &x.Routing)
 	}
 }
 
--- a/server/pools.go
+++ b/server/pools.go
@@ -100,7 +100,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	fresh := max(0, x.Pages.Tokens-x.Pages.Known)
+	fresh := max(0, x.Routing.Tokens-x.Routing.Known)
 	return time.Duration(float64(fresh) / rate * float64(time.Second))
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -46,7 +46,7 @@
 // Keeper knows what upstreams hold.
 type Keeper interface {
 	// Lookup fills in what is known of a prompt of a workspace.
-	Lookup(now time.Time, workspace string, pool *publisher.Pool, chain keeper.Chain, pages *router.Request)
+	Lookup(now time.Time, workspace string, pool *publisher.Pool, chain keeper.Chain, req *router.Request)
 	// Segments returns what an upstream is to restore of the first tokens of a
 	// prompt; nil if that cannot be done any more.
 	Segments(now time.Time, upstream string, chain keeper.Chain, tokens int) []wire.SegmentRef
