--- a/runner/urge.go
+++ b/runner/urge.go
@@ -13,8 +13,9 @@
 
 // Bounds of asking for a larger share of a limit out of turn.
 const (
-	urgeAgain = time.Second           // urgeAgain is the least time between two questions for one workspace.
-	urgeWait  = 50 * time.Millisecond // urgeWait is how long a request waits for the answer.
+	urgeAgain = time.Second            // urgeAgain is the least time between two questions for one workspace.
+	urgeWait  = 200 * time.Millisecond // urgeWait is how long a request waits for the answer, which usually takes a few milliseconds.
+	urgeSpan  = 50 * time.Millisecond  // urgeSpan is the time for which the usage since the last reading is taken to stand.
 )
 
 // urger asks for larger shares out of turn: a workspace that was idle here has
@@ -44,7 +45,7 @@
 	ch := make(chan struct{})
 	u.change[workspace] = ch
 	u.mu.Unlock()
-	u.host.loop.post(controller.UsageRead{Usage: u.host.limiter.Read(), Interval: urgeWait})
+	u.host.loop.post(controller.UsageRead{Usage: u.host.limiter.Read(), Interval: urgeSpan})
 	t := time.NewTimer(urgeWait)
 	defer t.Stop()
 	select {
