Give reports that share nothing with the fold

Cause: the race detector showed the console rendering a report while the control goroutine folded the next batch: the rows were copied, their histograms and counts of refusals were not. Ruled out: dumps, which copy maps and hold no slices that change.

Measured: TestReportIsACopy fails without the copy ('2 != 1') and passes with it. Conclusion: what leaves the control goroutine is a copy or immutable.

--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -56,3 +56,17 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, q, time.Second)
 }
+
+// TestReportIsACopy folds on after a report was taken: pages are rendered while
+// the control goroutine goes on.
+func TestReportIsACopy(t *testing.T) {
+	g := NewGatherer(start)
+	table := NewTable()
+	both := []Outcome{{Workspace: "w", Class: "c", FirstToken: time.Millisecond}, {Workspace: "w", Class: "c", Reason: "RateLimited"}}
+	table.Apply(folder.Position{}, "a", batch(t, g, both...))
+	r := table.Report()
+	table.Apply(folder.Position{}, "a", batch(t, g, both...))
+	assert.Equal(t, r.Rows[0].FirstToken[0], uint64(1))
+	assert.Equal(t, r.Rows[0].Refused["RateLimited"], uint64(1))
+	assert.Equal(t, table.Report().Rows[0].Refused["RateLimited"], uint64(2))
+}
--- a/reporter/table.go
+++ b/reporter/table.go
@@ -4,6 +4,8 @@
 package reporter
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -92,11 +94,16 @@
 	Lost  uint64     // Lost counts lines that no host could keep.
 }
 
-// Report returns a copy of the table's state.
+// Report returns a copy of the table's state, which shares nothing with it.
 func (t *Table) Report() Report {
+	rows := slices.Clone(t.image.Groups)
+	for i := range rows {
+		rows[i].FirstToken = slices.Clone(rows[i].FirstToken)
+		rows[i].Refused = maps.Clone(rows[i].Refused)
+	}
 	return Report{
 		Since: t.image.Since,
-		Rows:  append([]Line(nil), t.image.Groups...),
+		Rows:  rows,
 		Gaps:  append([]Gap(nil), t.image.Gaps...),
 		Once:  append([]OnceLine(nil), t.image.Once...),
 		Lost:  t.image.Lost,
