--- /dev/null
+++ b/conductor/directory.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// nearEnough is the number of hosts in a caller's availability zone from which
+// only these are named: two, so that one may be lost between two questions.
+const nearEnough = 2
+
+// Addresses returns where callers of an availability zone may connect, and how
+// long they may keep the answer.
+func (h *Host) Addresses(availabilityZone string) ([]string, time.Duration) {
+	var near, all []string
+	for _, r := range *h.hosts.Load() {
+		if r.State != tracker.HostLive || r.Callers == "" {
+			continue
+		}
+		all = append(all, r.Callers)
+		if r.AvailabilityZone == availabilityZone {
+			near = append(near, r.Callers)
+		}
+	}
+	ttl := h.opts.Settings.Timing.AddressTTL.Std()
+	switch {
+	case len(near) >= nearEnough:
+		return near, ttl
+	case len(all) == 0 && !h.leaving.Load():
+		return []string{advertised(h.opts.Settings.Callers)}, ttl
+	}
+	return all, ttl
+}
--- /dev/null
+++ b/conductor/doc.go
@@ -0,0 +1,23 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+// Package conductor runs one host on the users' platform.
+//
+// Node is the control plane: pure, events in and actions out, driven by one
+// goroutine. Host turns sockets into events, carries out actions, and serves
+// callers with package exchanger on what Node publishes.
+//
+// All hosts are alike. The feeds of the platform's store are read by whoever
+// knows the least fresh page: a host reads the upstreams' feed when no other host
+// has passed on a page for a while that grows with its place among the live
+// hosts. So one host reads for all, and if it falls silent the next one does,
+// without any agreement. A host that the store turns away asks the others for
+// what it lacks.
+//
+// # Usage
+//
+//	host := conductor.New(conductor.Options{Settings: settings, Source: source, ...})
+//	err := host.Start()
+//	...
+//	host.Drain(ctx)
+package conductor
--- /dev/null
+++ b/conductor/feed.go
@@ -0,0 +1,189 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// feed is how far a host knows one feed of the store.
+type feed struct {
+	known   bool      // known tells that a listing was taken in.
+	next    int64     // next is the offset after the last record taken in.
+	fresh   time.Time // fresh is when what is known was the newest.
+	reading bool
+	failing bool
+	again   time.Time // again is when the store may be asked after a failure.
+	asked   time.Time // asked is when another host was asked last.
+	newest  map[string]follower.Record
+}
+
+func newFeed() *feed { return &feed{newest: make(map[string]follower.Record)} }
+
+// readFeed asks the store for more of a feed if that is this host's turn, and
+// another host if the store does not answer.
+func (n *Node) readFeed(now time.Time, name follower.Feed, f *feed) {
+	if f.failing {
+		n.askPeer(now, name, f)
+	}
+	if f.reading || now.Before(f.again) {
+		return
+	}
+	r := Read{Feed: name, Full: !f.known, From: f.next}
+	switch {
+	case !f.known:
+	case name == follower.FeedOperator:
+		r.Wait = n.opts.Timing.Wait // changes are rare: the store answers at the next one
+	case now.Sub(f.fresh) < n.turn():
+		return
+	}
+	f.reading = true
+	n.do(r)
+}
+
+// turn is the age from which this host reads the upstreams' feed itself.
+func (n *Node) turn() time.Duration {
+	place := max(0, tracker.Place(n.hosts.Live(), n.opts.Self.Host, "reader"))
+	return n.opts.Timing.Fresh + time.Duration(min(place, 6))*n.opts.Timing.Step
+}
+
+func (n *Node) feedRead(now time.Time, ev FeedRead) {
+	f := n.feeds[ev.News.Feed]
+	f.reading = false
+	if ev.Err != nil {
+		n.readFailed(now, f, ev)
+		return
+	}
+	if f.failing {
+		n.do(Note{What: NoteStoreBack, Feed: ev.News.Feed, Age: now.Sub(f.fresh)})
+	}
+	f.failing = false
+	n.state.Answered(now)
+	n.take(now, ev.News, ev.Asked)
+	if ev.News.Feed == follower.FeedUpstreams && !ev.News.Full {
+		news := ev.News
+		news.Age = now.Sub(ev.Asked)
+		n.spread("", &messenger.Message{News: []follower.News{news}})
+	}
+}
+
+func (n *Node) readFailed(now time.Time, f *feed, ev FeedRead) {
+	if errors.Is(ev.Err, follower.ErrForgotten) {
+		f.known = false // the newest record of each key is still there
+		return
+	}
+	if !f.failing {
+		n.do(Note{What: NoteStoreLost, Feed: ev.News.Feed, Age: now.Sub(f.fresh), Err: ev.Err})
+	}
+	f.failing = true
+	f.again = now.Add(n.opts.Timing.Again)
+	n.state.Failed()
+}
+
+// take applies a page and remembers the newest record of each key.
+func (n *Node) take(now time.Time, news follower.News, asOf time.Time) {
+	f := n.feeds[news.Feed]
+	if !news.Full && (!f.known || news.From > f.next) {
+		return // a gap lies between what is known and this page
+	}
+	for _, r := range news.Records {
+		n.apply(now, news.Feed, f, r)
+	}
+	if news.Full {
+		n.takeListing(now, news, f)
+	}
+	f.next = max(f.next, news.Next)
+	if asOf.After(f.fresh) {
+		f.fresh = asOf
+	}
+}
+
+func (n *Node) takeListing(now time.Time, news follower.News, f *feed) {
+	f.known = true
+	if news.Feed != follower.FeedUpstreams {
+		return // what operators have said stays in force until they say otherwise
+	}
+	listed := make(map[string]bool, len(news.Records))
+	for _, r := range news.Records {
+		listed[r.Key] = true
+	}
+	for key, r := range f.newest {
+		if !listed[key] && r.Offset < news.Next {
+			delete(f.newest, key)
+		}
+	}
+	n.do(Note{What: NoteListingApplied, Feed: news.Feed, Offset: news.Next})
+	n.viewDirty = n.state.Replace(now, listed, news.Next) || n.viewDirty
+}
+
+func (n *Node) apply(now time.Time, name follower.Feed, f *feed, r follower.Record) {
+	if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
+		return
+	}
+	change, err := n.opts.Decoder.Decode(name, r)
+	if err != nil {
+		n.do(Note{What: NoteUnreadable, Feed: name, Key: r.Key, Offset: r.Offset, Err: err})
+		return
+	}
+	if len(r.Value) == 0 {
+		delete(f.newest, r.Key)
+	} else {
+		f.newest[r.Key] = r
+	}
+	if n.state.Apply(now, change, r.Offset) {
+		n.do(Note{What: NoteRecord, Feed: name, Key: r.Key, Offset: r.Offset})
+		n.viewDirty = true
+	}
+}
+
+// wantOf names a feed in a question to another host.
+func wantOf(name follower.Feed) string { return "Feed/" + string(name) }
+
+// askPeer asks one live host after the other for all it knows of a feed.
+func (n *Node) askPeer(now time.Time, name follower.Feed, f *feed) {
+	if now.Sub(f.asked) < n.opts.Timing.Ask || f.known && now.Sub(f.fresh) < 2*n.turn() {
+		return
+	}
+	live := slices.DeleteFunc(n.hosts.Live(), func(h string) bool { return h == n.opts.Self.Host })
+	if len(live) == 0 {
+		return
+	}
+	turn := int(now.UnixMilli()/n.opts.Timing.Ask.Milliseconds()) % len(live)
+	f.asked = now
+	n.send(live[turn], &messenger.Message{Wants: []string{wantOf(name)}})
+}
+
+// answerWants hands over the feeds that another host asks for.
+func (n *Node) answerWants(now time.Time, to string, wants []string) {
+	for name, f := range n.feeds {
+		if !f.known || !slices.Contains(wants, wantOf(name)) {
+			continue
+		}
+		if name == follower.FeedOperator && f.reading && !f.failing {
+			f.fresh = now // the store would have answered a change at once
+		}
+		news := follower.News{Feed: name, Full: true, Next: f.next, Age: now.Sub(f.fresh)}
+		for _, r := range f.newest {
+			news.Records = append(news.Records, r)
+		}
+		n.send(to, &messenger.Message{News: []follower.News{news}})
+	}
+}
+
+// hear takes in pages that another host has read.
+func (n *Node) hear(now time.Time, pages []follower.News) {
+	for _, news := range pages {
+		f, ok := n.feeds[news.Feed]
+		if !ok || news.Full && (!f.failing || f.known && news.Next < f.next) {
+			continue
+		}
+		n.take(now, news, now.Add(-news.Age))
+	}
+}
--- /dev/null
+++ b/conductor/hosts.go
@@ -0,0 +1,99 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// greetInterval is the least time between two whole host lists to one host.
+const greetInterval = time.Second
+
+// beat sends heartbeats and looks for silent hosts.
+func (n *Node) beat(now time.Time) {
+	if now.Sub(n.lastBeat) < n.opts.Timing.Beat {
+		return
+	}
+	n.lastBeat = now
+	if news := n.hosts.Tick(now); len(news) > 0 {
+		n.noteHosts(news)
+		n.spread("", &messenger.Message{Hosts: news})
+	}
+	n.spread("", &messenger.Message{Digest: n.hosts.Digest()})
+}
+
+// spread sends a message to all neighbours but one.
+func (n *Node) spread(except string, m *messenger.Message) {
+	for _, h := range n.hosts.Neighbours() {
+		if h != except {
+			n.send(h, m)
+		}
+	}
+}
+
+func (n *Node) send(host string, m *messenger.Message) {
+	if r, ok := n.hosts.Lookup(host); ok && r.Peers != "" {
+		n.do(Send{To: host, Address: r.Peers, Message: m})
+	}
+}
+
+// greet sends all that is known of hosts.
+func (n *Node) greet(now time.Time, host string) {
+	n.lastFull[host] = now
+	n.send(host, &messenger.Message{Full: true, Digest: n.hosts.Digest(), Hosts: n.hosts.All()})
+}
+
+func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
+	m := ev.Message
+	n.hosts.Heard(now, ev.From)
+	n.mergeHosts(now, ev.From, m.Hosts)
+	n.tellSuspect(ev.From)
+	n.answerWants(now, ev.From, m.Wants)
+	n.hear(now, m.News)
+	if m.Report != nil {
+		n.do(TakeReport{From: ev.From, Report: *m.Report})
+	}
+	if m.Digest != 0 && m.Digest != n.hosts.Digest() && now.Sub(n.lastFull[ev.From]) > greetInterval {
+		n.greet(now, ev.From)
+	}
+}
+
+// tellSuspect tells a host that speaks although it is suspected what is said of
+// it, so that it can refute that.
+func (n *Node) tellSuspect(host string) {
+	r, ok := n.hosts.Lookup(host)
+	if ok && (r.State == tracker.HostSuspect || r.State == tracker.HostGone) {
+		n.send(host, &messenger.Message{Hosts: []tracker.HostRecord{r}})
+	}
+}
+
+func (n *Node) mergeHosts(now time.Time, from string, records []tracker.HostRecord) {
+	var news []tracker.HostRecord
+	for _, r := range records {
+		news = append(news, n.hosts.Merge(now, r)...)
+	}
+	if len(news) > 0 {
+		n.noteHosts(news)
+		n.spread(from, &messenger.Message{Hosts: news})
+	}
+}
+
+func (n *Node) noteHosts(news []tracker.HostRecord) {
+	n.hostsDirty = true
+	for _, r := range news {
+		n.do(Note{What: NoteHostChanged, Host: r.Host, Key: string(r.State)})
+	}
+}
+
+// leave tells all hosts that this one is ending.
+func (n *Node) leave() {
+	self, changed := n.hosts.Say(func(r *tracker.HostRecord) { r.State = tracker.HostLeaving })
+	if changed {
+		n.noteHosts([]tracker.HostRecord{self})
+		n.spread("", &messenger.Message{Hosts: []tracker.HostRecord{self}})
+	}
+}
--- /dev/null
+++ b/conductor/node.go
@@ -0,0 +1,218 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// Event is something that happened to a host.
+type Event interface{ event() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// FeedRead is the end of a Read.
+type FeedRead struct {
+	News  follower.News
+	Asked time.Time // Asked is when the question was sent.
+	Err   error
+}
+
+// PeerMessage is a message of another host.
+type PeerMessage struct {
+	From    string
+	Message *messenger.Message
+}
+
+// PeerUp says that a connection to another host was opened.
+type PeerUp struct{ Host string }
+
+// HostsFound names hosts that may be there: from settings or from the store.
+type HostsFound struct{ Hosts []tracker.HostRecord }
+
+// WorkReported is what this host has under way, for the others.
+type WorkReported struct{ Report placer.Report }
+
+// DrainBegun says that this host is to end.
+type DrainBegun struct{}
+
+func (Tick) event()         {}
+func (FeedRead) event()     {}
+func (PeerMessage) event()  {}
+func (PeerUp) event()       {}
+func (HostsFound) event()   {}
+func (WorkReported) event() {}
+func (DrainBegun) event()   {}
+
+// Action is something that a host is to do.
+type Action interface{ action() }
+
+// Send sends a message to another host.
+type Send struct {
+	To      string
+	Address string
+	Message *messenger.Message
+}
+
+// Read asks the store for a page of a feed: the newest of each key if Full.
+type Read struct {
+	Feed follower.Feed
+	Full bool
+	From int64
+	Wait time.Duration // Wait is how long the store may wait for a record.
+}
+
+// PublishView gives traffic a new view.
+type PublishView struct{ View *follower.View }
+
+// PublishHosts gives the directory a new list.
+type PublishHosts struct{ Hosts []tracker.HostRecord }
+
+// TakeReport hands another host's report to placement.
+type TakeReport struct {
+	From   string
+	Report placer.Report
+}
+
+// Note asks for a log line about a belief.
+type Note struct {
+	What   NoteKind
+	Feed   follower.Feed
+	Host   string
+	Key    string
+	Offset int64
+	Age    time.Duration
+	Err    error
+}
+
+// NoteKind says what a Note is about.
+type NoteKind string
+
+const (
+	NoteStoreLost      NoteKind = "StoreLost"
+	NoteStoreBack      NoteKind = "StoreBack"
+	NoteUnreadable     NoteKind = "RecordUnreadable"
+	NoteRecord         NoteKind = "RecordApplied"
+	NoteHostChanged    NoteKind = "HostChanged"
+	NoteLapsesCounted  NoteKind = "LapsedEntriesRemoved"
+	NoteListingApplied NoteKind = "ListingApplied"
+)
+
+func (Send) action()         {}
+func (Read) action()         {}
+func (PublishView) action()  {}
+func (PublishHosts) action() {}
+func (TakeReport) action()   {}
+func (Note) action()         {}
+
+// Decoder reads what a record says.
+type Decoder interface {
+	Decode(feed follower.Feed, r follower.Record) (follower.Change, error)
+}
+
+// NodeOptions set up a Node.
+type NodeOptions struct {
+	Self    tracker.HostRecord
+	Decoder Decoder
+	Timing  Timing
+}
+
+// Node is the control plane of one host. It is not safe for concurrent use.
+type Node struct {
+	opts    NodeOptions
+	state   *follower.State
+	hosts   *tracker.Hosts
+	feeds   map[follower.Feed]*feed
+	actions []Action
+
+	viewDirty  bool
+	hostsDirty bool
+	lastTick   time.Time
+	lastBeat   time.Time
+	lastFull   map[string]time.Time
+}
+
+// NewNode returns a node that knows nothing but itself.
+func NewNode(opts NodeOptions) *Node {
+	return &Node{
+		opts:  opts,
+		state: follower.New(),
+		hosts: tracker.NewHosts(opts.Self, tracker.HostOptions{
+			Suspect: opts.Timing.Suspect,
+			Forget:  opts.Timing.Forget,
+		}),
+		feeds: map[follower.Feed]*feed{
+			follower.FeedOperator:  newFeed(),
+			follower.FeedUpstreams: newFeed(),
+		},
+		lastFull: make(map[string]time.Time),
+	}
+}
+
+// Handle takes an event in and returns what is to be done.
+func (n *Node) Handle(now time.Time, ev Event) []Action {
+	n.actions = nil
+	switch ev := ev.(type) {
+	case Tick:
+		n.tick(now)
+	case FeedRead:
+		n.feedRead(now, ev)
+	case PeerMessage:
+		n.peerMessage(now, ev)
+	case PeerUp:
+		n.hosts.Heard(now, ev.Host)
+		n.greet(now, ev.Host)
+	case HostsFound:
+		n.mergeHosts(now, "", ev.Hosts)
+	case WorkReported:
+		n.spread("", &messenger.Message{Report: &ev.Report})
+	case DrainBegun:
+		n.leave()
+	}
+	n.publish()
+	return n.actions
+}
+
+func (n *Node) do(a Action) { n.actions = append(n.actions, a) }
+
+func (n *Node) tick(now time.Time) {
+	n.wake(now)
+	n.beat(now)
+	if n.state.Expire(now) {
+		n.do(Note{What: NoteLapsesCounted, Feed: follower.FeedUpstreams})
+		n.viewDirty = true
+	}
+	for name, f := range n.feeds {
+		n.readFeed(now, name, f)
+	}
+}
+
+// wake notices that the process has stood still: the silence of others in that
+// time says nothing of them.
+func (n *Node) wake(now time.Time) {
+	if !n.lastTick.IsZero() && now.Sub(n.lastTick) > n.opts.Timing.Suspect/2 {
+		for _, r := range n.hosts.All() {
+			n.hosts.Heard(now, r.Host)
+		}
+	}
+	n.lastTick = now
+}
+
+// publish gives out what has changed.
+func (n *Node) publish() {
+	if n.viewDirty {
+		n.viewDirty = false
+		n.do(PublishView{View: n.state.View()})
+	}
+	if n.hostsDirty {
+		n.hostsDirty = false
+		n.do(PublishHosts{Hosts: n.hosts.All()})
+	}
+}
--- /dev/null
+++ b/conductor/timing.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import "time"
+
+// Timing has the intervals of the control plane.
+type Timing struct {
+	Tick    time.Duration // Tick is the interval of the control loop.
+	Beat    time.Duration // Beat is the interval between heartbeats.
+	Report  time.Duration // Report is the interval between reports of work under way.
+	Suspect time.Duration // Suspect is the silence after which a host is no longer named to callers.
+	Forget  time.Duration // Forget is how long hosts that are gone are remembered.
+
+	Fresh time.Duration // Fresh is the age up to which a page of the upstreams' feed is good enough.
+	Step  time.Duration // Step is added to Fresh for each live host that reads before this one.
+	Wait  time.Duration // Wait is how long the store holds a question for the operators' feed.
+	Again time.Duration // Again is the pause after a call to the store that failed.
+	Ask   time.Duration // Ask is the interval between questions to other hosts for a page.
+}
+
+// DefaultTiming returns timings for a leaving upstream to be known everywhere
+// within 2 s, two failed readers included: 0.4 s, twice 0.15 s and a call's
+// time out.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick:    50 * time.Millisecond,
+		Beat:    200 * time.Millisecond,
+		Report:  100 * time.Millisecond,
+		Suspect: 800 * time.Millisecond,
+		Forget:  30 * time.Second,
+		Fresh:   400 * time.Millisecond,
+		Step:    150 * time.Millisecond,
+		Wait:    20 * time.Second,
+		Again:   250 * time.Millisecond,
+		Ask:     300 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/exchanger/exchanger.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package exchanger
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/retrier"
+	"amaranthgate.example/amaranthgate/timer"
+)
+
+// Times to come back that refused callers are told. Callers wait at most a
+// third of what they have left.
+const (
+	retryUnready = 200 * time.Millisecond // retryUnready is about what a starting host needs to read its beliefs.
+	retryFull    = 50 * time.Millisecond  // retryFull is about three plain requests' work.
+	// longestWait bounds requests of callers that name no time on routes that
+	// name none.
+	longestWait = 60 * time.Second
+)
+
+// Beliefs gives what the host believes now.
+type Beliefs interface {
+	Load() *follower.View
+}
+
+// Options set up an Exchanger.
+type Options struct {
+	Beliefs Beliefs
+	Placer  *placer.Placer
+	Sender  Sender
+	Budget  *retrier.Shared
+	Timer   timer.Service
+}
+
+// Exchanger takes requests to their answers. It is safe for concurrent use.
+type Exchanger struct {
+	opts Options
+}
+
+// New returns an Exchanger.
+func New(opts Options) *Exchanger { return &Exchanger{opts: opts} }
+
+// exchange is one request on its way.
+type exchange struct {
+	*Exchanger
+	request   *Request
+	responder Responder
+	view      *follower.View
+	route     *matcher.Route
+	workspace *matcher.Workspace // workspace is nil on public routes.
+	service   string
+	end       time.Time // end is when the caller's or the route's time is over.
+	outcome   Outcome
+}
+
+// Handle takes a request to its final answer. ctx ends when the caller leaves.
+func (x *Exchanger) Handle(ctx context.Context, r *Request, w Responder) Outcome {
+	e := &exchange{Exchanger: x, request: r, responder: w, view: x.opts.Beliefs.Load()}
+	if refusal, ok := e.admit(); !ok {
+		e.refuse(refusal)
+	} else {
+		e.serve(ctx)
+	}
+	e.outcome.Took = x.opts.Timer.Now().Sub(r.Start)
+	return e.outcome
+}
+
+// admit finds route and workspace, or says why the request is not served.
+func (e *exchange) admit() (Refusal, bool) {
+	if e.view.Table == nil {
+		return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: retryUnready}, false
+	}
+	var ok bool
+	if e.route, ok = e.view.Table.Route(e.request.Host, e.request.Path); !ok {
+		return Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute}, false
+	}
+	e.outcome.Route = e.route.Name
+	if e.view.Table.Keyed() && !e.route.Public {
+		if e.workspace, ok = e.view.Table.Workspace(e.request.Key); !ok {
+			return Refusal{Status: http.StatusUnauthorized, Reason: ReasonNoKey}, false
+		}
+	}
+	e.service = e.route.Pick(rand.Float64())
+	e.outcome.Service = e.service
+	e.end = e.request.Start.Add(e.patience())
+	return Refusal{}, true
+}
+
+// patience is the lesser of the caller's time and the route's.
+func (e *exchange) patience() time.Duration {
+	wait := longestWait
+	if e.route.Timeout > 0 {
+		wait = min(wait, e.route.Timeout)
+	}
+	if e.request.Patience > 0 {
+		wait = min(wait, e.request.Patience)
+	}
+	return wait
+}
+
+// serve makes attempts within the request's time. A request that must run at
+// most once is brought to its end when the caller leaves: breaking it off would
+// leave the caller's next question without an answer as well.
+func (e *exchange) serve(ctx context.Context) {
+	if !e.route.Repeatable() && e.route.Kind != matcher.KindStream {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.end)
+	defer cancel()
+	e.opts.Budget.Request(e.service)
+	e.dispatch(ctx)
+}
+
+func (e *exchange) refuse(r Refusal) {
+	e.outcome.Status = r.Status
+	e.outcome.Reason = r.Reason
+	e.responder.Refuse(r)
+}
+
+// rank is the request's urgency.
+func (e *exchange) rank() int {
+	if e.workspace != nil && e.workspace.Rank != nil {
+		return *e.workspace.Rank
+	}
+	return e.route.Rank
+}
+
+// salt sets apart context of other weight versions and of isolated workspaces.
+func (e *exchange) salt(weights uint64) string {
+	s := "v" + strconv.FormatUint(weights, 10)
+	if e.workspace != nil && e.workspace.Isolated {
+		s += "-" + e.workspace.Name
+	}
+	return s
+}
--- /dev/null
+++ b/follower/state.go
@@ -0,0 +1,170 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package follower
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+// lapseGrace is how long after the store's return a lapsed entry still counts:
+// upstreams that live have renewed theirs within two seconds.
+const lapseGrace = 2 * time.Second
+
+// State is what one host believes. It is not safe for concurrent use.
+type State struct {
+	table     *matcher.Table
+	named     map[string]Named
+	upstreams map[string]*entry
+	away      bool      // away tells that the store's last answer was a failure.
+	returned  time.Time // returned is when the store answered again after a failure.
+}
+
+// entry is an upstream with what is known of its end.
+type entry struct {
+	upstream Upstream
+	offset   int64
+	lapsed   time.Time // lapsed is when its removal was read while that may not count yet.
+}
+
+// New returns a state that knows nothing.
+func New() *State {
+	return &State{named: make(map[string]Named), upstreams: make(map[string]*entry)}
+}
+
+// Answered tells that the store has answered.
+func (s *State) Answered(now time.Time) {
+	if s.away {
+		s.away, s.returned = false, now
+	}
+}
+
+// Failed tells that the store has not answered, or turned this host away.
+func (s *State) Failed() { s.away = true }
+
+// Away tells that the last call to the store failed.
+func (s *State) Away() bool { return s.away }
+
+// Apply takes in what a record says and reports whether anything changed.
+func (s *State) Apply(now time.Time, c Change, offset int64) bool {
+	switch {
+	case c.Table != nil:
+		if s.table != nil && c.Table.Version() <= s.table.Version() {
+			return false
+		}
+		s.table = c.Table
+		return true
+	case c.Weights != nil:
+		if s.named[c.Weights.Model].Version >= c.Weights.Version {
+			return false
+		}
+		s.named[c.Weights.Model] = Named{Version: c.Weights.Version, Since: now}
+		return true
+	case c.Upstream != nil:
+		return s.put(*c.Upstream, offset)
+	case c.Removed != "":
+		return s.remove(now, c.Removed, offset)
+	}
+	return false
+}
+
+func (s *State) put(u Upstream, offset int64) bool {
+	e := s.upstreams[u.ID]
+	if e == nil {
+		s.upstreams[u.ID] = &entry{upstream: u, offset: offset}
+		return true
+	}
+	if offset < e.offset {
+		return false
+	}
+	e.offset = offset
+	same := equal(e.upstream, u) && e.lapsed.IsZero()
+	e.upstream, e.lapsed = u, time.Time{}
+	return !same
+}
+
+func equal(a, b Upstream) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Standing == b.Standing &&
+		a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
+}
+
+func (s *State) remove(now time.Time, id string, offset int64) bool {
+	e := s.upstreams[id]
+	if e == nil || offset < e.offset {
+		return false
+	}
+	e.offset = offset
+	if s.inGrace(now) && e.upstream.Standing == StandingReady {
+		if e.lapsed.IsZero() {
+			e.lapsed = now
+		}
+		return false
+	}
+	delete(s.upstreams, id)
+	return true
+}
+
+// inGrace tells that removals may come from entries that could not be renewed.
+func (s *State) inGrace(now time.Time) bool {
+	return s.away || !s.returned.IsZero() && now.Sub(s.returned) < lapseGrace
+}
+
+// Replace takes in a whole listing of the upstreams' feed, read when it ended at
+// the given offset. Upstreams that are not listed and were not heard of since
+// are removed.
+func (s *State) Replace(now time.Time, listed map[string]bool, end int64) bool {
+	changed := false
+	for id, e := range s.upstreams {
+		if !listed[id] && e.offset < end {
+			changed = s.remove(now, id, end) || changed
+		}
+	}
+	return changed
+}
+
+// Expire removes entries whose grace is over and reports whether there were any.
+func (s *State) Expire(now time.Time) bool {
+	if s.inGrace(now) {
+		return false
+	}
+	changed := false
+	for id, e := range s.upstreams {
+		if !e.lapsed.IsZero() {
+			delete(s.upstreams, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Table returns the configuration in force, or nil.
+func (s *State) Table() *matcher.Table { return s.table }
+
+// View is what traffic sees. It is immutable.
+type View struct {
+	Table     *matcher.Table // Table is nil while no configuration is known.
+	Named     map[string]Named
+	Upstreams []Upstream          // Upstreams are ordered by ID.
+	ByService map[string][]string // ByService has the IDs of upstreams that take new work.
+}
+
+// View returns what is believed now.
+func (s *State) View() *View {
+	v := &View{Table: s.table, Named: maps.Clone(s.named), ByService: make(map[string][]string)}
+	for _, e := range s.upstreams {
+		v.Upstreams = append(v.Upstreams, e.upstream)
+	}
+	slices.SortFunc(v.Upstreams, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		if u.Standing == StandingReady {
+			v.ByService[u.Service] = append(v.ByService[u.Service], u.ID)
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/follower/types.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package follower
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+// Feed names one of the platform's feeds of keyed records.
+type Feed string
+
+const (
+	FeedOperator  Feed = "Operator"  // FeedOperator has the configuration and the weight versions.
+	FeedUpstreams Feed = "Upstreams" // FeedUpstreams has an entry for each upstream.
+)
+
+// ErrForgotten says that the store no longer has the records asked for; the
+// newest record of each key is still there.
+var ErrForgotten = errors.New("follower: the store has forgotten these records")
+
+// Record is one record of a feed, as it is kept and passed between hosts.
+type Record struct {
+	Key    string `cbor:"1,keyasint"`
+	Value  []byte `cbor:"2,keyasint,omitempty"` // Value is empty if the key was removed.
+	Offset int64  `cbor:"3,keyasint"`
+}
+
+// News is a page of a feed that a host has read and passes on.
+type News struct {
+	Feed    Feed          `cbor:"1,keyasint"`
+	Full    bool          `cbor:"2,keyasint,omitempty"` // Full tells that Records has the newest record of each key.
+	From    int64         `cbor:"3,keyasint"`
+	Next    int64         `cbor:"4,keyasint"`           // Next is the offset after the last record covered.
+	Age     time.Duration `cbor:"5,keyasint,omitempty"` // Age is how long ago the page was read.
+	Records []Record      `cbor:"6,keyasint,omitempty"`
+}
+
+// Standing is what an upstream says of itself.
+type Standing string
+
+const (
+	StandingReady   Standing = "Ready"
+	StandingLeaving Standing = "Leaving"
+)
+
+// Upstream is one upstream as its entry describes it.
+type Upstream struct {
+	ID               string // ID is new for each start of the upstream.
+	Service          string
+	Address          string // Address is IP:port.
+	AvailabilityZone string
+	Slots            int
+	Standing         Standing
+	Weights          map[string]uint64 // Weights has the weight version of each model.
+}
+
+// Change is what one record says. At most one field is set; none is if the
+// record is of no interest.
+type Change struct {
+	Table    *matcher.Table
+	Weights  *Weights
+	Upstream *Upstream
+	Removed  string // Removed is the ID of an upstream whose entry is gone.
+}
+
+// Weights is a weight version of a model that operators have named.
+type Weights struct {
+	Model   string
+	Version uint64
+}
+
+// Named is a weight version with the time at which this host heard of it.
+type Named struct {
+	Version uint64
+	Since   time.Time
+}
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -33,7 +33,10 @@
 			if err != nil {
 				return err
 			}
-			h := runner.New(s, newLogger(e.err, s.LogLevel))
+			var h host = runner.New(s, newLogger(e.err, s.LogLevel))
+			if s.Platform != nil {
+				h = newPlatformHost(s, newLogger(e.out, s.LogLevel))
+			}
 			if err := h.Start(); err != nil {
 				return err
 			}
@@ -42,6 +45,13 @@
 	}
 }
 
+// host is one running host, on the users' platform or beside a log of ours.
+type host interface {
+	Start() error
+	// Drain ends gracefully and returns how many requests were cut.
+	Drain(ctx context.Context) int
+}
+
 // readSettings reads settings and prints every fault.
 func (e *env) readSettings(path string) (loader.Settings, error) {
 	text, err := os.ReadFile(path)
@@ -65,7 +75,7 @@
 }
 
 // runUntilSignal runs a started host until a signal or the end of ctx.
-func runUntilSignal(ctx context.Context, h *runner.Host, s loader.Settings) error {
+func runUntilSignal(ctx context.Context, h host, s loader.Settings) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -29,19 +29,30 @@
 type Settings struct {
 	Host             string
 	AvailabilityZone string
-	Callers          Endpoint // Callers is where callers connect.
-	Peers            Endpoint // Peers is where other hosts connect.
-	Operators        Endpoint // Operators is where the console and the state dump answer.
-	PeerSecret       string   // PeerSecret proves that a peer belongs to the deployment.
-	BlockSecret      string   // BlockSecret keys the names of kept context.
-	OperatorDigests  []string // OperatorDigests are SHA-256 digests of operators' tokens.
-	Log              string   // Log is the URL of the platform's append-only log.
-	HostList         string   // HostList is the URL of the platform's host list.
+	Callers          Endpoint  // Callers is where callers connect.
+	Peers            Endpoint  // Peers is where other hosts connect.
+	Operators        Endpoint  // Operators is where the console and the state dump answer.
+	PeerSecret       string    // PeerSecret proves that a peer belongs to the deployment.
+	BlockSecret      string    // BlockSecret keys the names of kept context.
+	OperatorDigests  []string  // OperatorDigests are SHA-256 digests of operators' tokens.
+	Platform         *Platform // Platform is set where the host runs on the users' platform; Log and HostList are then unused.
+	Log              string    // Log is the URL of the platform's append-only log.
+	HostList         string    // HostList is the URL of the platform's host list.
 	Limits           Limits
 	Timing           Timing
 	LogLevel         string
 }
 
+// Platform says how to use the users' platform.
+type Platform struct {
+	Store      string            // Store is the IP:port of the platform's store.
+	Ready      Endpoint          // Ready is where the platform asks whether this host takes callers.
+	Directory  Endpoint          // Directory is where callers ask for addresses.
+	RetryShare float64           // RetryShare is the share of requests to a service that all hosts may send once more.
+	RetrySlack float64           // RetrySlack is the number of such retries beyond the share, in one window of the platform.
+	Lease      duration.Duration // Lease is the time within which orders of two hosts to one upstream clash.
+}
+
 // Endpoint is a listening address and the one that others are told.
 type Endpoint struct {
 	Listen    string // Listen is IP:port; port 0 lets the system pick.
@@ -140,8 +151,12 @@
 	v.check(len(s.PeerSecret) >= minSecretBytes, "/PeerSecret", "want at least %d bytes", minSecretBytes)
 	v.check(len(s.BlockSecret) >= minSecretBytes, "/BlockSecret", "want at least %d bytes", minSecretBytes)
 	v.check(s.BlockSecret == "" || s.BlockSecret != s.PeerSecret, "/BlockSecret", "must differ from PeerSecret")
-	v.url("/Log", s.Log)
-	v.url("/HostList", s.HostList)
+	if s.Platform == nil {
+		v.url("/Log", s.Log)
+		v.url("/HostList", s.HostList)
+	} else {
+		v.platform(s.Platform)
+	}
 	v.check(s.Limits.BodyBytes > 0, "/Limits/BodyBytes", "want more than 0")
 	v.check(s.Limits.HeaderBytes >= 1024, "/Limits/HeaderBytes", "want at least 1024")
 	v.check(s.Limits.OpenStreams > 0, "/Limits/OpenStreams", "want more than 0")
@@ -180,6 +195,16 @@
 }
 
 // distinct checks that no fixed listening address stands twice.
+func (v *validator) platform(p *Platform) {
+	_, err := netip.ParseAddrPort(p.Store)
+	v.check(err == nil, "/Platform/Store", "%q is not IP:port", p.Store)
+	v.endpoint("/Platform/Ready", p.Ready)
+	v.endpoint("/Platform/Directory", p.Directory)
+	v.check(p.RetryShare >= 0 && p.RetryShare <= 1, "/Platform/RetryShare", "want 0 to 1")
+	v.check(p.RetrySlack >= 0, "/Platform/RetrySlack", "want at least 0")
+	v.check(p.Lease > 0, "/Platform/Lease", "want more than 0")
+}
+
 func (v *validator) distinct(s *Settings) {
 	seen := make(map[netip.AddrPort]string)
 	for _, e := range []struct {
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -8,9 +8,11 @@
 
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/folder"
+	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/internal/codec"
 	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
+	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -35,6 +37,8 @@
 	Sends     *Sends                   `cbor:"16,keyasint,omitempty"`
 	Records   []StreamRecord           `cbor:"17,keyasint,omitempty"` // Records were just read from the log by the sender.
 	Echo      bool                     `cbor:"18,keyasint,omitempty"` // Echo answers a heartbeat of a host that is no neighbour of the sender.
+	Report    *placer.Report           `cbor:"19,keyasint,omitempty"`
+	News      []follower.News          `cbor:"20,keyasint,omitempty"` // News are pages of the platform's feeds that the sender has read.
 }
 
 // StreamRecord is a record of one stream of the log.
--- /dev/null
+++ b/placer/cost.go
@@ -0,0 +1,124 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import "time"
+
+// Figures of the estimate. Rates are assumed to be alike for all engines of a
+// service; only the order of the estimates counts.
+const (
+	readPerMilli   = 42.0                   // readPerMilli are prompt tokens read in a millisecond, between the sheets' 36.7 and 48.2.
+	memoryWait     = 400 * time.Millisecond // memoryWait is the time in which an engine's running requests end.
+	farPenalty     = 4 * time.Millisecond   // farPenalty weighs bytes between availability zones.
+	affinityBonus  = 30 * time.Millisecond  // affinityBonus makes hosts that know nothing guess alike.
+	failPenalty    = 300 * time.Millisecond // failPenalty weighs the recent share of failures.
+	transferFixed  = 3 * time.Millisecond   // transferFixed is what any transfer costs besides its bytes.
+	runningPenalty = 2 * time.Millisecond   // runningPenalty is what each running request slows the others.
+	oldPenalty     = 2 * time.Second        // oldPenalty keeps requests away from replaced weights while any engine has the new ones.
+)
+
+// source is who keeps the most of a prompt.
+type source struct {
+	target *target
+	parts  int
+	tokens int
+}
+
+// under returns the prompt as it is known under a weight version.
+func (p *Placer) under(ask *Ask, weights uint64) *chained {
+	for i := range ask.chains {
+		if ask.chains[i].weights == weights {
+			return &ask.chains[i]
+		}
+	}
+	keys := chain(ask.SaltOf(weights), ask.Prompt.Parts)
+	ask.chains = append(ask.chains, chained{weights: weights, keys: keys, source: p.source(ask, weights, keys)})
+	return &ask.chains[len(ask.chains)-1]
+}
+
+// source finds the engine that keeps the longest beginning of a prompt.
+func (p *Placer) source(ask *Ask, weights uint64, keys []ChainKey) source {
+	var best source
+	for _, t := range p.pools[ask.Service] {
+		if t.upstream.Weights[ask.Prompt.Model] != weights {
+			continue
+		}
+		n, tokens := t.kept.leading(keys, ask.Prompt.Parts)
+		if n > best.parts {
+			best = source{target: t, parts: n, tokens: tokens}
+		}
+	}
+	return best
+}
+
+// cost estimates the time to the first token, or to a slot.
+func (p *Placer) cost(t *target, ask *Ask) time.Duration {
+	work := t.own
+	work.add(t.peers)
+	cost := time.Duration(t.failing * float64(failPenalty))
+	if !t.near {
+		cost += farPenalty
+	}
+	if t.engine == nil || ask.Prompt == nil {
+		return cost + slotWait(t, work)
+	}
+	if t.renewing {
+		cost += oldPenalty
+	}
+	weights := t.upstream.Weights[ask.Prompt.Model]
+	if weights < ask.Weights {
+		cost += oldPenalty
+	}
+	return cost + engineWait(t, ask, p.under(ask, weights), work)
+}
+
+// slotWait estimates the wait at a plain service.
+func slotWait(t *target, work Work) time.Duration {
+	slots := max(t.upstream.Slots, 1)
+	wait := time.Duration(work.Requests) * t.hold / time.Duration(4*slots) // a busier upstream is a slower one
+	if over := work.Requests + 1 - slots; over > 0 {
+		wait += time.Duration(over) * t.hold / time.Duration(slots)
+	}
+	return wait
+}
+
+func engineWait(t *target, ask *Ask, known *chained, work Work) time.Duration {
+	src, keys := known.source, known.keys
+	total := ask.Prompt.Tokens()
+	_, kept := t.kept.leading(keys, ask.Prompt.Parts)
+	missing := total - kept
+	cost := time.Duration(work.Requests) * runningPenalty
+	if src.target != nil && src.tokens > kept {
+		moved := src.tokens - kept
+		missing -= moved
+		cost += transferFixed + transferTime(moved, t.engine.BytesPerToken, t.engine.LinkMbps)
+	}
+	cost += readTime(work.Pending + missing)
+	if over := work.Memory + total + ask.Prompt.Output - t.engine.CapacityTokens; over > 0 {
+		cost += time.Duration(float64(memoryWait) * float64(over) / float64(max(t.engine.CapacityTokens, 1)) * 4)
+	}
+	if src.target == nil && rendezvous(shared(keys), t.hash)%8 == 0 {
+		cost -= affinityBonus
+	}
+	return cost
+}
+
+// shared returns the key of the deepest part that other requests may have.
+func shared(keys []ChainKey) ChainKey {
+	if len(keys) == 1 {
+		return keys[0]
+	}
+	return keys[len(keys)-2]
+}
+
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readPerMilli * float64(time.Millisecond))
+}
+
+func transferTime(tokens, bytesPerToken int, mbps float64) time.Duration {
+	if mbps <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) * float64(bytesPerToken) * 8 / mbps * float64(time.Microsecond))
+}
--- /dev/null
+++ b/placer/doc.go
@@ -0,0 +1,23 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+// Package placer chooses the upstream of a request.
+//
+// For an engine it estimates the time to the first token: prompt tokens that
+// wait there to be read, tokens of this prompt that the engine does not keep,
+// the transfer of those that somebody else keeps, and the wait for memory. For a
+// plain service it estimates the wait for a slot. What other hosts have under
+// way counts as this host's own; they say so several times a second.
+//
+// A prompt is named by its parts. A part is known by the chain of all parts up
+// to it, since it can be used only after them, and by a salt that keeps weight
+// versions and isolated workspaces apart.
+//
+// # Usage
+//
+//	p := placer.New(placer.Options{Seed: 1})
+//	p.Update(view)
+//	choice, ok := p.Choose(now, &placer.Ask{Service: "engines", Prompt: prompt})
+//	choice.Ticket.First(now) // the first token has come
+//	choice.Ticket.Done(now, placer.ResultServed)
+package placer
--- /dev/null
+++ b/placer/exchange.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import "time"
+
+// Bounds of what hosts tell each other.
+const (
+	// maxPlaced bounds the placements that wait to be told. What does not fit is
+	// lost, and costs other hosts a reading.
+	maxPlaced = 512
+	// peerLifetime is how long the last word of another host counts. Hosts speak
+	// several times a second; one that is silent for longer is gone or cut off,
+	// and its requests have ended or soon will.
+	peerLifetime = 1500 * time.Millisecond
+)
+
+// Placement says that an engine has read a part.
+type Placement struct {
+	Upstream string   `cbor:"1,keyasint"`
+	Key      ChainKey `cbor:"2,keyasint"`
+	Tokens   int      `cbor:"3,keyasint"`
+}
+
+// Report is what a host tells the others.
+type Report struct {
+	Work   map[string]Work `cbor:"1,keyasint,omitempty"` // Work is by upstream; those left out have none.
+	Placed []Placement     `cbor:"2,keyasint,omitempty"` // Placed is new since the last report.
+}
+
+func (p *Placer) tell(pl Placement) {
+	if len(p.placed) < maxPlaced {
+		p.placed = append(p.placed, pl)
+	}
+}
+
+// Report returns what the other hosts should know now.
+func (p *Placer) Report() Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := Report{Work: make(map[string]Work), Placed: p.placed}
+	p.placed = nil
+	for id, t := range p.targets {
+		if t.own.Requests > 0 {
+			r.Work[id] = t.own
+		}
+	}
+	return r
+}
+
+// Heard takes in the report of another host.
+func (p *Placer) Heard(now time.Time, host string, r Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers[host] = peerWork{at: now, work: r.Work}
+	p.sumPeers()
+	for _, pl := range r.Placed {
+		if t := p.targets[pl.Upstream]; t != nil && t.engine != nil {
+			t.kept.put(now, pl.Key, pl.Tokens, p.room(t))
+		}
+	}
+}
+
+// Forget drops what silent hosts have said.
+func (p *Placer) Forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for host, w := range p.peers {
+		if now.Sub(w.at) > peerLifetime {
+			delete(p.peers, host)
+		}
+	}
+	p.sumPeers()
+}
+
+func (p *Placer) sumPeers() {
+	for _, t := range p.targets {
+		t.peers = Work{}
+	}
+	for _, w := range p.peers {
+		for id, work := range w.work {
+			if t := p.targets[id]; t != nil {
+				t.peers.add(work)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/placer/kept.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import "time"
+
+// keptSet guesses what an engine keeps: what was read there, the least recently
+// used forgotten first. It is a guess because the engine decides; a wrong one
+// costs a transfer or a reading and is never an error.
+type keptSet struct {
+	parts  map[ChainKey]*keptPart
+	tokens int
+}
+
+type keptPart struct {
+	tokens int
+	used   time.Time
+}
+
+func (s *keptSet) has(k ChainKey) bool { return s.parts[k] != nil }
+
+// put notes that a part was read, and forgets the oldest beyond capacity.
+func (s *keptSet) put(now time.Time, k ChainKey, tokens, capacity int) {
+	if s.parts == nil {
+		s.parts = make(map[ChainKey]*keptPart)
+	}
+	if p := s.parts[k]; p != nil {
+		p.used = now
+		return
+	}
+	s.parts[k] = &keptPart{tokens: tokens, used: now}
+	s.tokens += tokens
+	for s.tokens > capacity && len(s.parts) > 1 {
+		s.dropOldest(k)
+	}
+}
+
+func (s *keptSet) dropOldest(except ChainKey) {
+	var oldest ChainKey
+	var at time.Time
+	for k, p := range s.parts {
+		if k != except && (at.IsZero() || p.used.Before(at)) {
+			oldest, at = k, p.used
+		}
+	}
+	s.drop(oldest)
+}
+
+func (s *keptSet) drop(k ChainKey) {
+	if p := s.parts[k]; p != nil {
+		s.tokens -= p.tokens
+		delete(s.parts, k)
+	}
+}
+
+func (s *keptSet) clear() { s.parts, s.tokens = nil, 0 }
+
+// leading returns how many of the first parts are kept, and their tokens.
+func (s *keptSet) leading(keys []ChainKey, parts []Part) (n, tokens int) {
+	for i, k := range keys {
+		if !s.has(k) {
+			break
+		}
+		n++
+		tokens += parts[i].Tokens
+	}
+	return n, tokens
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,210 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// Options set up a Placer.
+type Options struct {
+	AvailabilityZone string // AvailabilityZone is this host's.
+}
+
+// Placer chooses upstreams. It is safe for concurrent use.
+type Placer struct {
+	opts Options
+
+	mu      sync.Mutex
+	targets map[string]*target   // targets are all known upstreams by ID.
+	pools   map[string][]*target // pools has those of each service that take new work.
+	peers   map[string]peerWork
+	placed  []Placement // placed waits to be told to other hosts.
+	named   map[string]follower.Named
+}
+
+// peerWork is what another host said last.
+type peerWork struct {
+	at   time.Time
+	work map[string]Work
+}
+
+// New returns a placer that knows no upstream.
+func New(opts Options) *Placer {
+	return &Placer{
+		opts:    opts,
+		targets: make(map[string]*target),
+		pools:   make(map[string][]*target),
+		peers:   make(map[string]peerWork),
+	}
+}
+
+// Update takes over the upstreams of a view. What is known of those that stay
+// is kept.
+func (p *Placer) Update(view *follower.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.targets
+	p.targets = make(map[string]*target, len(view.Upstreams))
+	p.pools = make(map[string][]*target)
+	p.named = view.Named
+	for _, u := range view.Upstreams {
+		t := before[u.ID]
+		if t == nil {
+			t = &target{hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
+		}
+		t.upstream = u
+		if view.Table != nil {
+			if s, ok := view.Table.Service(u.Service); ok {
+				t.engine = s.Engine
+			}
+		}
+		p.targets[u.ID] = t
+		if u.Standing == follower.StandingReady {
+			p.pools[u.Service] = append(p.pools[u.Service], t)
+		}
+	}
+	p.sumPeers()
+}
+
+// Result says how a request ended at an upstream.
+type Result string
+
+const (
+	ResultServed    Result = "Served"
+	ResultFailed    Result = "Failed"    // ResultFailed is an answer or a break that counts against the upstream.
+	ResultRefused   Result = "Refused"   // ResultRefused says that the upstream was full or not the one expected.
+	ResultUnreached Result = "Unreached" // ResultUnreached says that no connection stood.
+	ResultCaller    Result = "Caller"    // ResultCaller says that the caller left; it tells nothing of the upstream.
+)
+
+// Ask is what placement must know of a request.
+type Ask struct {
+	Service string
+	Prompt  *Prompt // Prompt is nil for plain services.
+	// SaltOf returns the text that sets apart context of a weight version.
+	SaltOf  func(weights uint64) string
+	Weights uint64 // Weights is the version wanted at least; 0 if none.
+	Exclude []string
+
+	chains []chained // chains has the prompt's keys by weight version, as far as they were needed.
+}
+
+// chained is a prompt as it is known under one weight version.
+type chained struct {
+	weights uint64
+	keys    []ChainKey
+	source  source
+}
+
+// Choice is an upstream and what to tell it.
+type Choice struct {
+	Upstream follower.Upstream
+	Weights  uint64   // Weights is the version that the upstream is believed to have.
+	Fetch    []string // Fetch has for each part the address that keeps it, or "".
+	Save     []string // Save has for each part the store to save it to, or "".
+	Ticket   *Ticket
+}
+
+// Choose picks an upstream and counts the request as under way there. It
+// reports false if none can take it.
+func (p *Placer) Choose(now time.Time, ask *Ask) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := p.best(now, ask)
+	if best == nil {
+		return Choice{}, false
+	}
+	if best.pause > 0 {
+		best.probing = true
+	}
+	c := Choice{Upstream: best.upstream}
+	tk := &Ticket{placer: p, target: best, start: now, work: Work{Requests: 1}}
+	if ask.Prompt != nil {
+		c.Weights = best.upstream.Weights[ask.Prompt.Model]
+		p.plan(ask, best, &c, tk)
+	}
+	best.own.add(tk.work)
+	c.Ticket = tk
+	return c, true
+}
+
+// best returns the target with the least cost; suspects only if nothing else is
+// left.
+func (p *Placer) best(now time.Time, ask *Ask) *target {
+	var best, spare *target
+	var least time.Duration
+	for _, t := range p.pools[ask.Service] {
+		if slices.Contains(ask.Exclude, t.upstream.ID) {
+			continue
+		}
+		if t.suspect(now) {
+			if spare == nil || t.suspectUntil.Before(spare.suspectUntil) {
+				spare = t
+			}
+			continue
+		}
+		cost := p.cost(t, ask)
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	if best == nil {
+		return spare
+	}
+	return best
+}
+
+// Ticket is one request under way at an upstream.
+type Ticket struct {
+	placer *Placer
+	target *target
+	start  time.Time
+	work   Work // work is what still counts.
+	keys   []ChainKey
+	parts  []Part
+	first  bool
+	done   bool
+}
+
+// First tells that the upstream has read the prompt.
+func (tk *Ticket) First(now time.Time) {
+	tk.placer.mu.Lock()
+	defer tk.placer.mu.Unlock()
+	if tk.first || tk.done {
+		return
+	}
+	tk.first = true
+	tk.target.own.Pending -= tk.work.Pending
+	tk.work.Pending = 0
+	tk.placer.note(now, tk.target, tk.keys, tk.parts)
+}
+
+// Done tells the end. Later calls do nothing.
+func (tk *Ticket) Done(now time.Time, result Result) {
+	tk.placer.mu.Lock()
+	defer tk.placer.mu.Unlock()
+	if tk.done {
+		return
+	}
+	tk.done = true
+	t := tk.target
+	t.own.sub(tk.work)
+	switch result {
+	case ResultServed:
+		t.succeeded(now.Sub(tk.start))
+	case ResultFailed:
+		t.failed()
+	case ResultUnreached:
+		t.unreached(now)
+	default:
+		t.probing = false
+	}
+}
--- /dev/null
+++ b/placer/target.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+// Work is what hosts have under way at an upstream.
+type Work struct {
+	Requests int `cbor:"1,keyasint,omitempty"`
+	Pending  int `cbor:"2,keyasint,omitempty"` // Pending are prompt tokens that are still to be read.
+	Memory   int `cbor:"3,keyasint,omitempty"` // Memory are tokens of requests that have not ended.
+}
+
+func (w *Work) add(o Work) {
+	w.Requests += o.Requests
+	w.Pending += o.Pending
+	w.Memory += o.Memory
+}
+
+func (w *Work) sub(o Work) {
+	w.Requests -= o.Requests
+	w.Pending -= o.Pending
+	w.Memory -= o.Memory
+}
+
+// target is an upstream with what is known of its load.
+type target struct {
+	upstream follower.Upstream
+	engine   *matcher.Engine // engine is nil for plain services.
+	hash     uint64
+	near     bool
+
+	own     Work
+	peers   Work
+	failing float64       // failing is the recent share of requests that failed.
+	hold    time.Duration // hold is how long a request of a plain service takes, smoothed.
+
+	suspectUntil time.Time
+	pause        time.Duration
+	probing      bool
+	renewing     bool // renewing tells that the upstream is about to change its weights.
+	kept         keptSet
+}
+
+// Weights of smoothing and bounds of suspicion.
+const (
+	failWeight   = 0.1                    // failWeight follows a change within about ten requests.
+	holdWeight   = 0.1                    // holdWeight does the same for times.
+	firstHold    = 15 * time.Millisecond  // firstHold is assumed before the first answer.
+	firstPause   = 500 * time.Millisecond // firstPause is how long an upstream that could not be reached rests.
+	longestPause = 4 * time.Second
+)
+
+func (t *target) succeeded(took time.Duration) {
+	t.failing -= failWeight * t.failing
+	t.hold += time.Duration(holdWeight * float64(took-t.hold))
+	t.suspectUntil, t.pause, t.probing = time.Time{}, 0, false
+}
+
+func (t *target) failed() {
+	t.failing += failWeight * (1 - t.failing)
+	t.probing = false
+}
+
+// unreached keeps new work away for a pause that grows with each failure.
+func (t *target) unreached(now time.Time) {
+	t.failed()
+	if now.Before(t.suspectUntil) {
+		return // requests that were under way fail together
+	}
+	t.pause = min(longestPause, max(firstPause, 2*t.pause))
+	t.suspectUntil = now.Add(t.pause)
+}
+
+// suspect tells that an upstream rests, or is being tried by one request after
+// its pause.
+func (t *target) suspect(now time.Time) bool {
+	return now.Before(t.suspectUntil) || t.pause > 0 && t.probing
+}
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -26,12 +26,13 @@
 type Budget struct {
 	mu      sync.Mutex
 	share   float64
+	most    float64 // most is the number of retries that can be saved up.
 	savings float64
 }
 
 // NewBudget returns a budget for a share of requests.
 func NewBudget(share float64) *Budget {
-	return &Budget{share: share, savings: firstSavings}
+	return &Budget{share: share, most: maxSavings, savings: firstSavings}
 }
 
 // SetShare replaces the share.
@@ -45,7 +46,7 @@
 func (b *Budget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.savings = min(maxSavings, b.savings+b.share)
+	b.savings = min(b.most, b.savings+b.share)
 }
 
 // Withdraw takes one retry out of the budget and reports whether it could.
