Renew weights under a lease in the platform's store

SIGHUP ended the process (code 129).

Change: renewer, a pure state machine under a lease that is written by compare-and-set; the least busy engines first, three at a time; hosts tell each other who loads, who was ordered when, and when a holder stops. Hosts tell how far they know the feeds and ask whoever knows more. SIGHUP reads the settings again.

Ruled out: ranges of engines with a holder each: at most three may load at once, which would need a second agreement.

--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -22,6 +22,7 @@
 	failing bool
 	again   time.Time // again is when the store may be asked after a failure.
 	asked   time.Time // asked is when another host was asked last.
+	behind  time.Time // behind is since when another host knows more.
 	newest  map[string]follower.Record
 }
 
@@ -99,7 +100,9 @@
 	if news.Full {
 		n.takeListing(now, news, f)
 	}
-	f.next = max(f.next, news.Next)
+	if news.Next > f.next {
+		f.next, f.behind = news.Next, time.Time{}
+	}
 	if asOf.After(f.fresh) {
 		f.fresh = asOf
 	}
@@ -143,6 +146,36 @@
 	}
 }
 
+// offsets tells how far this host knows the feeds.
+func (n *Node) offsets() map[follower.Feed]int64 {
+	out := make(map[follower.Feed]int64, len(n.feeds))
+	for name, f := range n.feeds {
+		if f.known {
+			out[name] = f.next
+		}
+	}
+	return out
+}
+
+// compare notices that another host knows more. A question to the store may hang
+// on a path that was cut, so this host asks the other one instead of waiting.
+func (n *Node) compare(now time.Time, host string, offsets map[follower.Feed]int64) {
+	for name, theirs := range offsets {
+		f := n.feeds[name]
+		if f == nil || f.known && theirs <= f.next {
+			continue
+		}
+		if f.behind.IsZero() {
+			f.behind = now
+		}
+		if now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.opts.Timing.Ask {
+			continue
+		}
+		f.asked = now
+		n.send(host, &messenger.Message{Wants: []string{wantOf(name)}})
+	}
+}
+
 // wantOf names a feed in a question to another host.
 func wantOf(name follower.Feed) string { return "Feed/" + string(name) }
 
@@ -181,7 +214,7 @@
 func (n *Node) hear(now time.Time, pages []follower.News) {
 	for _, news := range pages {
 		f, ok := n.feeds[news.Feed]
-		if !ok || news.Full && (!f.failing || f.known && news.Next < f.next) {
+		if !ok || news.Full && f.known && news.Next <= f.next {
 			continue
 		}
 		n.take(now, news, now.Add(-news.Age))
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -22,6 +22,7 @@
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/timer"
 	"amaranthgate.example/amaranthgate/tracker"
@@ -36,6 +37,20 @@
 	Announce(ctx context.Context, host string, card []byte) error
 	// Announced returns what hosts have announced, by name.
 	Announced(ctx context.Context) (map[string][]byte, error)
+	// Lease returns the newest record of a lease and the offset after it, 0 if
+	// there is none.
+	Lease(ctx context.Context, name string) (record []byte, end int64, err error)
+	// WriteLease writes a lease's record if the newest one ends at an offset. It
+	// reports a conflict if it does not.
+	WriteLease(ctx context.Context, name string, at int64, record []byte) (conflict bool, err error)
+}
+
+// Engines gives orders to engines.
+type Engines interface {
+	Order(ctx context.Context, holder string, o renewer.Order) renewer.OrderResult
+	// Ask returns whether an engine carries out an order, and the version that it
+	// has of a model.
+	Ask(ctx context.Context, a renewer.Ask) (busy bool, version uint64, err error)
 }
 
 // Edge serves callers in the platform's protocol.
@@ -50,6 +65,7 @@
 	Settings loader.Settings
 	Store    Store
 	Sender   exchanger.Sender
+	Engines  Engines
 	Pool     *forwarder.Pool
 	Edge     func(h *Host) Edge
 	Timing   Timing
@@ -103,7 +119,20 @@
 		Peers:            advertised(s.Peers),
 		Callers:          advertised(s.Callers),
 	}
-	h.node = NewNode(NodeOptions{Self: self, Decoder: opts.Store, Timing: opts.Timing})
+	h.node = NewNode(NodeOptions{
+		Self:    self,
+		Decoder: opts.Store,
+		Timing:  opts.Timing,
+		Busy:    h.placer.Busy,
+		Renewer: renewer.Options{
+			Host:   s.Host,
+			Term:   opts.Timing.Term,
+			Turn:   s.Platform.Lease.Std(),
+			Margin: opts.Timing.Margin,
+			AtOnce: s.Platform.LoadsAtOnce,
+			Seed:   self.Incarnation,
+		},
+	})
 	h.view.Store(&follower.View{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
 	h.exchanger = exchanger.New(exchanger.Options{
@@ -285,6 +314,10 @@
 		h.bound(h.view.Load())
 	case TakeReport:
 		h.placer.Heard(h.opts.Timer.Now(), a.From, a.Report)
+	case Renew:
+		h.goDo(func() { h.renew(a.Command) })
+	case PublishAvoid:
+		h.placer.Avoid(a.IDs)
 	case Note:
 		h.note(a)
 	}
@@ -368,3 +401,13 @@
 	}
 	return limits.BodyBytes
 }
+
+// Reload takes over the retry allowance; all else is fixed when a host starts.
+func (h *Host) Reload(s loader.Settings) {
+	if s.Platform == nil {
+		h.log.Error().Msg("reload refused: the settings name no platform")
+		return
+	}
+	h.budget.SetAllowance(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack})
+	h.log.Info().Float64("RetryShare", s.Platform.RetryShare).Float64("RetrySlack", s.Platform.RetrySlack).Msg("settings reloaded")
+}
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -54,6 +54,13 @@
 	n.tellSuspect(ev.From)
 	n.answerWants(now, ev.From, m.Wants)
 	n.hear(now, m.News)
+	n.compare(now, ev.From, m.Offsets)
+	if m.Renewal != nil {
+		n.renewer.Heard(now, m.Renewal)
+		for _, done := range m.Renewal.Renewed {
+			n.renewed(done)
+		}
+	}
 	if m.Report != nil {
 		n.do(TakeReport{From: ev.From, Report: *m.Report})
 	}
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -9,6 +9,7 @@
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -40,6 +41,17 @@
 // WorkReported is what this host has under way, for the others.
 type WorkReported struct{ Report placer.Report }
 
+// RenewalEnd is the end of a renewer's command.
+type RenewalEnd struct {
+	Command  renewer.Command
+	Lease    renewer.Lease       // Lease is the answer to ReadLease.
+	Conflict bool                // Conflict says that WriteLease found another record.
+	Result   renewer.OrderResult // Result is the answer to Order.
+	Busy     bool                // Busy and Version are the answer to Ask.
+	Version  uint64
+	Err      error
+}
+
 // DrainBegun says that this host is to end.
 type DrainBegun struct{}
 
@@ -49,6 +61,7 @@
 func (PeerUp) event()       {}
 func (HostsFound) event()   {}
 func (WorkReported) event() {}
+func (RenewalEnd) event()   {}
 func (DrainBegun) event()   {}
 
 // Action is something that a host is to do.
@@ -81,6 +94,12 @@
 	Report placer.Report
 }
 
+// Renew carries out a command of the renewer.
+type Renew struct{ Command renewer.Command }
+
+// PublishAvoid names engines that load or will soon.
+type PublishAvoid struct{ IDs map[string]bool }
+
 // Note asks for a log line about a belief.
 type Note struct {
 	What   NoteKind
@@ -110,6 +129,8 @@
 func (PublishView) action()  {}
 func (PublishHosts) action() {}
 func (TakeReport) action()   {}
+func (Renew) action()        {}
+func (PublishAvoid) action() {}
 func (Note) action()         {}
 
 // Decoder reads what a record says.
@@ -122,6 +143,8 @@
 	Self    tracker.HostRecord
 	Decoder Decoder
 	Timing  Timing
+	Renewer renewer.Options
+	Busy    func(upstream string) int // Busy is the work under way at an upstream.
 }
 
 // Node is the control plane of one host. It is not safe for concurrent use.
@@ -132,6 +155,9 @@
 	feeds   map[follower.Feed]*feed
 	actions []Action
 
+	renewer    *renewer.Renewer
+	view       *follower.View // view is the one published last.
+	avoid      map[string]bool
 	viewDirty  bool
 	hostsDirty bool
 	lastTick   time.Time
@@ -152,6 +178,8 @@
 			follower.FeedOperator:  newFeed(),
 			follower.FeedUpstreams: newFeed(),
 		},
+		renewer:  renewer.New(opts.Renewer),
+		view:     &follower.View{},
 		lastFull: make(map[string]time.Time),
 	}
 }
@@ -172,7 +200,9 @@
 	case HostsFound:
 		n.mergeHosts(now, "", ev.Hosts)
 	case WorkReported:
-		n.spread("", &messenger.Message{Report: &ev.Report})
+		n.spread("", &messenger.Message{Report: &ev.Report, Renewal: n.renewer.Status(now), Offsets: n.offsets()})
+	case RenewalEnd:
+		n.renewalEnd(now, ev)
 	case DrainBegun:
 		n.leave()
 	}
@@ -192,6 +222,7 @@
 	for name, f := range n.feeds {
 		n.readFeed(now, name, f)
 	}
+	n.renew(now)
 }
 
 // wake notices that the process has stood still: the silence of others in that
@@ -209,7 +240,8 @@
 func (n *Node) publish() {
 	if n.viewDirty {
 		n.viewDirty = false
-		n.do(PublishView{View: n.state.View()})
+		n.view = n.state.View()
+		n.do(PublishView{View: n.view})
 	}
 	if n.hostsDirty {
 		n.hostsDirty = false
--- /dev/null
+++ b/conductor/orders.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"amaranthgate.example/amaranthgate/internal/codec"
+	"amaranthgate.example/amaranthgate/renewer"
+)
+
+// leaseName is the lease under which orders are given.
+const leaseName = "renewal"
+
+// orderTimeout bounds an order or a question to an engine. It lies well under
+// the turn between two holders, so that no order is on its way for longer.
+const orderTimeout = 600 * time.Millisecond
+
+// renew carries out a command of the renewer and posts its end.
+func (h *Host) renew(c renewer.Command) {
+	ev := RenewalEnd{Command: c}
+	switch c := c.(type) {
+	case renewer.ReadLease:
+		ev.Lease, ev.Err = h.readLease()
+	case renewer.WriteLease:
+		ev.Conflict, ev.Err = h.writeLease(c)
+	case renewer.Order:
+		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+		defer cancel()
+		ev.Result = h.opts.Engines.Order(ctx, h.opts.Settings.Host, c)
+		h.log.Info().Str("Upstream", c.Upstream.ID).Str("Model", c.Model).Uint64("Version", c.Version).
+			Uint64("Token", c.Token).Str("Result", string(ev.Result)).Msg("order")
+	case renewer.Ask:
+		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+		defer cancel()
+		ev.Busy, ev.Version, ev.Err = h.opts.Engines.Ask(ctx, c)
+	}
+	h.post(ev)
+}
+
+func (h *Host) readLease() (renewer.Lease, error) {
+	b, end, err := h.opts.Store.Lease(h.ctx, leaseName)
+	if err != nil {
+		h.log.Warn().Err(err).Msg("lease not read")
+		return renewer.Lease{}, err
+	}
+	got := renewer.Lease{End: end}
+	if len(b) == 0 {
+		return got, nil
+	}
+	return got, codec.Unmarshal(b, &got.Record)
+}
+
+func (h *Host) writeLease(c renewer.WriteLease) (bool, error) {
+	b, err := codec.Marshal(c.Record)
+	if err != nil {
+		return false, err
+	}
+	conflict, err := h.opts.Store.WriteLease(h.ctx, leaseName, c.At, b)
+	h.log.Info().Int64("At", c.At).Uint64("Nonce", c.Record.Nonce).Bool("Conflict", conflict).AnErr("Failure", err).Msg("lease write")
+	return conflict, err
+}
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -13,11 +13,14 @@
 	Suspect time.Duration // Suspect is the silence after which a host is no longer named to callers.
 	Forget  time.Duration // Forget is how long hosts that are gone are remembered.
 
-	Fresh time.Duration // Fresh is the age up to which a page of the upstreams' feed is good enough.
-	Step  time.Duration // Step is added to Fresh for each live host that reads before this one.
-	Wait  time.Duration // Wait is how long the store holds a question for the operators' feed.
-	Again time.Duration // Again is the pause after a call to the store that failed.
-	Ask   time.Duration // Ask is the interval between questions to other hosts for a page.
+	Fresh  time.Duration // Fresh is the age up to which a page of the upstreams' feed is good enough.
+	Step   time.Duration // Step is added to Fresh for each live host that reads before this one.
+	Wait   time.Duration // Wait is how long the store holds a question for the operators' feed.
+	Term   time.Duration // Term is how long a hold on the renewals' lease lasts without renewal.
+	Margin time.Duration // Margin is taken off a term by its holder, and added by others.
+	Again  time.Duration // Again is the pause after a call to the store that failed.
+	Behind time.Duration // Behind is how long another host may know more before it is asked.
+	Ask    time.Duration // Ask is the interval between questions to other hosts for a page.
 }
 
 // DefaultTiming returns timings for a leaving upstream to be known everywhere
@@ -33,7 +36,10 @@
 		Fresh:   400 * time.Millisecond,
 		Step:    150 * time.Millisecond,
 		Wait:    20 * time.Second,
+		Term:    2 * time.Second,
+		Margin:  250 * time.Millisecond,
 		Again:   250 * time.Millisecond,
+		Behind:  150 * time.Millisecond,
 		Ask:     300 * time.Millisecond,
 	}
 }
--- a/follower/state.go
+++ b/follower/state.go
@@ -83,11 +83,27 @@
 		return false
 	}
 	e.offset = offset
+	for model, has := range e.upstream.Weights {
+		// One start of an upstream never goes back; an entry may be older than what is known.
+		u.Weights[model] = max(u.Weights[model], has)
+	}
 	same := equal(e.upstream, u) && e.lapsed.IsZero()
 	e.upstream, e.lapsed = u, time.Time{}
 	return !same
 }
 
+// Renewed tells that an upstream has a weight version, before its entry says so.
+func (s *State) Renewed(id, model string, version uint64) bool {
+	e := s.upstreams[id]
+	if e == nil || e.upstream.Weights[model] >= version {
+		return false
+	}
+	weights := maps.Clone(e.upstream.Weights)
+	weights[model] = version
+	e.upstream.Weights = weights
+	return true
+}
+
 func equal(a, b Upstream) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Standing == b.Standing &&
 		a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -27,6 +27,7 @@
 		Settings: s,
 		Store:    platform.NewStore(s.Platform.Store),
 		Sender:   platform.NewSender(pool),
+		Engines:  platform.NewEngines(pool),
 		Pool:     pool,
 		Edge: func(h *conductor.Host) conductor.Edge {
 			return &platform.Edge{
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -40,7 +40,7 @@
 			if err := h.Start(); err != nil {
 				return err
 			}
-			return runUntilSignal(ctx, h, s)
+			return runUntilSignal(ctx, h, s, func() { e.reload(c.String("settings"), h) })
 		},
 	}
 }
@@ -48,6 +48,8 @@
 // host is one running host, on the users' platform or beside a log of ours.
 type host interface {
 	Start() error
+	// Reload takes over the settings that may change while a host runs.
+	Reload(s loader.Settings)
 	// Drain ends gracefully and returns how many requests were cut.
 	Drain(ctx context.Context) int
 }
@@ -65,6 +67,16 @@
 	return s, nil
 }
 
+// reload reads the settings again. Settings with faults are reported and change
+// nothing.
+func (e *env) reload(path string, h host) {
+	s, err := e.readSettings(path)
+	if err != nil {
+		return // the faults have been printed
+	}
+	h.Reload(s)
+}
+
 // newLogger returns a logger of JSON lines.
 func newLogger(w io.Writer, level string) zerolog.Logger {
 	l, err := zerolog.ParseLevel(level)
@@ -75,13 +87,22 @@
 }
 
 // runUntilSignal runs a started host until a signal or the end of ctx.
-func runUntilSignal(ctx context.Context, h host, s loader.Settings) error {
+func runUntilSignal(ctx context.Context, h host, s loader.Settings, reload func()) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	select {
-	case <-signals:
-	case <-ctx.Done():
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	for running := true; running; {
+		select {
+		case <-reloads:
+			reload()
+		case <-signals:
+			running = false
+		case <-ctx.Done():
+			running = false
+		}
 	}
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Timing.DrainTimeout.Std())
 	defer cancel()
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -13,6 +13,7 @@
 	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -38,6 +39,8 @@
 	Records   []StreamRecord           `cbor:"17,keyasint,omitempty"` // Records were just read from the log by the sender.
 	Echo      bool                     `cbor:"18,keyasint,omitempty"` // Echo answers a heartbeat of a host that is no neighbour of the sender.
 	Report    *placer.Report           `cbor:"19,keyasint,omitempty"`
+	Renewal   *renewer.Status          `cbor:"21,keyasint,omitempty"`
+	Offsets   map[follower.Feed]int64  `cbor:"22,keyasint,omitempty"` // Offsets tells how far the sender knows the platform's feeds.
 	News      []follower.News          `cbor:"20,keyasint,omitempty"` // News are pages of the platform's feeds that the sender has read.
 }
 
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -15,9 +15,30 @@
 	failPenalty    = 300 * time.Millisecond // failPenalty weighs the recent share of failures.
 	transferFixed  = 3 * time.Millisecond   // transferFixed is what any transfer costs besides its bytes.
 	runningPenalty = 2 * time.Millisecond   // runningPenalty is what each running request slows the others.
-	oldPenalty     = 2 * time.Second        // oldPenalty keeps requests away from replaced weights while any engine has the new ones.
+	loadPenalty    = 600 * time.Millisecond // loadPenalty is what a load takes, for requests that would wait for it.
 )
 
+// Penalties for weights that have been replaced. Answers on them are worth less
+// and less, so that a longer wait elsewhere is the better choice, and in the end
+// they are worth nothing.
+const (
+	oldFree      = time.Second            // oldFree is how long replaced weights cost nothing.
+	oldPenalty   = 250 * time.Millisecond // oldPenalty weighs a fifth of a request's worth against its objective.
+	oldWorthless = 7 * time.Second        // oldWorthless is when the penalty becomes prohibitive, below the shortest bound of 10 s.
+	oldBarred    = 10 * time.Second       // oldBarred is that penalty.
+)
+
+// oldWeights returns the penalty of a version that was replaced some time ago.
+func oldWeights(age time.Duration) time.Duration {
+	switch {
+	case age < oldFree:
+		return 0
+	case age < oldWorthless:
+		return oldPenalty
+	}
+	return oldBarred
+}
+
 // source is who keeps the most of a prompt.
 type source struct {
 	target *target
@@ -53,7 +74,7 @@
 }
 
 // cost estimates the time to the first token, or to a slot.
-func (p *Placer) cost(t *target, ask *Ask) time.Duration {
+func (p *Placer) cost(now time.Time, t *target, ask *Ask) time.Duration {
 	work := t.own
 	work.add(t.peers)
 	cost := time.Duration(t.failing * float64(failPenalty))
@@ -64,11 +85,11 @@
 		return cost + slotWait(t, work)
 	}
 	if t.renewing {
-		cost += oldPenalty
+		cost += loadPenalty
 	}
 	weights := t.upstream.Weights[ask.Prompt.Model]
 	if weights < ask.Weights {
-		cost += oldPenalty
+		cost += oldWeights(now.Sub(p.named[ask.Prompt.Model].Since))
 	}
 	return cost + engineWait(t, ask, p.under(ask, weights), work)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -74,6 +74,25 @@
 	p.sumPeers()
 }
 
+// Busy returns the number of requests under way at an upstream.
+func (p *Placer) Busy(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.targets[id]; t != nil {
+		return t.own.Requests + t.peers.Requests
+	}
+	return 0
+}
+
+// Avoid names the engines that load weights now or will soon.
+func (p *Placer) Avoid(ids map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, t := range p.targets {
+		t.renewing = ids[id]
+	}
+}
+
 // Result says how a request ended at an upstream.
 type Result string
 
@@ -151,7 +170,7 @@
 			}
 			continue
 		}
-		cost := p.cost(t, ask)
+		cost := p.cost(now, t, ask)
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
--- /dev/null
+++ b/renewer/renewer.go
@@ -0,0 +1,301 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package renewer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// Options set up a Renewer.
+type Options struct {
+	Host   string
+	Term   time.Duration // Term is how long a hold lasts without renewal.
+	Turn   time.Duration // Turn is the least time between orders of two hosts to one engine.
+	Margin time.Duration // Margin covers late timers and clocks that run at different rates.
+	AtOnce int           // AtOnce is the number of engines that load at the same time.
+	Seed   uint64        // Seed begins the numbers that tell writes apart; it must differ between starts.
+}
+
+// Figures of a renewal.
+const (
+	placeDelay  = 700 * time.Millisecond  // placeDelay is what each host waits for the one before it to begin.
+	firstAsk    = 500 * time.Millisecond  // firstAsk is after an order; loads take 0.9 s and more.
+	askAgain    = 150 * time.Millisecond  // askAgain is the interval of questions while an engine loads.
+	orderAgain  = 2500 * time.Millisecond // orderAgain is after an order of which nothing was heard. It may yet be carried out, which does no harm.
+	refuseAgain = 300 * time.Millisecond  // refuseAgain is after an order that was refused.
+	statusLife  = time.Second             // statusLife is how long another host's word on engines to be avoided counts.
+)
+
+// Command is something that the host is to do.
+type Command interface{ command() }
+
+// ReadLease asks the store for the lease.
+type ReadLease struct{}
+
+// WriteLease writes the lease if its newest record ends at At.
+type WriteLease struct {
+	At     int64
+	Record Record
+}
+
+// Order tells an engine to load a weight version.
+type Order struct {
+	Upstream follower.Upstream
+	Model    string
+	Version  uint64
+	Token    uint64 // Token grows with each host that takes over.
+}
+
+// Ask asks an engine for the weight versions that it has.
+type Ask struct {
+	Upstream follower.Upstream
+	Model    string
+}
+
+// Renewed says that an engine has a version.
+type Renewed struct {
+	ID      string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
+}
+
+func (ReadLease) command()  {}
+func (WriteLease) command() {}
+func (Order) command()      {}
+func (Ask) command()        {}
+func (Renewed) command()    {}
+
+// Status is what a host tells the others.
+type Status struct {
+	Lease    Lease                    `cbor:"1,keyasint"`           // Lease is the newest record that the host knows.
+	Holding  bool                     `cbor:"2,keyasint,omitempty"` // Holding tells that the host gives orders.
+	Stopped  bool                     `cbor:"3,keyasint,omitempty"` // Stopped tells that Lease is the host's own and that it gives no more orders under it.
+	Ordered  map[string]time.Duration `cbor:"4,keyasint,omitempty"` // Ordered is how long ago engines were ordered last.
+	Avoid    []string                 `cbor:"5,keyasint,omitempty"` // Avoid are engines that load or are next.
+	Renewed  []Renewed                `cbor:"6,keyasint,omitempty"`
+	AvoidFor time.Duration            `cbor:"-"`
+}
+
+// Input is what a step depends on.
+type Input struct {
+	View  *follower.View
+	Place int                 // Place is this host's place among the live ones.
+	Busy  func(id string) int // Busy is the work under way at an engine.
+}
+
+// job is an engine that is to be renewed.
+type job struct {
+	model   string
+	version uint64
+	ordered time.Time // ordered is when the last order was sent.
+	again   time.Time // again is when another may be sent.
+	loading bool      // loading tells that an order was accepted, or may have been.
+	calling bool      // calling tells that a call is under way.
+	asked   time.Time
+}
+
+// Renewer is one host's part in renewals. It is not safe for concurrent use.
+type Renewer struct {
+	opts      Options
+	lease     lease
+	nonce     uint64
+	needed    time.Time            // needed is since when engines have old weights.
+	notBefore time.Time            // notBefore is when this host may give its first order.
+	foreign   map[string]time.Time // foreign is when another host ordered an engine last.
+	jobs      map[string]*job
+	next      []string // next are engines that will be ordered soon.
+	told      []Renewed
+	wasHeld   bool
+	avoid     map[string]time.Time // avoid is until when other hosts' word counts.
+}
+
+// New returns a Renewer that knows nothing of the lease.
+func New(opts Options) *Renewer {
+	return &Renewer{
+		opts:    opts,
+		nonce:   opts.Seed,
+		lease:   lease{sent: make(map[uint64]time.Time)},
+		foreign: make(map[string]time.Time),
+		jobs:    make(map[string]*job),
+		avoid:   make(map[string]time.Time),
+	}
+}
+
+// Step returns what is to be done now.
+func (r *Renewer) Step(now time.Time, in Input) []Command {
+	need := r.outdated(in.View)
+	r.next = nil
+	if len(need) == 0 {
+		r.needed = time.Time{}
+		clear(r.jobs)
+		if !r.lease.known && !r.lease.busy && now.Sub(r.lease.asked) > r.opts.Term {
+			// Seen early, an old record is known to have lapsed when work comes.
+			r.lease.busy, r.lease.asked = true, now
+			return []Command{ReadLease{}}
+		}
+		return nil
+	}
+	if r.needed.IsZero() {
+		r.needed = now
+	}
+	if !r.held(now) {
+		if now.Sub(r.needed) < time.Duration(in.Place)*placeDelay {
+			return nil
+		}
+		return r.acquire(now)
+	}
+	r.wasHeld = true
+	return append(r.renew(now), r.work(now, in, need)...)
+}
+
+// outdated returns the engines that take work with old weights, and forgets jobs
+// of all others.
+func (r *Renewer) outdated(view *follower.View) []follower.Upstream {
+	var need []follower.Upstream
+	ids := make(map[string]bool)
+	for i := range view.Upstreams {
+		u := &view.Upstreams[i]
+		if u.Standing != follower.StandingReady {
+			continue
+		}
+		for model, has := range u.Weights {
+			if has < view.Named[model].Version {
+				need = append(need, *u)
+				ids[u.ID] = true
+				r.job(u.ID, model, view.Named[model].Version)
+				break
+			}
+		}
+	}
+	for id := range r.jobs {
+		if !ids[id] {
+			delete(r.jobs, id)
+		}
+	}
+	return need
+}
+
+func (r *Renewer) job(id, model string, version uint64) {
+	j := r.jobs[id]
+	if j == nil {
+		j = &job{}
+		r.jobs[id] = j
+	}
+	if j.version != version || j.model != model {
+		j.model, j.version = model, version
+		j.again = time.Time{}
+	}
+}
+
+// work gives orders and asks how they went.
+func (r *Renewer) work(now time.Time, in Input, need []follower.Upstream) []Command {
+	slices.SortStableFunc(need, func(a, b follower.Upstream) int {
+		return cmp.Or(cmp.Compare(in.Busy(a.ID), in.Busy(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	var out []Command
+	loading := 0
+	for _, u := range need {
+		j := r.jobs[u.ID]
+		if !j.loading {
+			continue
+		}
+		loading++
+		if !j.calling && now.Sub(j.ordered) > firstAsk && now.Sub(j.asked) > askAgain {
+			j.calling, j.asked = true, now
+			out = append(out, Ask{Upstream: u, Model: j.model})
+		}
+		if now.After(j.again) {
+			j.loading = false
+		}
+	}
+	for _, u := range need {
+		j := r.jobs[u.ID]
+		if j.loading || j.calling {
+			continue
+		}
+		if loading >= r.opts.AtOnce {
+			if len(r.next) < r.opts.AtOnce {
+				r.next = append(r.next, u.ID)
+			}
+			continue
+		}
+		if !r.mayOrder(now, u.ID, j) {
+			continue
+		}
+		loading++
+		j.loading, j.calling, j.ordered, j.asked = true, true, now, now
+		j.again = now.Add(orderAgain)
+		out = append(out, Order{Upstream: u, Model: j.model, Version: j.version, Token: r.lease.token})
+	}
+	return out
+}
+
+func (r *Renewer) mayOrder(now time.Time, id string, j *job) bool {
+	if now.Before(r.notBefore) || now.Before(j.again) {
+		return false
+	}
+	last, ok := r.foreign[id]
+	return !ok || now.Sub(last) > r.opts.Turn+r.opts.Margin
+}
+
+// OrderResult says how an order was taken.
+type OrderResult string
+
+const (
+	OrderAccepted OrderResult = "Accepted" // OrderAccepted says that it, or another order, is being carried out.
+	OrderHolds    OrderResult = "Holds"    // OrderHolds says that the engine has the version already.
+	OrderRefused  OrderResult = "Refused"
+	OrderUnknown  OrderResult = "Unknown" // OrderUnknown says that no answer came.
+)
+
+// Ordered takes in the answer to an order.
+func (r *Renewer) Ordered(now time.Time, o Order, result OrderResult) []Command {
+	j := r.jobs[o.Upstream.ID]
+	if j == nil {
+		return nil
+	}
+	j.calling = false
+	switch result {
+	case OrderHolds:
+		if j.version == o.Version {
+			return r.renewed(o.Upstream.ID, o.Model, o.Version)
+		}
+		j.loading, j.again = false, now
+	case OrderRefused:
+		j.loading = false
+		j.again = now.Add(refuseAgain)
+	}
+	return nil
+}
+
+// Told takes in an engine's answer to a question.
+func (r *Renewer) Told(now time.Time, a Ask, busy bool, version uint64, err error) []Command {
+	j := r.jobs[a.Upstream.ID]
+	if j == nil {
+		return nil
+	}
+	j.calling = false
+	switch {
+	case err != nil:
+		return nil
+	case version > 0 && version < j.version && !busy && now.Sub(j.ordered) > time.Second:
+		j.loading = false // an older order was carried out, or this one was lost
+	case busy:
+		j.again = now.Add(orderAgain)
+	}
+	if version == 0 {
+		return nil
+	}
+	return r.renewed(a.Upstream.ID, a.Model, version)
+}
+
+func (r *Renewer) renewed(id, model string, version uint64) []Command {
+	done := Renewed{ID: id, Model: model, Version: version}
+	r.told = append(r.told, done)
+	return []Command{done}
+}
--- a/retrier/shared.go
+++ b/retrier/shared.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// SetAllowance changes what all hosts may spend.
+func (s *Shared) SetAllowance(a Allowance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allowance = a
+	for _, b := range s.budgets {
+		b.SetShare(cautionShare * a.Share)
+		b.setMost(s.most())
+	}
+}
+
 func (s *Shared) most() float64 { return cautionShare * s.allowance.Slack / float64(s.hosts) }
 
 func (s *Shared) budget(service string) *Budget {
--- a/runner/host.go
+++ b/runner/host.go
@@ -334,3 +334,9 @@
 	}
 	return false
 }
+
+// Reload says that settings are fixed while a host runs; the configuration is
+// what changes, and it comes from the log.
+func (h *Host) Reload(loader.Settings) {
+	h.logger.Info().Msg("settings are read at the start only")
+}
