Let one host ask the store for all, with short waits

Cause: each host held a question of 20 s at the operators' feed.

Ruled out: asking at once after the store's return; nobody can tell its return from a question that hangs.

Change: both feeds are read by the first in rank with waits of 0.8 s, passed on to all, and read by the next host when that one has been silent for 1.15 s.

--- a/conductor/doc.go
+++ b/conductor/doc.go
@@ -8,10 +8,9 @@
 // callers with package exchanger on what Node publishes.
 //
 // All hosts are alike. The feeds of the platform's store are read by whoever
-// knows the least fresh page: a host reads the upstreams' feed when no other host
-// has passed on a page for a while that grows with its place among the live
-// hosts. So one host reads for all, and if it falls silent the next one does,
-// without any agreement. A host that the store turns away asks the others for
+// has had no page for longest: a host reads a feed when no other has passed on a
+// page for a while that grows with its place among the live hosts. So one host
+// reads for all, and if it falls silent the next one does, without any agreement. A host that the store turns away asks the others for
 // what it lacks.
 //
 // # Usage
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -38,20 +38,24 @@
 		return
 	}
 	r := Read{Feed: name, Full: !f.known, From: f.next}
-	switch {
-	case !f.known:
-	case name == follower.FeedOperator:
-		r.Wait = n.opts.Timing.Wait // changes are rare: the store answers at the next one
-	case now.Sub(f.fresh) < n.turn():
-		return
+	if f.known {
+		if now.Sub(f.fresh) < n.turn(name) {
+			return
+		}
+		r.Wait = n.opts.Timing.Wait // the store answers at the next record
 	}
 	f.reading = true
 	n.do(r)
 }
 
-// turn is the age from which this host reads the upstreams' feed itself.
-func (n *Node) turn() time.Duration {
-	place := max(0, tracker.Place(n.hosts.Live(), n.opts.Self.Host, "reader"))
+// turn is the age from which this host reads a feed itself. The first in rank
+// reads all the time, the others when it has been silent for longer than a
+// question may wait.
+func (n *Node) turn(name follower.Feed) time.Duration {
+	place := max(0, tracker.Place(n.hosts.Live(), n.opts.Self.Host, "reader/"+string(name)))
+	if place == 0 {
+		return 0
+	}
 	return n.opts.Timing.Fresh + time.Duration(min(place, 6))*n.opts.Timing.Step
 }
 
@@ -68,7 +72,8 @@
 	f.failing = false
 	n.state.Answered(now)
 	n.take(now, ev.News, ev.Asked)
-	if ev.News.Feed == follower.FeedUpstreams && !ev.News.Full {
+	f.again = now.Add(n.opts.Timing.Gather)
+	if !ev.News.Full {
 		news := ev.News
 		news.Age = now.Sub(ev.Asked)
 		n.spread("", &messenger.Message{News: []follower.News{news}})
@@ -181,7 +186,7 @@
 
 // askPeer asks one live host after the other for all it knows of a feed.
 func (n *Node) askPeer(now time.Time, name follower.Feed, f *feed) {
-	if now.Sub(f.asked) < n.opts.Timing.Ask || f.known && now.Sub(f.fresh) < 2*n.turn() {
+	if now.Sub(f.asked) < n.opts.Timing.Ask || f.known && now.Sub(f.fresh) < n.opts.Timing.Fresh {
 		return
 	}
 	live := slices.DeleteFunc(n.hosts.Live(), func(h string) bool { return h == n.opts.Self.Host })
@@ -199,9 +204,6 @@
 		if !f.known || !slices.Contains(wants, wantOf(name)) {
 			continue
 		}
-		if name == follower.FeedOperator && f.reading && !f.failing {
-			f.fresh = now // the store would have answered a change at once
-		}
 		news := follower.News{Feed: name, Full: true, Next: f.next, Age: now.Sub(f.fresh)}
 		for _, r := range f.newest {
 			news.Records = append(news.Records, r)
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -13,19 +13,22 @@
 	Suspect time.Duration // Suspect is the silence after which a host is no longer named to callers.
 	Forget  time.Duration // Forget is how long hosts that are gone are remembered.
 
-	Fresh  time.Duration // Fresh is the age up to which a page of the upstreams' feed is good enough.
-	Step   time.Duration // Step is added to Fresh for each live host that reads before this one.
-	Wait   time.Duration // Wait is how long the store holds a question for the operators' feed.
-	Term   time.Duration // Term is how long a hold on the renewals' lease lasts without renewal.
-	Margin time.Duration // Margin is taken off a term by its holder, and added by others.
+	Wait   time.Duration // Wait is how long the store holds a question for the next record.
+	Fresh  time.Duration // Fresh is the age from which the second in rank reads a feed as well.
+	Step   time.Duration // Step is added to Fresh for each further one.
+	Gather time.Duration // Gather is the least time between two questions, in which records come together.
 	Again  time.Duration // Again is the pause after a call to the store that failed.
 	Behind time.Duration // Behind is how long another host may know more before it is asked.
 	Ask    time.Duration // Ask is the interval between questions to other hosts for a page.
+
+	Term   time.Duration // Term is how long a hold on the renewals' lease lasts without renewal.
+	Margin time.Duration // Margin is taken off a term by its holder, and added by others.
 }
 
-// DefaultTiming returns timings for a leaving upstream to be known everywhere
-// within 2 s, two failed readers included: 0.4 s, twice 0.15 s and a call's
-// time out.
+// DefaultTiming returns timings with which a change is known everywhere within
+// 2 s although the host that reads for all has just been cut off: what it read
+// last was asked for at most 0.8 s before, and the next host reads 1.15 s after
+// that question.
 func DefaultTiming() Timing {
 	return Timing{
 		Tick:    50 * time.Millisecond,
@@ -33,13 +36,14 @@
 		Report:  100 * time.Millisecond,
 		Suspect: 800 * time.Millisecond,
 		Forget:  30 * time.Second,
-		Fresh:   400 * time.Millisecond,
+		Wait:    800 * time.Millisecond,
+		Fresh:   time.Second,
 		Step:    150 * time.Millisecond,
-		Wait:    20 * time.Second,
-		Term:    2 * time.Second,
-		Margin:  250 * time.Millisecond,
+		Gather:  100 * time.Millisecond,
 		Again:   250 * time.Millisecond,
 		Behind:  150 * time.Millisecond,
 		Ask:     300 * time.Millisecond,
+		Term:    2 * time.Second,
+		Margin:  250 * time.Millisecond,
 	}
 }
