Keep shared parts of prompts in the stores

Change: shared parts are saved to a store chosen by rendezvous weighed by room, fetched from another engine or a store when the chosen engine lacks them, and freed 3.5 s after their weights were replaced. Salts name model, version and, for isolated workspaces, the workspace. A fetch from a store carries a bound on the upstreams' clock; a host whose operators' feed is older than 1.5 s fetches from no store, so that freeing needs no agreement.

Ruled out: waiting for all hosts' word before freeing: a host that is cut off gives none.

--- a/conductor/directory.go
+++ b/conductor/directory.go
@@ -9,6 +9,17 @@
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
+// live returns the names of the hosts that serve.
+func live(hosts []tracker.HostRecord) []string {
+	var out []string
+	for _, r := range hosts {
+		if r.State == tracker.HostLive {
+			out = append(out, r.Host)
+		}
+	}
+	return out
+}
+
 // nearEnough is the number of hosts in a caller's availability zone from which
 // only these are named: two, so that one may be lost between two questions.
 const nearEnough = 2
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -71,15 +71,26 @@
 	}
 	f.failing = false
 	n.state.Answered(now)
-	n.take(now, ev.News, ev.Asked)
+	asOf := covered(now, ev)
+	n.take(now, ev.News, asOf)
 	f.again = now.Add(n.opts.Timing.Gather)
 	if !ev.News.Full {
 		news := ev.News
-		news.Age = now.Sub(ev.Asked)
+		news.Age = now.Sub(asOf)
 		n.spread("", &messenger.Message{News: []follower.News{news}})
 	}
 }
 
+// covered is the time up to which an answer says all. An answer that came after
+// the whole wait says that there was no record until the store gave up waiting.
+func covered(now time.Time, ev FeedRead) time.Time {
+	took := now.Sub(ev.Asked)
+	if ev.Wait > 0 && took >= ev.Wait {
+		return now.Add(ev.Wait - took)
+	}
+	return ev.Asked
+}
+
 func (n *Node) readFailed(now time.Time, f *feed, ev FeedRead) {
 	if errors.Is(ev.Err, follower.ErrForgotten) {
 		f.known = false // the newest record of each key is still there
@@ -110,6 +121,9 @@
 	}
 	if asOf.After(f.fresh) {
 		f.fresh = asOf
+		if news.Feed == follower.FeedOperator {
+			n.do(Current{At: asOf})
+		}
 	}
 }
 
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -66,6 +66,7 @@
 	Store    Store
 	Sender   exchanger.Sender
 	Engines  Engines
+	Stores   Stores
 	Pool     *forwarder.Pool
 	Edge     func(h *Host) Edge
 	Timing   Timing
@@ -90,9 +91,11 @@
 	view    atomic.Pointer[follower.View]
 	hosts   atomic.Pointer[[]tracker.HostRecord]
 	leaving atomic.Bool
+	keeper  atomic.Bool // keeper tells that this host is first in rank to free kept context.
 	open    atomic.Int64
 	asked   atomic.Int64 // asked is when the last request came, in Unix nanoseconds.
 	servers []*http.Server
+	watched map[string]context.CancelFunc // watched are the stores of kept context that are asked for news.
 }
 
 // eventQueue is the number of events that may wait for the control loop.
@@ -103,13 +106,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := opts.Settings
 	h := &Host{
-		opts:   opts,
-		log:    opts.Log,
-		events: make(chan Event, eventQueue),
-		ctx:    ctx,
-		cancel: cancel,
-		placer: placer.New(placer.Options{AvailabilityZone: s.AvailabilityZone}),
-		budget: retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
+		opts:    opts,
+		log:     opts.Log,
+		events:  make(chan Event, eventQueue),
+		watched: make(map[string]context.CancelFunc),
+		ctx:     ctx,
+		cancel:  cancel,
+		placer:  placer.New(placer.Options{AvailabilityZone: s.AvailabilityZone}),
+		budget:  retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
 	self := tracker.HostRecord{
 		Host:             s.Host,
@@ -186,6 +190,7 @@
 	}
 	h.goDo(h.loop)
 	h.goDo(h.meet)
+	h.goDo(h.keepStores)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
 	context.AfterFunc(h.ctx, cancelTick)
@@ -308,7 +313,11 @@
 		h.view.Store(a.View)
 		h.placer.Update(a.View)
 		h.bound(a.View)
+		h.watchStores(a.View)
+	case Current:
+		h.placer.Trust(a.At)
 	case PublishHosts:
+		h.keeper.Store(tracker.Place(live(a.Hosts), h.opts.Settings.Host, "keeper") == 0)
 		h.hosts.Store(&a.Hosts)
 		h.budget.SetHosts(len(a.Hosts))
 		h.bound(h.view.Load())
@@ -325,7 +334,7 @@
 
 func (h *Host) read(a Read) {
 	asked := h.opts.Timer.Now()
-	ev := FeedRead{Asked: asked}
+	ev := FeedRead{Asked: asked, Wait: a.Wait}
 	if a.Full {
 		ev.News, ev.Err = h.opts.Store.Newest(h.ctx, a.Feed)
 	} else {
@@ -352,6 +361,11 @@
 			h.opts.Pool.SetCap(u.Address, max(1, int(connectionShare*float64(s.MaxConnections))/hosts))
 		}
 	}
+	for _, s := range view.Table.Services() {
+		if s.Store != nil {
+			known[s.Store.Address] = true
+		}
+	}
 	h.opts.Pool.Retain(func(address string) bool { return known[address] })
 }
 
--- /dev/null
+++ b/conductor/kept.go
@@ -0,0 +1,129 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/placer"
+)
+
+// Stores of kept context.
+type Stores interface {
+	// Kept asks a store what has changed since an earlier answer; lost tells that
+	// some of it is not known any more.
+	Kept(ctx context.Context, address string, since int64, wait time.Duration) (news placer.StoreNews, next int64, lost bool, err error)
+	// KeptAll asks a store for all that it holds.
+	KeptAll(ctx context.Context, address string) (news placer.StoreNews, next int64, err error)
+	// Free tells a store to give up parts.
+	Free(ctx context.Context, f placer.Freed) error
+}
+
+// Times of questions to stores.
+const (
+	keptWait    = 900 * time.Millisecond // keptWait is how long a store may wait for news; it allows a second.
+	keptTimeout = 500 * time.Millisecond // keptTimeout bounds a question beyond that.
+	keptGather  = 150 * time.Millisecond // keptGather lets news come together.
+)
+
+// watchStores keeps one question open at each store of a view.
+func (h *Host) watchStores(view *follower.View) {
+	if view.Table == nil {
+		return
+	}
+	wanted := make(map[string]bool)
+	for _, s := range view.Table.Services() {
+		if s.Store == nil {
+			continue
+		}
+		address := s.Store.Address
+		wanted[address] = true
+		if h.watched[address] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(h.ctx)
+		h.watched[address] = cancel
+		h.goDo(func() { h.watchStore(ctx, address) })
+	}
+	for address, cancel := range h.watched {
+		if !wanted[address] {
+			cancel()
+			delete(h.watched, address)
+		}
+	}
+}
+
+func (h *Host) watchStore(ctx context.Context, address string) {
+	var since, epoch int64
+	up := false
+	for ctx.Err() == nil {
+		news, next, err := h.askStore(ctx, address, since, epoch)
+		if (err == nil) != up {
+			up = err == nil
+			h.log.Info().Str("Store", address).Bool("Up", up).AnErr("Failure", err).Msg("store of kept context")
+		}
+		if err != nil {
+			h.placer.StoreLost(address)
+			pause(ctx, h.opts.Timing.Again)
+			continue
+		}
+		since, epoch = next, news.Epoch
+		h.placer.StoreHeard(h.opts.Timer.Now(), address, news)
+		pause(ctx, keptGather)
+	}
+}
+
+// askStore asks for news, and for all if the store has started anew or news were
+// lost.
+func (h *Host) askStore(ctx context.Context, address string, since, epoch int64) (placer.StoreNews, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, keptWait+keptTimeout)
+	defer cancel()
+	news, next, lost, err := h.opts.Stores.Kept(ctx, address, since, keptWait)
+	if err != nil {
+		return news, next, err
+	}
+	if !lost && (news.Epoch == epoch || since == 0) {
+		return news, next, nil
+	}
+	return h.opts.Stores.KeptAll(ctx, address)
+}
+
+// free tells stores to give up what was made with replaced weights, when nobody
+// can be fetching it any more. replaced remembers since when salts are unused.
+func (h *Host) free(now time.Time, replaced map[string]time.Time) {
+	view := h.view.Load()
+	unused := h.placer.Unused(func(text string) bool {
+		salt, ok := placer.ParseSalt(text)
+		if !ok || salt.Weights >= view.Named[salt.Model].Version {
+			return true
+		}
+		if replaced[text].IsZero() {
+			replaced[text] = now
+		}
+		return now.Sub(replaced[text]) < placer.FreeAfter
+	})
+	for _, f := range unused {
+		ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
+		err := h.opts.Stores.Free(ctx, f)
+		cancel()
+		h.log.Info().Str("Store", f.Address).Int("Parts", len(f.Parts)).AnErr("Failure", err).Msg("kept context of replaced weights freed")
+	}
+}
+
+// freeInterval is the interval at which the first host in rank looks for what
+// can be freed.
+const freeInterval = 500 * time.Millisecond
+
+// keepStores frees what stores hold for nobody, while this host is first in rank.
+func (h *Host) keepStores() {
+	replaced := make(map[string]time.Time) // since when salts are known to be of replaced weights
+	for h.ctx.Err() == nil {
+		pause(h.ctx, freeInterval)
+		if h.keeper.Load() {
+			h.free(h.opts.Timer.Now(), replaced)
+		}
+	}
+}
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -22,7 +22,8 @@
 // FeedRead is the end of a Read.
 type FeedRead struct {
 	News  follower.News
-	Asked time.Time // Asked is when the question was sent.
+	Asked time.Time     // Asked is when the question was sent.
+	Wait  time.Duration // Wait is how long the store could wait for a record.
 	Err   error
 }
 
@@ -97,6 +98,9 @@
 // Renew carries out a command of the renewer.
 type Renew struct{ Command renewer.Command }
 
+// Current says up to when the operators' feed is known.
+type Current struct{ At time.Time }
+
 // PublishAvoid names engines that load or will soon.
 type PublishAvoid struct{ IDs map[string]bool }
 
@@ -130,6 +134,7 @@
 func (PublishHosts) action() {}
 func (TakeReport) action()   {}
 func (Renew) action()        {}
+func (Current) action()      {}
 func (PublishAvoid) action() {}
 func (Note) action()         {}
 
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -26,9 +26,8 @@
 }
 
 // DefaultTiming returns timings with which a change is known everywhere within
-// 2 s although the host that reads for all has just been cut off: what it read
-// last was asked for at most 0.8 s before, and the next host reads 1.15 s after
-// that question.
+// 2 s although the host that reads for all has just been cut off: others hear
+// from it every 0.8 s, and the next one reads 1.15 s after it was heard last.
 func DefaultTiming() Timing {
 	return Timing{
 		Tick:    50 * time.Millisecond,
@@ -36,7 +35,7 @@
 		Report:  100 * time.Millisecond,
 		Suspect: 800 * time.Millisecond,
 		Forget:  30 * time.Second,
-		Wait:    800 * time.Millisecond,
+		Wait:    700 * time.Millisecond,
 		Fresh:   time.Second,
 		Step:    150 * time.Millisecond,
 		Gather:  100 * time.Millisecond,
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -84,6 +84,7 @@
 		Once:      !d.route.Repeatable(),
 		Rank:      d.rank(),
 		Fetch:     choice.Fetch,
+		Until:     choice.Until,
 		Save:      choice.Save,
 		LastEvent: d.request.LastEvent,
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"amaranthgate.example/amaranthgate/follower"
@@ -136,9 +135,9 @@
 
 // salt sets apart context of other weight versions and of isolated workspaces.
 func (e *exchange) salt(weights uint64) string {
-	s := "v" + strconv.FormatUint(weights, 10)
+	s := placer.Salt{Model: e.request.Prompt.Model, Weights: weights}
 	if e.workspace != nil && e.workspace.Isolated {
-		s += "-" + e.workspace.Name
+		s.Workspace = e.workspace.Name
 	}
-	return s
+	return s.String()
 }
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -102,6 +102,7 @@
 	Weights   uint64 // Weights is the version that the upstream must have; 0 if any.
 	Salt      string // Salt sets apart the context that the upstream keeps.
 	Fetch     []string
+	Until     int64 // Until bounds fetches from stores, on the upstreams' clock in milliseconds; 0 if there are none.
 	Save      []string
 	LastEvent string
 }
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -23,11 +23,13 @@
 // newPlatformHost puts a host of the users' platform together.
 func newPlatformHost(s loader.Settings, log zerolog.Logger) host {
 	pool := forwarder.NewPool(forwarder.PoolOptions{DialTimeout: upstreamDial})
+	engines := platform.NewEngines(pool)
 	return conductor.New(conductor.Options{
 		Settings: s,
 		Store:    platform.NewStore(s.Platform.Store),
 		Sender:   platform.NewSender(pool),
-		Engines:  platform.NewEngines(pool),
+		Engines:  engines,
+		Stores:   engines,
 		Pool:     pool,
 		Edge: func(h *conductor.Host) conductor.Edge {
 			return &platform.Edge{
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -53,11 +53,30 @@
 			return &ask.chains[i]
 		}
 	}
-	keys := chain(ask.SaltOf(weights), ask.Prompt.Parts)
-	ask.chains = append(ask.chains, chained{weights: weights, keys: keys, source: p.source(ask, weights, keys)})
+	c := chained{weights: weights, salt: ask.SaltOf(weights)}
+	c.keys = chain(c.salt, ask.Prompt.Parts)
+	c.source = p.source(ask, weights, c.keys)
+	if weights >= p.named[ask.Prompt.Model].Version && ask.now.Sub(p.current) < StoreTrust && p.clock.millis > 0 {
+		// What stores hold for replaced weights is about to be freed.
+		c.stored = p.stored(c.salt, ask.Prompt.Parts)
+	}
+	ask.chains = append(ask.chains, c)
 	return &ask.chains[len(ask.chains)-1]
 }
 
+// stored finds the stores that hold the beginning of a prompt.
+func (p *Placer) stored(salt string, parts []Part) []*store {
+	var out []*store
+	for _, part := range parts[:len(parts)-1] {
+		st := p.holder(PartName{Salt: salt, ID: part.ID})
+		if st == nil {
+			break
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
 // source finds the engine that keeps the longest beginning of a prompt.
 func (p *Placer) source(ask *Ask, weights uint64, keys []ChainKey) source {
 	var best source
@@ -105,21 +124,14 @@
 }
 
 func engineWait(t *target, ask *Ask, known *chained, work Work) time.Duration {
-	src, keys := known.source, known.keys
 	total := ask.Prompt.Tokens()
-	_, kept := t.kept.leading(keys, ask.Prompt.Parts)
-	missing := total - kept
-	cost := time.Duration(work.Requests) * runningPenalty
-	if src.target != nil && src.tokens > kept {
-		moved := src.tokens - kept
-		missing -= moved
-		cost += transferFixed + transferTime(moved, t.engine.BytesPerToken, t.engine.LinkMbps)
-	}
-	cost += readTime(work.Pending + missing)
+	f := fetchPlan(t, ask, known)
+	cost := time.Duration(work.Requests)*runningPenalty + f.time
+	cost += readTime(work.Pending + f.missing)
 	if over := work.Memory + total + ask.Prompt.Output - t.engine.CapacityTokens; over > 0 {
 		cost += time.Duration(float64(memoryWait) * float64(over) / float64(max(t.engine.CapacityTokens, 1)) * 4)
 	}
-	if src.target == nil && rendezvous(shared(keys), t.hash)%8 == 0 {
+	if known.source.target == nil && rendezvous(shared(known.keys), t.hash)%8 == 0 {
 		cost -= affinityBonus
 	}
 	return cost
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,7 +26,10 @@
 	targets map[string]*target   // targets are all known upstreams by ID.
 	pools   map[string][]*target // pools has those of each service that take new work.
 	peers   map[string]peerWork
-	placed  []Placement // placed waits to be told to other hosts.
+	stores  map[string]*store // stores of kept context by address.
+	clock   clock             // clock is the newest reading of the upstreams' clock.
+	current time.Time         // current is when the operators' feed was known to be current.
+	placed  []Placement       // placed waits to be told to other hosts.
 	named   map[string]follower.Named
 }
 
@@ -43,6 +46,7 @@
 		targets: make(map[string]*target),
 		pools:   make(map[string][]*target),
 		peers:   make(map[string]peerWork),
+		stores:  make(map[string]*store),
 	}
 }
 
@@ -72,6 +76,7 @@
 		}
 	}
 	p.sumPeers()
+	p.updateStores(view)
 }
 
 // Busy returns the number of requests under way at an upstream.
@@ -113,14 +118,17 @@
 	Weights uint64 // Weights is the version wanted at least; 0 if none.
 	Exclude []string
 
+	now    time.Time
 	chains []chained // chains has the prompt's keys by weight version, as far as they were needed.
 }
 
 // chained is a prompt as it is known under one weight version.
 type chained struct {
 	weights uint64
+	salt    string
 	keys    []ChainKey
 	source  source
+	stored  []*store // stored has for each part the store that holds it, up to the first that none holds.
 }
 
 // Choice is an upstream and what to tell it.
@@ -128,6 +136,7 @@
 	Upstream follower.Upstream
 	Weights  uint64   // Weights is the version that the upstream is believed to have.
 	Fetch    []string // Fetch has for each part the address that keeps it, or "".
+	Until    int64    // Until bounds the fetches from stores, in milliseconds of the upstreams' clock; 0 if there are none.
 	Save     []string // Save has for each part the store to save it to, or "".
 	Ticket   *Ticket
 }
@@ -137,6 +146,7 @@
 func (p *Placer) Choose(now time.Time, ask *Ask) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	ask.now, ask.chains = now, nil
 	best := p.best(now, ask)
 	if best == nil {
 		return Choice{}, false
@@ -148,7 +158,7 @@
 	tk := &Ticket{placer: p, target: best, start: now, work: Work{Requests: 1}}
 	if ask.Prompt != nil {
 		c.Weights = best.upstream.Weights[ask.Prompt.Model]
-		p.plan(ask, best, &c, tk)
+		p.plan(now, ask, best, &c, tk)
 	}
 	best.own.add(tk.work)
 	c.Ticket = tk
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -5,26 +5,79 @@
 
 import "time"
 
-// plan says from where the chosen engine gets what it does not keep, and what
-// the request will weigh there.
-func (p *Placer) plan(ask *Ask, t *target, c *Choice, tk *Ticket) {
+// fetch says from where an engine gets what it does not keep.
+type fetch struct {
+	first   int           // first is the number of leading parts that the engine keeps.
+	engine  int           // engine is the number of leading parts that the source engine brings it to.
+	parts   int           // parts is the number of leading parts that it has in the end.
+	missing int           // missing are the tokens that it must read.
+	time    time.Duration // time is that of all transfers.
+}
+
+// fetchPlan plans the transfers for a prompt at an engine: from another engine
+// as far as that goes, then from stores.
+func fetchPlan(t *target, ask *Ask, known *chained) fetch {
+	parts := ask.Prompt.Parts
+	n, kept := t.kept.leading(known.keys, parts)
+	f := fetch{first: n, engine: n, parts: n, missing: ask.Prompt.Tokens() - kept}
+	if src := known.source; src.target != nil && src.target != t && src.tokens > kept {
+		moved := src.tokens - kept
+		f.engine, f.parts = src.parts, src.parts
+		f.missing -= moved
+		f.time = transferFixed + transferTime(moved, t.engine.BytesPerToken, t.engine.LinkMbps)
+	}
+	for f.parts < len(known.stored) {
+		st := known.stored[f.parts].service
+		tokens := parts[f.parts].Tokens
+		f.time += transferFixed + st.FirstDelay + transferTime(tokens, t.engine.BytesPerToken, st.LinkMbps)
+		f.missing -= tokens
+		f.parts++
+	}
+	return f
+}
+
+// plan says from where the chosen engine gets what it does not keep, where it
+// saves what it reads, and what the request will weigh there.
+func (p *Placer) plan(now time.Time, ask *Ask, t *target, c *Choice, tk *Ticket) {
 	parts := ask.Prompt.Parts
 	known := p.under(ask, c.Weights)
-	keys, src := known.keys, known.source
-	total := ask.Prompt.Tokens()
-	n, kept := t.kept.leading(keys, parts)
-	missing := total - kept
-	if src.target != nil && src.target != t && src.tokens > kept {
+	f := fetchPlan(t, ask, known)
+	if f.parts > f.first {
 		c.Fetch = make([]string, len(parts))
-		for i := n; i < src.parts; i++ {
-			c.Fetch[i] = src.target.upstream.Address
+		for i := f.first; i < f.parts; i++ {
+			if i < f.engine {
+				c.Fetch[i] = known.source.target.upstream.Address
+			} else {
+				c.Fetch[i] = known.stored[i].service.Address
+				c.Until = p.until(now)
+			}
 		}
-		missing -= src.tokens - kept
 	}
-	tk.work.Pending = missing
-	tk.work.Memory = total + ask.Prompt.Output
+	if c.Weights >= p.named[ask.Prompt.Model].Version {
+		c.Save = p.saves(now, known.salt, parts)
+	}
+	tk.work.Pending = f.missing
+	tk.work.Memory = ask.Prompt.Tokens() + ask.Prompt.Output
 	// The last part is the request's own: nobody else can begin with it.
-	tk.keys, tk.parts = keys[:len(keys)-1], parts[:len(parts)-1]
+	tk.keys, tk.parts = known.keys[:len(known.keys)-1], parts[:len(parts)-1]
+}
+
+// saves names the stores that shared parts are to be saved to.
+func (p *Placer) saves(now time.Time, salt string, parts []Part) []string {
+	var out []string
+	for i, part := range parts[:len(parts)-1] {
+		name := PartName{Salt: salt, ID: part.ID}
+		st := p.saver(now, name, part.Tokens)
+		if st == nil {
+			continue
+		}
+		if out == nil {
+			out = make([]string, len(parts))
+		}
+		out[i] = st.service.Address
+		st.saving[name] = saving{tokens: part.Tokens, at: now}
+	}
+	return out
 }
 
 // note remembers that an engine has read parts, and that other hosts should know.
--- /dev/null
+++ b/placer/store.go
@@ -0,0 +1,247 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+// PartName names a part as stores and engines know it.
+type PartName struct {
+	Salt string
+	ID   string
+}
+
+// store is a store of kept context with what is known of it.
+type store struct {
+	service matcher.Store
+	hash    uint64
+	near    bool
+	up      bool // up tells that the store has answered lately.
+	epoch   int64
+	held    map[PartName]int // held has the tokens of parts that lie there whole.
+	used    int
+	saving  map[PartName]saving
+}
+
+// saving is a part that was sent to a store and has not been reported whole.
+type saving struct {
+	tokens int
+	at     time.Time
+}
+
+const (
+	// savingTime is how long a part that was to be saved counts as on its way. Events
+	// of stores come after 60 ms and a few never do.
+	savingTime = 3 * time.Second
+	// fullShare is the part of a store's room that is filled; reservations of other
+	// hosts are not known.
+	fullShare = 0.97
+)
+
+// updateStores takes over the stores of a view; p.mu is held.
+func (p *Placer) updateStores(view *follower.View) {
+	if view.Table == nil {
+		return
+	}
+	before := p.stores
+	p.stores = make(map[string]*store)
+	for _, s := range view.Table.Services() {
+		if s.Store == nil {
+			continue
+		}
+		st := before[s.Store.Address]
+		if st == nil {
+			st = &store{hash: xxhash.Sum64String(s.Store.Address), held: make(map[PartName]int), saving: make(map[PartName]saving)}
+		}
+		st.service = *s.Store
+		st.near = s.Store.AvailabilityZone == p.opts.AvailabilityZone
+		p.stores[s.Store.Address] = st
+	}
+}
+
+// StoreChange is a part that a store has taken in whole, or has given up.
+type StoreChange struct {
+	Part    PartName
+	Tokens  int
+	Dropped bool
+}
+
+// StoreNews is what a store says of itself.
+type StoreNews struct {
+	Epoch   int64 // Epoch changes when the store starts anew.
+	Clock   int64 // Clock is the time on the upstreams' clock, in milliseconds.
+	Full    bool  // Full tells that Changes are all that it holds.
+	Changes []StoreChange
+}
+
+// StoreHeard takes in what a store says.
+func (p *Placer) StoreHeard(now time.Time, address string, n StoreNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	st := p.stores[address]
+	if st == nil {
+		return
+	}
+	if n.Epoch != st.epoch || n.Full {
+		st.epoch = n.Epoch
+		st.used = 0
+		clear(st.held)
+		if !n.Full {
+			clear(st.saving)
+		}
+	}
+	st.up = true
+	p.clock = clock{millis: n.Clock, at: now}
+	for _, c := range n.Changes {
+		st.drop(c.Part)
+		if !c.Dropped {
+			st.held[c.Part] = c.Tokens
+			st.used += c.Tokens
+			delete(st.saving, c.Part)
+		}
+	}
+}
+
+func (st *store) drop(name PartName) {
+	st.used -= st.held[name]
+	delete(st.held, name)
+}
+
+// StoreLost says that a store does not answer.
+func (p *Placer) StoreLost(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if st := p.stores[address]; st != nil {
+		st.up = false
+	}
+}
+
+// clock is a reading of the upstreams' clock.
+type clock struct {
+	millis int64
+	at     time.Time // at is when the reading arrived; it was made shortly before.
+}
+
+// fetchTime bounds a transfer from a store, from the choice of an upstream on.
+// Transfers take 33 to 150 ms; one that waits for much longer comes too late for
+// the request's objective anyway.
+const fetchTime = 1500 * time.Millisecond
+
+// until returns when transfers that are ordered now must have ended, on the
+// upstreams' clock; 0 if that is not known.
+func (p *Placer) until(now time.Time) int64 {
+	if p.clock.millis == 0 {
+		return 0
+	}
+	return p.clock.millis + now.Sub(p.clock.at).Milliseconds() + fetchTime.Milliseconds()
+}
+
+// FreeAfter is how long after a weight version was named, what stores hold for
+// the one before may be freed: hosts that know the new version do not fetch it
+// any more, hosts that know nothing new for StoreTrust fetch nothing, and what
+// they ordered before has ended.
+const FreeAfter = StoreTrust + fetchTime + freeMargin
+
+// freeMargin covers delays between hosts and the reading of clocks.
+const freeMargin = 500 * time.Millisecond
+
+// StoreTrust is how old the operators' feed may be for a host to fetch from
+// stores.
+const StoreTrust = 1500 * time.Millisecond
+
+// Trust tells that the operators' feed was current at a time.
+func (p *Placer) Trust(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.current = at
+}
+
+// Freed is what a store holds under salts that are no longer used.
+type Freed struct {
+	Address string
+	Epoch   int64
+	Parts   []PartName
+}
+
+// Unused returns what stores hold under salts that keep does not want.
+func (p *Placer) Unused(keep func(salt string) bool) []Freed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Freed
+	for address, st := range p.stores {
+		f := Freed{Address: address, Epoch: st.epoch}
+		for name := range st.held {
+			if !keep(name.Salt) {
+				f.Parts = append(f.Parts, name)
+			}
+		}
+		if len(f.Parts) > 0 {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// holder returns the store that holds a part, a near one first.
+func (p *Placer) holder(name PartName) *store {
+	var best *store
+	for _, st := range p.stores {
+		if st.held[name] == 0 || !st.up {
+			continue
+		}
+		if best == nil || st.near && !best.near || st.near == best.near && st.hash < best.hash {
+			best = st
+		}
+	}
+	return best
+}
+
+// saver returns the store that a part is to be saved to, or nil if one holds it,
+// is getting it, or none has room. All hosts choose alike, weighed by room.
+func (p *Placer) saver(now time.Time, name PartName, tokens int) *store {
+	var best *store
+	var most float64
+	key := xxhash.Sum64String(name.Salt + "/" + name.ID)
+	for _, st := range p.stores {
+		if s, ok := st.saving[name]; ok && now.Sub(s.at) < savingTime {
+			return nil
+		}
+		if st.held[name] > 0 {
+			return nil
+		}
+		if !st.up || !st.room(now, tokens) {
+			continue
+		}
+		weight := weighted(rendezvous(ChainKey(key), st.hash), float64(st.service.CapacityTokens))
+		if best == nil || weight > most {
+			best, most = st, weight
+		}
+	}
+	return best
+}
+
+// weighted turns a rank into one that wins in proportion to a weight.
+func weighted(rank uint64, weight float64) float64 {
+	draw := (float64(rank>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(draw)
+}
+
+func (st *store) room(now time.Time, tokens int) bool {
+	used := st.used
+	for name, s := range st.saving {
+		if now.Sub(s.at) > savingTime {
+			delete(st.saving, name)
+			continue
+		}
+		used += s.tokens
+	}
+	return float64(used+tokens) < fullShare*float64(st.service.CapacityTokens)
+}
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -28,6 +28,7 @@
 	askAgain    = 150 * time.Millisecond  // askAgain is the interval of questions while an engine loads.
 	orderAgain  = 2500 * time.Millisecond // orderAgain is after an order of which nothing was heard. It may yet be carried out, which does no harm.
 	refuseAgain = 300 * time.Millisecond  // refuseAgain is after an order that was refused.
+	holderLife  = 600 * time.Millisecond  // holderLife is the silence of a holder after which others look at the lease; it speaks every 100 ms.
 	statusLife  = time.Second             // statusLife is how long another host's word on engines to be avoided counts.
 )
 
@@ -111,6 +112,7 @@
 	next      []string // next are engines that will be ordered soon.
 	told      []Renewed
 	wasHeld   bool
+	holder    time.Time            // holder is when another host last said that it holds the lease.
 	avoid     map[string]time.Time // avoid is until when other hosts' word counts.
 }
 
@@ -144,7 +146,7 @@
 		r.needed = now
 	}
 	if !r.held(now) {
-		if now.Sub(r.needed) < time.Duration(in.Place)*placeDelay {
+		if now.Sub(r.needed) < time.Duration(in.Place)*placeDelay || now.Sub(r.holder) < holderLife {
 			return nil
 		}
 		return r.acquire(now)
--- a/renewer/status.go
+++ b/renewer/status.go
@@ -40,6 +40,9 @@
 // Heard takes in what another host says.
 func (r *Renewer) Heard(now time.Time, s *Status) {
 	r.saw(now, s.Lease)
+	if s.Holding {
+		r.holder = now
+	}
 	for id, age := range s.Ordered {
 		if at := now.Add(-age); at.After(r.foreign[id]) {
 			r.foreign[id] = at
@@ -49,6 +52,7 @@
 		r.avoid[id] = now.Add(statusLife)
 	}
 	if s.Stopped && s.Lease == r.lease.now {
+		r.holder = time.Time{}
 		r.lease.released = true
 		r.notBefore = time.Time{}
 	}
