--- /dev/null
+++ b/conductor/node_test.go
@@ -0,0 +1,343 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/renewer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// simDecoder reads "version N" as a configuration and "ready" or "leaving" as an
+// upstream's entry.
+type simDecoder struct{}
+
+func (simDecoder) Decode(f follower.Feed, r follower.Record) (follower.Change, error) {
+	text := string(r.Value)
+	if f == follower.FeedUpstreams {
+		if text == "" {
+			return follower.Change{Removed: r.Key}, nil
+		}
+		up := &follower.Upstream{ID: r.Key, Service: "s", Standing: follower.StandingReady}
+		if text == "leaving" {
+			up.Standing = follower.StandingLeaving
+		}
+		return follower.Change{Upstream: up}, nil
+	}
+	number, ok := strings.CutPrefix(text, "version ")
+	n, err := strconv.ParseUint(number, 10, 64)
+	if !ok || err != nil {
+		return follower.Change{}, errors.New("unreadable")
+	}
+	return follower.Change{Table: matcher.New(matcher.Parts{Version: n})}, nil
+}
+
+// access is how the store treats a host.
+type access string
+
+const (
+	accessOK     access = "OK"
+	accessRefuse access = "Refuse"
+	accessSilent access = "Silent"
+)
+
+type simNode struct {
+	name    string
+	node    *Node
+	access  access
+	changed time.Time // changed is when access or the process changed last.
+	down    bool
+	paused  bool
+	waiting []*simRead
+	inbox   []Event
+	starts  uint64
+	version uint64 // version is what was published last.
+}
+
+type simRead struct {
+	read    Read
+	asked   time.Time
+	ends    time.Time // ends is when the store gives up waiting, or the host does.
+	swallow bool
+}
+
+// cluster is several nodes and a store in simulated time.
+type cluster struct {
+	now    time.Time
+	nodes  []*simNode
+	byName map[string]*simNode
+	logs   map[follower.Feed][]follower.Record
+	first  map[follower.Feed]int64 // first is the first offset that is still there.
+	faults []string
+}
+
+const clusterTick = 10 * time.Millisecond
+
+func newCluster(n int) *cluster {
+	c := &cluster{now: time.Unix(5000, 0), byName: make(map[string]*simNode), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64)}
+	for i := range n {
+		s := &simNode{name: fmt.Sprintf("host-%d", i+1), access: accessOK}
+		c.nodes = append(c.nodes, s)
+		c.byName[s.name] = s
+		c.start(s)
+	}
+	return c
+}
+
+func (c *cluster) start(s *simNode) {
+	s.starts++
+	s.down, s.paused, s.waiting, s.inbox, s.version = false, false, nil, nil, 0
+	s.changed = c.now
+	self := tracker.HostRecord{Host: s.name, Incarnation: s.starts, State: tracker.HostLive, Peers: s.name}
+	s.node = NewNode(NodeOptions{
+		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(),
+		Renewer: renewer.Options{Host: s.name, Term: 2 * time.Second, Turn: 3 * time.Second, Margin: 250 * time.Millisecond, AtOnce: 3},
+		Busy:    func(string) int { return 0 },
+	})
+	var found []tracker.HostRecord
+	for _, o := range c.nodes {
+		found = append(found, tracker.HostRecord{Host: o.name, Incarnation: o.starts, State: tracker.HostLive, Peers: o.name})
+	}
+	s.inbox = append(s.inbox, HostsFound{Hosts: found})
+	for _, o := range c.nodes {
+		if o != s && o.node != nil {
+			o.inbox = append(o.inbox, HostsFound{Hosts: []tracker.HostRecord{self}})
+		}
+	}
+}
+
+func (c *cluster) write(f follower.Feed, key, value string) {
+	log := c.logs[f]
+	c.logs[f] = append(log, follower.Record{Key: key, Value: []byte(value), Offset: int64(len(log))})
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(clusterTick) {
+		for _, s := range c.nodes {
+			if s.down {
+				continue
+			}
+			c.answers(s)
+			if s.paused {
+				continue
+			}
+			inbox := append(s.inbox, Tick{})
+			s.inbox = nil
+			for _, ev := range inbox {
+				c.carry(s, s.node.Handle(c.now, ev))
+			}
+		}
+	}
+}
+
+// answers ends the questions of a node whose time has come.
+func (c *cluster) answers(s *simNode) {
+	var rest []*simRead
+	for _, w := range s.waiting {
+		ev := FeedRead{News: follower.News{Feed: w.read.Feed}, Asked: w.asked, Wait: w.read.Wait}
+		log := c.logs[w.read.Feed]
+		swallowed := w.swallow || s.access == accessSilent
+		w.swallow = swallowed
+		switch {
+		case s.access == accessRefuse:
+			ev.Err = errors.New("refused")
+		case swallowed && c.now.Sub(w.asked) < w.read.Wait+time.Second:
+			rest = append(rest, w)
+			continue
+		case swallowed:
+			ev.Err = errors.New("no answer")
+		case w.read.Full:
+			ev.News = c.listing(w.read.Feed)
+		case w.read.From < c.first[w.read.Feed]:
+			ev.Err = follower.ErrForgotten
+		case int64(len(log)) <= w.read.From && c.now.Before(w.ends):
+			rest = append(rest, w)
+			continue
+		default:
+			ev.News.From, ev.News.Next = w.read.From, int64(len(log))
+			ev.News.Records = log[min(w.read.From, int64(len(log))):]
+		}
+		s.inbox = append(s.inbox, ev)
+	}
+	s.waiting = rest
+}
+
+func (c *cluster) listing(f follower.Feed) follower.News {
+	news := follower.News{Feed: f, Full: true, Next: int64(len(c.logs[f]))}
+	newest := make(map[string]follower.Record)
+	for _, r := range c.logs[f] {
+		newest[r.Key] = r
+	}
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			news.Records = append(news.Records, r)
+		}
+	}
+	return news
+}
+
+func (c *cluster) carry(s *simNode, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			to := c.byName[a.To]
+			if !to.down {
+				to.inbox = append(to.inbox, PeerMessage{From: s.name, Message: a.Message})
+			}
+		case Read:
+			s.waiting = append(s.waiting, &simRead{read: a, asked: c.now, ends: c.now.Add(a.Wait), swallow: s.access == accessSilent})
+		case PublishView:
+			if t := a.View.Table; t != nil {
+				if t.Version() < s.version {
+					c.faults = append(c.faults, fmt.Sprintf("%s went from version %d back to %d", s.name, s.version, t.Version()))
+				}
+				s.version = t.Version()
+			}
+		case Renew:
+			s.inbox = append(s.inbox, RenewalEnd{Command: a.Command, Err: errors.New("not simulated")})
+		}
+	}
+}
+
+func (c *cluster) set(s *simNode, a access) { s.access, s.changed = a, c.now }
+
+// TestChangeReachesAll: the host that reads for all is cut off silently at the
+// moment of a change. All others must know it within 2 s, and so must those
+// that the store refuses.
+func TestChangeReachesAll(t *testing.T) {
+	for _, a := range []access{accessOK, accessRefuse, accessSilent} {
+		t.Run(string(a), func(t *testing.T) {
+			for reader := range 5 {
+				c := newCluster(5)
+				c.write(follower.FeedOperator, "config", "version 1")
+				c.run(3 * time.Second)
+				c.set(c.nodes[reader], a)
+				c.set(c.nodes[(reader+1)%5], accessRefuse)
+				c.write(follower.FeedOperator, "config", "version 2")
+				c.write(follower.FeedUpstreams, "u", "leaving")
+				c.run(2 * time.Second)
+				for _, s := range c.nodes {
+					assert.Equal(t, s.version, uint64(2), "%s, with %s cut", s.name, c.nodes[reader].name)
+				}
+			}
+		})
+	}
+}
+
+// TestForgottenHistory: the store drops old records; the newest of each key
+// stays, and nothing that is in force may vanish.
+func TestForgottenHistory(t *testing.T) {
+	c := newCluster(3)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.write(follower.FeedUpstreams, "a", "ready")
+	c.write(follower.FeedUpstreams, "b", "ready")
+	c.run(2 * time.Second)
+	c.write(follower.FeedUpstreams, "a", "")
+	c.write(follower.FeedUpstreams, "c", "ready")
+	for f, log := range c.logs {
+		c.first[f] = int64(len(log))
+	}
+	c.run(2 * time.Second)
+	for _, s := range c.nodes {
+		assert.Equal(t, s.version, uint64(1))
+		assert.DeepEqual(t, s.node.view.ByService["s"], []string{"b", "c"})
+	}
+}
+
+// TestUnreadableRecord: a record that cannot be read is left out and changes
+// nothing.
+func TestUnreadableRecord(t *testing.T) {
+	c := newCluster(2)
+	c.write(follower.FeedOperator, "config", "version 4")
+	c.write(follower.FeedOperator, "config", "rubbish")
+	c.run(2 * time.Second)
+	assert.Equal(t, c.nodes[0].version, uint64(0)) // the listing has only the newest, which says nothing
+	c.write(follower.FeedOperator, "config", "version 5")
+	c.write(follower.FeedOperator, "config", "rubbish")
+	c.run(2 * time.Second)
+	assert.Equal(t, c.nodes[0].version, uint64(5))
+	assert.Equal(t, c.nodes[1].version, uint64(5))
+}
+
+var clusterActions = []string{"write", "write", "write", "silent", "refuse", "ok", "ok", "kill", "start", "pause", "resume", "forget", "upstream"}
+
+// TestRandomFaults: whatever happens, versions never go back on a host, and two
+// seconds after a change every host that has been in touch with the store for
+// three seconds before it, and stays so, knows it.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.IntRange(1, 5).Draw(t, "hosts"))
+		version := uint64(1)
+		c.write(follower.FeedOperator, "config", "version 1")
+		c.run(4 * time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			s := rapid.SampledFrom(c.nodes).Draw(t, "host")
+			do := rapid.SampledFrom(clusterActions).Draw(t, "do")
+			c.act(do, s)
+			if do == "write" {
+				version++
+				c.write(follower.FeedOperator, "config", fmt.Sprint("version ", version))
+				c.checkSpread(version)
+			}
+			c.run(rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, time.Second, 3 * time.Second}).Draw(t, "after"))
+			if len(c.faults) > 0 {
+				t.Fatalf("broken: %q", c.faults)
+			}
+		}
+	})
+}
+
+func (c *cluster) act(do string, s *simNode) {
+	switch do {
+	case "silent":
+		c.set(s, accessSilent)
+	case "refuse":
+		c.set(s, accessRefuse)
+	case "ok":
+		c.set(s, accessOK)
+	case "kill":
+		s.down, s.changed = true, c.now
+	case "start":
+		if s.down {
+			c.start(s)
+		}
+	case "pause":
+		s.paused, s.changed = true, c.now
+	case "resume":
+		s.paused, s.changed = false, c.now
+	case "forget":
+		for f, log := range c.logs {
+			c.first[f] = int64(len(log))
+		}
+	case "upstream":
+		c.write(follower.FeedUpstreams, "u", "ready")
+	}
+}
+
+// checkSpread lets two seconds pass after a change and looks who knows it.
+func (c *cluster) checkSpread(version uint64) {
+	var touch []*simNode
+	for _, s := range c.nodes {
+		if !s.down && !s.paused && s.access == accessOK && c.now.Sub(s.changed) >= 3*time.Second {
+			touch = append(touch, s)
+		}
+	}
+	c.run(2 * time.Second)
+	for _, s := range touch {
+		if s.version < version {
+			c.faults = append(c.faults, fmt.Sprintf("%s has version %d, not %d, after 2 s", s.name, s.version, version))
+		}
+	}
+}
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,247 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/retrier"
+	"amaranthgate.example/amaranthgate/timer"
+)
+
+type attemptCase struct {
+	Name      string
+	Route     string
+	Key       string
+	Upstreams []string
+	NoBudget  bool
+	Want      string
+	Sent      int
+	Events    string
+}
+
+// scriptedSender ends each attempt as its script says.
+type scriptedSender struct {
+	script []string
+	sent   int
+}
+
+var errCut = errors.New("cut")
+
+func (s *scriptedSender) Send(ctx context.Context, _ *Request, d *Directions) (Answer, *forwarder.Failure) {
+	do := s.script[s.sent]
+	s.sent++
+	verb, arg, _ := strings.Cut(do, " ")
+	n, _ := strconv.Atoi(arg)
+	from, _ := strconv.Atoi(d.LastEvent)
+	switch verb {
+	case "ok":
+		return &fakeAnswer{status: 200, body: "whole", end: io.EOF}, nil
+	case "500":
+		return &fakeAnswer{status: 500, body: "failed", end: io.EOF}, nil
+	case "events":
+		return &fakeAnswer{status: 200, body: events(from, n), end: io.EOF}, nil
+	case "cut":
+		if arg == "" {
+			return &fakeAnswer{status: 200, body: "who", end: errCut}, nil
+		}
+		return &fakeAnswer{status: 200, body: events(from, n) + "id: 99\nda", end: errCut}, nil
+	case "notrun":
+		return nil, &forwarder.Failure{Cause: forwarder.CauseRefused, Ran: forwarder.RanNo}
+	case "unreached":
+		return nil, &forwarder.Failure{Cause: forwarder.CauseConnect, Ran: forwarder.RanNo}
+	case "lost":
+		return nil, &forwarder.Failure{Cause: forwarder.CauseLost, Ran: forwarder.RanUnknown}
+	case "hang":
+		<-ctx.Done()
+		return nil, &forwarder.Failure{Cause: forwarder.CauseCaller, Ran: forwarder.RanUnknown}
+	}
+	panic("unknown attempt " + do)
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from + 1; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+type fakeAnswer struct {
+	status int
+	body   string
+	end    error
+	closed bool
+}
+
+func (a *fakeAnswer) Status() int { return a.status }
+func (a *fakeAnswer) Close()      { a.closed = true }
+func (a *fakeAnswer) Read(b []byte) (int, error) {
+	n := copy(b, a.body)
+	a.body = a.body[n:]
+	if a.body == "" {
+		return n, a.end
+	}
+	return n, nil
+}
+
+// recorder is a caller.
+type recorder struct {
+	status  int
+	length  int64
+	body    strings.Builder
+	retry   time.Duration
+	aborted bool
+	heads   int
+}
+
+func (r *recorder) Refuse(f Refusal) { r.status, r.retry = f.Status, f.RetryAfter; r.heads++ }
+func (r *recorder) Begin(a Answer, length int64) error {
+	r.status, r.length = a.Status(), length
+	r.heads++
+	return nil
+}
+func (r *recorder) Write(b []byte) error { r.body.Write(b); return nil }
+func (r *recorder) Flush() error         { return nil }
+func (r *recorder) Abort()               { r.aborted = true }
+
+func testView(kind string) *follower.View {
+	route := matcher.Route{
+		Name: "r", Host: "h", PathPrefix: "/r/", Kind: matcher.Kind(kind), MaxAttempts: 2,
+		Timeout: 200 * time.Millisecond, Services: []matcher.Share{{Service: "s", Weight: 1}},
+	}
+	switch kind {
+	case "Stream":
+		route.MaxAttempts = 1
+	case "Resumable":
+		route.Kind, route.Resumable = matcher.KindStream, true
+	case "None":
+		route.Kind, route.PathPrefix = matcher.KindOnce, "/other/"
+	case "Unready":
+		return &follower.View{}
+	}
+	view := &follower.View{Table: matcher.New(matcher.Parts{
+		Routes:     []matcher.Route{route},
+		Services:   []matcher.Service{{Name: "s"}},
+		Workspaces: []matcher.Workspace{{Name: "w", Keys: []string{"key"}}},
+	})}
+	for i := range 3 {
+		view.Upstreams = append(view.Upstreams, follower.Upstream{ID: fmt.Sprint("u", i), Service: "s", Standing: follower.StandingReady, Slots: 2})
+	}
+	return view
+}
+
+func TestAttempts(t *testing.T) {
+	text, err := os.ReadFile("testdata/attempts.jsonc")
+	assert.NilError(t, err)
+	var cases []attemptCase
+	_, faults := strictjson.Decode(text, &cases)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { checkAttempts(t, c) })
+	}
+}
+
+func checkAttempts(t *testing.T, c attemptCase) {
+	view := testView(c.Route)
+	var beliefs atomic.Pointer[follower.View]
+	beliefs.Store(view)
+	p := placer.New(placer.Options{})
+	p.Update(view)
+	allowance := retrier.Allowance{Share: 1, Slack: 100}
+	if c.NoBudget {
+		allowance = retrier.Allowance{}
+	}
+	sender := &scriptedSender{script: c.Upstreams}
+	budget := retrier.NewShared(allowance)
+	for range 20 {
+		budget.Request("s")
+	}
+	x := New(Options{Beliefs: &beliefs, Placer: p, Sender: sender, Budget: budget, Timer: timer.NewSystem()})
+	caller := &recorder{}
+	key := c.Key
+	if key == "" {
+		key = "key"
+	}
+	outcome := x.Handle(context.Background(), &Request{ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: key}, caller)
+	if c.Want == "abort" {
+		assert.Assert(t, caller.aborted)
+	} else {
+		assert.Assert(t, !caller.aborted)
+		assert.Equal(t, strconv.Itoa(caller.status), c.Want)
+		assert.Equal(t, caller.heads, 1)
+	}
+	assert.Equal(t, sender.sent, c.Sent)
+	assert.Equal(t, outcome.Attempts, c.Sent)
+	if c.Events != "" {
+		assert.Equal(t, ids(caller.body.String()), c.Events)
+	}
+	if caller.status == 503 {
+		assert.Assert(t, caller.retry > 0, "a refusal that has not run says when to come back")
+	}
+	for i := range 3 {
+		assert.Equal(t, p.Busy(fmt.Sprint("u", i)), 0, "work is counted that has ended")
+	}
+}
+
+func ids(body string) string {
+	var out []string
+	for _, line := range strings.Split(body, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// TestCallerLeaves: when the caller leaves, what may be repeated is ended at
+// its upstream; what must run at most once is brought to its end.
+func TestCallerLeaves(t *testing.T) {
+	for _, c := range []struct {
+		kind  string
+		ended bool
+	}{{"Idempotent", true}, {"Stream", true}, {"Once", false}} {
+		t.Run(c.kind, func(t *testing.T) {
+			view := testView(c.kind)
+			var beliefs atomic.Pointer[follower.View]
+			beliefs.Store(view)
+			p := placer.New(placer.Options{})
+			p.Update(view)
+			sender := &watchingSender{}
+			x := New(Options{Beliefs: &beliefs, Placer: p, Sender: sender, Budget: retrier.NewShared(retrier.Allowance{}), Timer: timer.NewSystem()})
+			ctx, cancel := context.WithCancel(context.Background())
+			sender.leave = cancel
+			x.Handle(ctx, &Request{ID: "1", Start: time.Now(), Host: "h", Path: "/r/x", Key: "key"}, &recorder{})
+			assert.Equal(t, sender.ended, c.ended)
+		})
+	}
+}
+
+// watchingSender lets the caller leave and sees whether the attempt is ended.
+type watchingSender struct {
+	leave func()
+	ended bool
+}
+
+func (s *watchingSender) Send(ctx context.Context, _ *Request, _ *Directions) (Answer, *forwarder.Failure) {
+	s.leave()
+	s.ended = ctx.Err() != nil
+	return &fakeAnswer{status: 200, body: "x", end: io.EOF}, nil
+}
--- /dev/null
+++ b/follower/state_test.go
@@ -0,0 +1,99 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package follower
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/internal/duration"
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+type step struct {
+	After       duration.Duration
+	Do          string
+	ID          string
+	IDs         []string
+	Offset      int64
+	Weights     uint64
+	Want        []string
+	WantWeights uint64
+}
+
+func (s *step) apply(t *testing.T, state *State, now time.Time) {
+	up := Upstream{ID: s.ID, Service: "s", Address: "127.0.0.1:1", Standing: StandingReady, Weights: map[string]uint64{"m": s.Weights}}
+	switch s.Do {
+	case "put":
+		state.Apply(now, Change{Upstream: &up}, s.Offset)
+	case "leave":
+		up.Standing = StandingLeaving
+		state.Apply(now, Change{Upstream: &up}, s.Offset)
+	case "remove":
+		state.Apply(now, Change{Removed: s.ID}, s.Offset)
+	case "listing":
+		listed := make(map[string]bool)
+		for _, id := range s.IDs {
+			listed[id] = true
+		}
+		state.Replace(now, listed, s.Offset)
+	case "renewed":
+		state.Renewed(s.ID, "m", s.Weights)
+	case "failed":
+		state.Failed()
+	case "answered":
+		state.Answered(now)
+	case "expire":
+		state.Expire(now)
+	default:
+		t.Fatalf("unknown step %q", s.Do)
+	}
+}
+
+func TestUpstreams(t *testing.T) {
+	text, err := os.ReadFile("testdata/upstreams.jsonc")
+	assert.NilError(t, err)
+	var scripts []struct {
+		Name  string
+		Steps []step
+	}
+	_, faults := strictjson.Decode(text, &scripts)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, sc := range scripts {
+		t.Run(sc.Name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			state := New()
+			for i, s := range sc.Steps {
+				now = now.Add(s.After.Std())
+				s.apply(t, state, now)
+				view := state.View()
+				got := slices.Clone(view.ByService["s"])
+				assert.DeepEqual(t, append([]string{}, got...), append([]string{}, s.Want...))
+				if s.WantWeights > 0 {
+					assert.Equal(t, view.Upstreams[0].Weights["m"], s.WantWeights, fmt.Sprintf("step %d", i))
+				}
+			}
+		})
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	state := New()
+	now := time.Unix(1000, 0)
+	for _, c := range []struct{ version, want uint64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}, {7, 9}} {
+		state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: c.version})}, 1)
+		assert.Equal(t, state.Table().Version(), c.want)
+	}
+	state.Apply(now, Change{Weights: &Weights{Model: "m", Version: 2}}, 1)
+	since := state.View().Named["m"].Since
+	state.Apply(now.Add(time.Second), Change{Weights: &Weights{Model: "m", Version: 2}}, 2)
+	state.Apply(now.Add(time.Second), Change{Weights: &Weights{Model: "m", Version: 1}}, 3)
+	assert.Equal(t, state.View().Named["m"], Named{Version: 2, Since: since})
+}
--- /dev/null
+++ b/forwarder/pool_test.go
@@ -0,0 +1,227 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+)
+
+type poolAnswer struct {
+	Text  string // Text is an answer with | for line ends.
+	Raw   string // Raw is written before Text as it is.
+	Late  string // Late is written before Text, in the form of Text.
+	Extra string // Extra is written after Text, in the form of Text.
+	After string
+}
+
+type poolWant struct {
+	Status int
+	Body   string
+	Cut    bool
+	Cause  Cause
+	Ran    Ran
+}
+
+type poolCase struct {
+	Name        string
+	Answers     []poolAnswer
+	Want        []poolWant
+	Connections int
+}
+
+// poolServer answers as a case says and counts connections.
+type poolServer struct {
+	listener net.Listener
+	answers  []poolAnswer
+	count    atomic.Int32
+	written  atomic.Int32 // written counts answers with all that follows them.
+}
+
+func newPoolServer(t *testing.T, answers []poolAnswer) *poolServer {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &poolServer{listener: l, answers: answers}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.count.Add(1)
+			go s.serve(c.(*net.TCPConn))
+		}
+	}()
+	return s
+}
+
+func (s *poolServer) serve(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, a := range s.answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		form := func(text string) string {
+			if text == "" {
+				return ""
+			}
+			text = strings.ReplaceAll("HTTP/1.1 "+text, "|", "\r\n")
+			return strings.ReplaceAll(text, "{id}", req.Header.Get("X-Id"))
+		}
+		_, _ = io.WriteString(c, a.Raw+form(a.Late)+form(a.Text)+form(a.Extra))
+		if a.After == "reset" {
+			_ = c.SetLinger(0)
+		}
+		if a.After == "reset" || a.After == "close" {
+			_ = c.Close()
+			s.written.Add(1)
+			return
+		}
+		s.written.Add(1)
+	}
+	_, _ = io.Copy(io.Discard, r) // the connection stays open
+}
+
+func TestPool(t *testing.T) {
+	text, err := os.ReadFile("testdata/pool.jsonc")
+	assert.NilError(t, err)
+	var cases []poolCase
+	_, faults := strictjson.Decode(text, &cases)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			s := newPoolServer(t, c.Answers)
+			p := NewPool(PoolOptions{})
+			for i, want := range c.Want {
+				checkCall(t, p, s, strconv.Itoa(i), want)
+			}
+			assert.Equal(t, int(s.count.Load()), c.Connections)
+		})
+	}
+}
+
+func checkCall(t *testing.T, p *Pool, s *poolServer, id string, want poolWant) {
+	t.Helper()
+	answered := s.written.Load()
+	reply, fail := p.Do(context.Background(), &Call{
+		Address: s.listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h",
+		Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
+		Own: func(h http.Header) bool { return h.Get("X-Id") == id },
+	})
+	if want.Cause != "" {
+		assert.Assert(t, fail != nil)
+		assert.Equal(t, fail.Cause, want.Cause)
+		assert.Equal(t, fail.Ran, want.Ran)
+		return
+	}
+	assert.Assert(t, fail == nil, "%v", fail)
+	assert.Equal(t, reply.Status, want.Status)
+	body, err := io.ReadAll(reply)
+	assert.Equal(t, err != nil, want.Cut, "%v", err)
+	if want.Body != "" {
+		assert.Equal(t, string(body), want.Body)
+	}
+	// What follows the answer must be there before the connection is used again.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.written.Load() > answered {
+			return poll.Success()
+		}
+		return poll.Continue("answer not written")
+	})
+	reply.Close()
+}
+
+// TestPoolNotConnected: a connection that was never made is a request that did
+// not run.
+func TestPoolNotConnected(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, fail := NewPool(PoolOptions{}).Do(context.Background(), &Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+	assert.Equal(t, fail.Cause, CauseConnect)
+	assert.Equal(t, fail.Ran, RanNo)
+}
+
+// TestPoolCap: beyond its bound a pool makes no connection, and says that the
+// request did not run; an idle connection makes room.
+func TestPoolCap(t *testing.T) {
+	s := newPoolServer(t, []poolAnswer{{Text: "200 OK|Content-Length: 0||"}, {Text: "200 OK|Content-Length: 0||"}})
+	p := NewPool(PoolOptions{})
+	address := s.listener.Addr().String()
+	p.SetCap(address, 1)
+	call := &Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+	first, fail := p.Do(context.Background(), call)
+	assert.Assert(t, fail == nil)
+	_, fail = p.Do(context.Background(), call)
+	assert.Equal(t, fail.Ran, RanNo)
+	_, err := io.ReadAll(first)
+	assert.NilError(t, err)
+	first.Close()
+	second, fail := p.Do(context.Background(), call)
+	assert.Assert(t, fail == nil)
+	second.Close()
+	assert.Equal(t, int(s.count.Load()), 1)
+}
+
+// TestPoolEarlyAnswer: an upstream answers before it has read a long body and
+// reads on later. The rest of the body is what it gets, never another request.
+func TestPoolEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	body := bytes.Repeat([]byte("b"), 8<<20)
+	got := make(chan int, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+				n, _ := io.Copy(io.Discard, req.Body)
+				got <- int(n)
+				if req, err = http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	p := NewPool(PoolOptions{})
+	call := &Call{Address: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body}
+	reply, fail := p.Do(context.Background(), call)
+	assert.Assert(t, fail == nil)
+	assert.Equal(t, reply.Status, http.StatusBadRequest)
+	_, err = io.ReadAll(reply)
+	assert.NilError(t, err)
+	reply.Close()
+	if n := <-got; n != len(body) {
+		// The body was given up with its connection, which is closed then.
+		assert.Equal(t, len(p.idle[call.Address]), 0)
+	}
+}
--- /dev/null
+++ b/renewer/handover_test.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package renewer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestHolderGone: the holder is cut off from store and hosts while an engine
+// does not answer its orders. It goes on ordering until its term ends, and
+// nobody hears of that; the next holder must wait out term and turn.
+func TestHolderGone(t *testing.T) {
+	s := newSim(2, 1)
+	s.run(3 * time.Second)
+	s.engines["e0"].late = true
+	s.named = 2
+	s.run(300 * time.Millisecond)
+	s.hosts[0].noStore, s.hosts[0].noPeers = true, true
+	// The engine is seen as new by the old holder's own orders only at the end.
+	s.engines["e0"].host, s.engines["e0"].ordered = "", time.Time{}
+	for range 200 {
+		s.run(simTick)
+		// Every moment is one at which the cut holder might order again.
+		for _, j := range s.hosts[0].renewer.jobs {
+			j.again, j.loading, j.calling = time.Time{}, false, false
+		}
+		s.engines["e0"].pending = nil
+	}
+	assert.Equal(t, len(s.faults), 0, "%q", s.faults)
+	assert.Equal(t, s.engines["e0"].host, "host-2")
+}
+
+// TestForeignOrdersKeepTheirTurn: a holder that stops says which engines it has
+// ordered when; the next one leaves those alone for a turn.
+func TestForeignOrdersKeepTheirTurn(t *testing.T) {
+	s := newSim(2, 2)
+	s.run(3 * time.Second)
+	s.engines["e0"].late = true
+	s.named = 2
+	s.run(300 * time.Millisecond)
+	s.hosts[0].noStore = true
+	s.run(10 * time.Second)
+	assert.Equal(t, len(s.faults), 0, "%q", s.faults)
+	assert.Equal(t, s.engines["e1"].version, uint64(2))
+}
+
+// TestStoppedIsSaidOfOneselfOnly: a host that was paused while it held the lease
+// hears first that another holds it now. It must not say that this one stopped.
+func TestStoppedIsSaidOfOneselfOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Options{Host: "a", Term: 2 * time.Second, Turn: simTurn, Margin: 250 * time.Millisecond, AtOnce: 3})
+	r.wasHeld = true
+	other := Lease{Record: Record{Host: "b", Nonce: 7}, End: 9}
+	r.Heard(now, &Status{Lease: other, Holding: true})
+	st := r.Status(now)
+	assert.Assert(t, st != nil && !st.Stopped)
+	third := New(Options{Host: "c", Term: 2 * time.Second, Turn: simTurn, Margin: 250 * time.Millisecond, AtOnce: 3})
+	third.Heard(now, &Status{Lease: other, Holding: true})
+	third.Heard(now, st)
+	assert.Assert(t, !third.lease.released)
+}
--- /dev/null
+++ b/renewer/random_test.go
@@ -0,0 +1,289 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package renewer
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// sim is several hosts, a store with one lease, and engines, in simulated time.
+type sim struct {
+	now     time.Time
+	hosts   []*simHost
+	engines map[string]*simEngine
+	named   uint64
+	lease   Lease
+	late    []lateWrite
+	faults  []string
+}
+
+type simHost struct {
+	name    string
+	renewer *Renewer
+	starts  uint64
+	down    bool // down tells that the process is dead.
+	paused  bool
+	noStore bool
+	loses   bool // loses tells that answers of the store are lost.
+	noPeers bool
+}
+
+type lateWrite struct {
+	at    time.Time
+	write WriteLease
+}
+
+type simEngine struct {
+	version uint64
+	loading uint64
+	until   time.Time
+	late    bool // late tells that orders get no answer and are carried out seconds later.
+	pending []Order
+	due     time.Time
+	host    string
+	ordered time.Time
+	token   uint64
+}
+
+const (
+	simTick = 50 * time.Millisecond
+	simTurn = 3 * time.Second
+)
+
+var errSim = errors.New("no answer")
+
+func newSim(hosts, engines int) *sim {
+	s := &sim{now: time.Unix(1000, 0), engines: make(map[string]*simEngine), named: 1}
+	for i := range hosts {
+		h := &simHost{name: fmt.Sprintf("host-%d", i+1)}
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+	}
+	for i := range engines {
+		s.engines[fmt.Sprintf("e%d", i)] = &simEngine{version: 1}
+	}
+	return s
+}
+
+func (s *sim) start(h *simHost) {
+	h.starts++
+	h.down = false
+	h.renewer = New(Options{Host: h.name, Term: 2 * time.Second, Turn: simTurn, Margin: 250 * time.Millisecond, AtOnce: 3, Seed: h.starts * 1e6})
+}
+
+func (s *sim) view() *follower.View {
+	v := &follower.View{Named: map[string]follower.Named{"m": {Version: s.named}}}
+	for id, e := range s.engines {
+		v.Upstreams = append(v.Upstreams, follower.Upstream{ID: id, Standing: follower.StandingReady, Weights: map[string]uint64{"m": e.version}})
+	}
+	slices.SortFunc(v.Upstreams, func(a, b follower.Upstream) int { return int(a.ID[1]) - int(b.ID[1]) })
+	return v
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simTick) {
+		s.world()
+		for i, h := range s.hosts {
+			if h.down || h.paused {
+				continue
+			}
+			place := 0
+			for _, o := range s.hosts[:i] {
+				if !o.down && !o.paused {
+					place++
+				}
+			}
+			s.carry(h, h.renewer.Step(s.now, Input{View: s.view(), Place: place, Busy: func(string) int { return 0 }}))
+			if st := h.renewer.Status(s.now); st != nil {
+				s.tell(h, st)
+			}
+		}
+	}
+}
+
+// world lets late writes land and loads end.
+func (s *sim) world() {
+	for _, l := range s.late {
+		if !s.now.Before(l.at) && l.write.At == s.lease.End {
+			s.lease = Lease{Record: l.write.Record, End: l.write.At + 1}
+		}
+	}
+	s.late = slices.DeleteFunc(s.late, func(l lateWrite) bool { return !s.now.Before(l.at) })
+	for _, e := range s.engines {
+		if e.loading > 0 && !s.now.Before(e.until) {
+			e.version, e.loading = max(e.version, e.loading), 0
+		}
+		if len(e.pending) > 0 && !s.now.Before(e.due) {
+			for _, o := range e.pending {
+				e.version = max(e.version, o.Version)
+			}
+			e.pending = nil
+		}
+	}
+}
+
+func (s *sim) tell(from *simHost, st *Status) {
+	for _, h := range s.hosts {
+		if h != from && !h.down && !h.paused && !h.noPeers && !from.noPeers {
+			h.renewer.Heard(s.now, st)
+		}
+	}
+}
+
+func (s *sim) carry(h *simHost, commands []Command) {
+	for _, c := range commands {
+		switch c := c.(type) {
+		case ReadLease:
+			if h.noStore || h.loses {
+				h.renewer.LeaseRead(s.now, Lease{}, errSim)
+				continue
+			}
+			h.renewer.LeaseRead(s.now, s.lease, nil)
+		case WriteLease:
+			s.write(h, c)
+		case Order:
+			s.order(h, c)
+		case Ask:
+			e := s.engines[c.Upstream.ID]
+			s.carry(h, h.renewer.Told(s.now, c, e.loading > 0, e.version, nil))
+		}
+	}
+}
+
+func (s *sim) write(h *simHost, c WriteLease) {
+	switch {
+	case h.noStore:
+		h.renewer.LeaseWritten(s.now, c, false, errSim)
+	case h.loses:
+		s.late = append(s.late, lateWrite{at: s.now.Add(3 * time.Second), write: c})
+		h.renewer.LeaseWritten(s.now, c, false, errSim)
+	case c.At != s.lease.End:
+		h.renewer.LeaseWritten(s.now, c, true, nil)
+	default:
+		s.lease = Lease{Record: c.Record, End: c.At + 1}
+		h.renewer.LeaseWritten(s.now, c, false, nil)
+	}
+}
+
+func (s *sim) order(h *simHost, o Order) {
+	e := s.engines[o.Upstream.ID]
+	if e.host != "" && e.host != h.name {
+		if gap := s.now.Sub(e.ordered); gap < simTurn {
+			s.faults = append(s.faults, fmt.Sprintf("%s ordered %s %v after %s", h.name, o.Upstream.ID, gap, e.host))
+		}
+		if o.Token <= e.token {
+			s.faults = append(s.faults, fmt.Sprintf("%s ordered %s with token %d after %d of %s", h.name, o.Upstream.ID, o.Token, e.token, e.host))
+		}
+	}
+	e.host, e.ordered, e.token = h.name, s.now, o.Token
+	switch {
+	case e.late:
+		e.pending, e.due = append(e.pending, o), s.now.Add(4*time.Second)
+		h.renewer.Ordered(s.now, o, OrderUnknown)
+	case e.version >= o.Version:
+		s.carry(h, h.renewer.Ordered(s.now, o, OrderHolds))
+	case e.loading > 0:
+		h.renewer.Ordered(s.now, o, OrderAccepted)
+	default:
+		e.loading, e.until = o.Version, s.now.Add(900*time.Millisecond)
+		h.renewer.Ordered(s.now, o, OrderAccepted)
+	}
+}
+
+var simActions = []string{"name", "name", "kill", "start", "pause", "resume", "noStore", "store", "loses", "noPeers", "peers", "late", "prompt", "wait"}
+
+func (s *sim) act(do string, h *simHost, e *simEngine) {
+	switch do {
+	case "name":
+		s.named++
+	case "kill":
+		h.down = true
+	case "start":
+		if h.down {
+			s.start(h)
+		}
+	case "pause":
+		h.paused = true
+	case "resume":
+		h.paused = false
+	case "noStore":
+		h.noStore = true
+	case "store":
+		h.noStore, h.loses = false, false
+	case "loses":
+		h.loses = true
+	case "noPeers":
+		h.noPeers = true
+	case "peers":
+		h.noPeers = false
+	case "late":
+		e.late = true
+	case "prompt":
+		e.late = false
+	}
+}
+
+// settle mends all and lets the hosts bring all engines to the newest version.
+func (s *sim) settle() {
+	for _, h := range s.hosts {
+		for _, do := range []string{"start", "resume", "store", "peers"} {
+			s.act(do, h, nil)
+		}
+	}
+	for _, e := range s.engines {
+		e.late = false
+	}
+	s.run(30 * time.Second)
+	for id, e := range s.engines {
+		if e.version != s.named {
+			s.faults = append(s.faults, fmt.Sprintf("%s has version %d of %d", id, e.version, s.named))
+		}
+	}
+}
+
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.IntRange(2, 4).Draw(t, "hosts"), 6)
+		s.run(time.Second)
+		n := rapid.IntRange(3, 25).Draw(t, "steps")
+		for range n {
+			h := rapid.SampledFrom(s.hosts).Draw(t, "host")
+			e := s.engines[fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(t, "engine"))]
+			s.act(rapid.SampledFrom(simActions).Draw(t, "do"), h, e)
+			s.run(rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 700 * time.Millisecond, 2200 * time.Millisecond, 5 * time.Second}).Draw(t, "after"))
+		}
+		s.settle()
+		if len(s.faults) > 0 {
+			t.Fatalf("broken: %q", s.faults)
+		}
+	})
+}
+
+// TestHolderCutFromStoreHandsOver: the holder loses the store in the middle of a
+// renewal. Another host goes on with the engines that were not ordered yet as
+// soon as the first says that it stopped, without waiting out a turn.
+func TestHolderCutFromStoreHandsOver(t *testing.T) {
+	s := newSim(3, 9)
+	s.run(3 * time.Second)
+	s.named = 2
+	s.run(1100 * time.Millisecond)
+	s.hosts[0].noStore = true
+	s.run(6 * time.Second)
+	for id, e := range s.engines {
+		if e.version != 2 {
+			t.Errorf("%s has not been renewed 7.1 s after the version was named", id)
+		}
+	}
+	if len(s.faults) > 0 {
+		t.Fatalf("broken: %q", s.faults)
+	}
+}
