Drop the question that offsets made needless; test what replaces it

Cause: a host that lacks a page asked others by turns while its store failed, and also whoever said that it knows more.

Change: only the second is left. New tests: a store that swallows all questions and returns (fails with waits of 20 s), a host that starts while it is turned away (fails without the question).

--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -28,12 +28,8 @@
 
 func newFeed() *feed { return &feed{newest: make(map[string]follower.Record)} }
 
-// readFeed asks the store for more of a feed if that is this host's turn, and
-// another host if the store does not answer.
+// readFeed asks the store for more of a feed if that is this host's turn.
 func (n *Node) readFeed(now time.Time, name follower.Feed, f *feed) {
-	if f.failing {
-		n.askPeer(now, name, f)
-	}
 	if f.reading || now.Before(f.again) {
 		return
 	}
@@ -198,20 +194,6 @@
 // wantOf names a feed in a question to another host.
 func wantOf(name follower.Feed) string { return "Feed/" + string(name) }
 
-// askPeer asks one live host after the other for all it knows of a feed.
-func (n *Node) askPeer(now time.Time, name follower.Feed, f *feed) {
-	if now.Sub(f.asked) < n.opts.Timing.Ask || f.known && now.Sub(f.fresh) < n.opts.Timing.Fresh {
-		return
-	}
-	live := slices.DeleteFunc(n.hosts.Live(), func(h string) bool { return h == n.opts.Self.Host })
-	if len(live) == 0 {
-		return
-	}
-	turn := int(now.UnixMilli()/n.opts.Timing.Ask.Milliseconds()) % len(live)
-	f.asked = now
-	n.send(live[turn], &messenger.Message{Wants: []string{wantOf(name)}})
-}
-
 // answerWants hands over the feeds that another host asks for.
 func (n *Node) answerWants(now time.Time, to string, wants []string) {
 	for name, f := range n.feeds {
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -83,7 +83,10 @@
 	faults []string
 }
 
-const clusterTick = 10 * time.Millisecond
+const (
+	clusterTick = 10 * time.Millisecond
+	reportMilli = 100
+)
 
 func newCluster(n int) *cluster {
 	c := &cluster{now: time.Unix(5000, 0), byName: make(map[string]*simNode), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64)}
@@ -134,6 +137,9 @@
 				continue
 			}
 			inbox := append(s.inbox, Tick{})
+			if c.now.UnixMilli()%reportMilli == 0 {
+				inbox = append(inbox, WorkReported{})
+			}
 			s.inbox = nil
 			for _, ev := range inbox {
 				c.carry(s, s.node.Handle(c.now, ev))
@@ -236,6 +242,41 @@
 	}
 }
 
+// TestStoreReturns: the store swallows all questions for a while. Three seconds
+// after it is back, a change reaches all hosts as ever.
+func TestStoreReturns(t *testing.T) {
+	c := newCluster(4)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.run(3 * time.Second)
+	for _, s := range c.nodes {
+		c.set(s, accessSilent)
+	}
+	c.run(5 * time.Second)
+	for _, s := range c.nodes {
+		c.set(s, accessOK)
+	}
+	c.run(3 * time.Second)
+	c.write(follower.FeedOperator, "config", "version 2")
+	c.run(2 * time.Second)
+	for _, s := range c.nodes {
+		assert.Equal(t, s.version, uint64(2), s.name)
+	}
+}
+
+// TestRefusedHostLearnsFromOthers: a host that starts while the store turns it
+// away gets what it lacks from the others.
+func TestRefusedHostLearnsFromOthers(t *testing.T) {
+	c := newCluster(3)
+	c.write(follower.FeedOperator, "config", "version 3")
+	c.write(follower.FeedUpstreams, "a", "ready")
+	c.run(3 * time.Second)
+	c.set(c.nodes[1], accessRefuse)
+	c.start(c.nodes[1])
+	c.run(time.Second)
+	assert.Equal(t, c.nodes[1].version, uint64(3))
+	assert.DeepEqual(t, c.nodes[1].node.view.ByService["s"], []string{"a"})
+}
+
 // TestForgottenHistory: the store drops old records; the newest of each key
 // stays, and nothing that is in force may vanish.
 func TestForgottenHistory(t *testing.T) {
