Tell other hosts of long prompts at once, and log what choices were based on

Cause: one intent in ten was late at an engine that its host took for idle: another host had placed a long prompt there within the last 100 ms, the interval of reports. Found by the new line of a request, which gives for each attempt the estimate and what it was based on.

Change: a prompt of 1,024 tokens or more to be read is told at once, at most every 4 ms.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -90,6 +90,7 @@
 
 	view    atomic.Pointer[follower.View]
 	hosts   atomic.Pointer[[]tracker.HostRecord]
+	urgent  chan struct{} // urgent asks for a report at once.
 	leaving atomic.Bool
 	keeper  atomic.Bool // keeper tells that this host is first in rank to free kept context.
 	open    atomic.Int64
@@ -112,9 +113,10 @@
 		watched: make(map[string]context.CancelFunc),
 		ctx:     ctx,
 		cancel:  cancel,
-		placer:  placer.New(placer.Options{AvailabilityZone: s.AvailabilityZone}),
+		urgent:  make(chan struct{}, 1),
 		budget:  retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
+	h.placer = placer.New(placer.Options{AvailabilityZone: s.AvailabilityZone, Urgent: h.hurry})
 	self := tracker.HostRecord{
 		Host:             s.Host,
 		Incarnation:      uint64(opts.Timer.Now().UnixNano()),
@@ -191,6 +193,7 @@
 	h.goDo(h.loop)
 	h.goDo(h.meet)
 	h.goDo(h.keepStores)
+	h.goDo(h.reportUrgently)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
 	context.AfterFunc(h.ctx, cancelTick)
@@ -289,6 +292,30 @@
 	h.post(WorkReported{Report: h.placer.Report()})
 }
 
+// hurry asks for a report before its time.
+func (h *Host) hurry() {
+	select {
+	case h.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// hurryPause is the least time between two reports out of turn.
+const hurryPause = 4 * time.Millisecond
+
+// reportUrgently sends reports that were asked for.
+func (h *Host) reportUrgently() {
+	for {
+		select {
+		case <-h.urgent:
+			h.post(WorkReported{Report: h.placer.Report()})
+			pause(h.ctx, hurryPause)
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
 // loop is the control goroutine.
 func (h *Host) loop() {
 	for {
@@ -391,14 +418,7 @@
 	h.open.Add(1)
 	h.asked.Store(h.opts.Timer.Now().UnixNano())
 	defer h.open.Add(-1)
-	o := h.exchanger.Handle(ctx, r, w)
-	ev := h.log.Debug()
-	if o.Reason != exchanger.ReasonNone {
-		ev = h.log.Info()
-	}
-	ev.Str("RequestID", r.ID).Int("Status", o.Status).Str("Reason", string(o.Reason)).Str("Detail", o.Detail).
-		Str("Route", o.Route).Str("Upstream", o.Upstream).Int("Attempts", o.Attempts).
-		Dur("First", o.First).Dur("Took", o.Took).Msg("request")
+	h.record(r, h.exchanger.Handle(ctx, r, w))
 }
 
 // Ready tells that this host takes callers.
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -78,6 +78,7 @@
 	d.tried = append(d.tried, choice.Upstream.ID)
 	d.outcome.Attempts++
 	d.outcome.Upstream = choice.Upstream.ID
+	d.outcome.Choices = append(d.outcome.Choices, choice)
 	dir := &Directions{
 		Upstream:  choice.Upstream,
 		Remaining: d.end.Sub(d.opts.Timer.Now()),
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -70,6 +70,7 @@
 		e.serve(ctx)
 	}
 	e.outcome.Took = x.opts.Timer.Now().Sub(r.Start)
+	e.outcome.Late = e.route != nil && e.route.Objective > 0 && e.outcome.First > e.route.Objective
 	return e.outcome
 }
 
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -57,7 +57,9 @@
 	Upstream string
 	Attempts int
 	Events   int
-	First    time.Duration // First is the time to the first byte of the answer's body.
+	Choices  []placer.Choice // Choices are the upstreams that were tried, in order.
+	Late     bool            // Late tells that the first byte came after the route's objective.
+	First    time.Duration   // First is the time to the first byte of the answer's body.
 	Took     time.Duration
 }
 
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -74,6 +74,15 @@
 	p.sumPeers()
 }
 
+// peersAge is the age of the oldest word that counts.
+func (p *Placer) peersAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, w := range p.peers {
+		oldest = max(oldest, now.Sub(w.at))
+	}
+	return oldest
+}
+
 func (p *Placer) sumPeers() {
 	for _, t := range p.targets {
 		t.peers = Work{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -16,8 +16,17 @@
 // Options set up a Placer.
 type Options struct {
 	AvailabilityZone string // AvailabilityZone is this host's.
+	// Urgent is called, if set, when a long prompt was placed that other hosts
+	// should know of at once. It must not block.
+	Urgent func()
 }
 
+// urgentTokens is the length from which a prompt is told to other hosts at once:
+// 25 ms of reading or more, in which a short request had better go elsewhere.
+// With reports every 100 ms only, one short request in ten was late behind a
+// long prompt that its host had not heard of.
+const urgentTokens = 1024
+
 // Placer chooses upstreams. It is safe for concurrent use.
 type Placer struct {
 	opts Options
@@ -131,6 +140,15 @@
 	stored  []*store // stored has for each part the store that holds it, up to the first that none holds.
 }
 
+// Basis is what a choice was based on.
+type Basis struct {
+	Estimate time.Duration // Estimate is the time to the first token or to a slot, with penalties.
+	Work     Work          // Work was under way at the upstream, of all hosts.
+	Missing  int           // Missing are prompt tokens to be read there.
+	Moved    int           // Moved are prompt tokens to be fetched.
+	PeersAge time.Duration // PeersAge is the age of the oldest word of another host that was counted.
+}
+
 // Choice is an upstream and what to tell it.
 type Choice struct {
 	Upstream follower.Upstream
@@ -138,6 +156,7 @@
 	Fetch    []string // Fetch has for each part the address that keeps it, or "".
 	Until    int64    // Until bounds the fetches from stores, in milliseconds of the upstreams' clock; 0 if there are none.
 	Save     []string // Save has for each part the store to save it to, or "".
+	Basis    Basis
 	Ticket   *Ticket
 }
 
@@ -147,27 +166,31 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ask.now, ask.chains = now, nil
-	best := p.best(now, ask)
+	best, estimate := p.best(now, ask)
 	if best == nil {
 		return Choice{}, false
 	}
 	if best.pause > 0 {
 		best.probing = true
 	}
-	c := Choice{Upstream: best.upstream}
+	c := Choice{Upstream: best.upstream, Basis: Basis{Estimate: estimate, Work: best.own, PeersAge: p.peersAge(now)}}
+	c.Basis.Work.add(best.peers)
 	tk := &Ticket{placer: p, target: best, start: now, work: Work{Requests: 1}}
 	if ask.Prompt != nil {
 		c.Weights = best.upstream.Weights[ask.Prompt.Model]
 		p.plan(now, ask, best, &c, tk)
 	}
 	best.own.add(tk.work)
+	if tk.work.Pending >= urgentTokens && p.opts.Urgent != nil {
+		p.opts.Urgent()
+	}
 	c.Ticket = tk
 	return c, true
 }
 
 // best returns the target with the least cost; suspects only if nothing else is
 // left.
-func (p *Placer) best(now time.Time, ask *Ask) *target {
+func (p *Placer) best(now time.Time, ask *Ask) (*target, time.Duration) {
 	var best, spare *target
 	var least time.Duration
 	for _, t := range p.pools[ask.Service] {
@@ -186,9 +209,9 @@
 		}
 	}
 	if best == nil {
-		return spare
+		return spare, 0
 	}
-	return best
+	return best, least
 }
 
 // Ticket is one request under way at an upstream.
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -10,6 +10,7 @@
 	first   int           // first is the number of leading parts that the engine keeps.
 	engine  int           // engine is the number of leading parts that the source engine brings it to.
 	parts   int           // parts is the number of leading parts that it has in the end.
+	kept    int           // kept are the tokens that it keeps.
 	missing int           // missing are the tokens that it must read.
 	time    time.Duration // time is that of all transfers.
 }
@@ -19,7 +20,7 @@
 func fetchPlan(t *target, ask *Ask, known *chained) fetch {
 	parts := ask.Prompt.Parts
 	n, kept := t.kept.leading(known.keys, parts)
-	f := fetch{first: n, engine: n, parts: n, missing: ask.Prompt.Tokens() - kept}
+	f := fetch{first: n, engine: n, parts: n, kept: kept, missing: ask.Prompt.Tokens() - kept}
 	if src := known.source; src.target != nil && src.target != t && src.tokens > kept {
 		moved := src.tokens - kept
 		f.engine, f.parts = src.parts, src.parts
@@ -56,6 +57,8 @@
 	if c.Weights >= p.named[ask.Prompt.Model].Version {
 		c.Save = p.saves(now, known.salt, parts)
 	}
+	c.Basis.Missing = f.missing
+	c.Basis.Moved = ask.Prompt.Tokens() - f.missing - f.kept
 	tk.work.Pending = f.missing
 	tk.work.Memory = ask.Prompt.Tokens() + ask.Prompt.Output
 	// The last part is the request's own: nobody else can begin with it.
