Learn how slow stores are, and count what is being fetched from them

Change: hosts tell each other what they fetch where, and how long transfers of 4,000 tokens and more took; a part is fetched when that is expected to take at most 2.4 times its reading.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -125,7 +125,7 @@
 
 func engineWait(t *target, ask *Ask, known *chained, work Work) time.Duration {
 	total := ask.Prompt.Tokens()
-	f := fetchPlan(t, ask, known)
+	f := fetchPlan(ask.now, t, ask, known)
 	cost := time.Duration(work.Requests)*runningPenalty + f.time
 	cost += readTime(work.Pending + f.missing)
 	if over := work.Memory + total + ask.Prompt.Output - t.engine.CapacityTokens; over > 0 {
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -27,6 +27,10 @@
 type Report struct {
 	Work   map[string]Work `cbor:"1,keyasint,omitempty"` // Work is by upstream; those left out have none.
 	Placed []Placement     `cbor:"2,keyasint,omitempty"` // Placed is new since the last report.
+	// Stores is what is being fetched from stores, by address.
+	Stores map[string]Work `cbor:"3,keyasint,omitempty"`
+	// Transfers were timed since the last report.
+	Transfers []Transfer `cbor:"4,keyasint,omitempty"`
 }
 
 func (p *Placer) tell(pl Placement) {
@@ -39,8 +43,13 @@
 func (p *Placer) Report() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Work: make(map[string]Work), Placed: p.placed}
-	p.placed = nil
+	r := Report{Work: make(map[string]Work), Stores: make(map[string]Work), Placed: p.placed, Transfers: p.transfers}
+	p.placed, p.transfers = nil, nil
+	for address, st := range p.stores {
+		if st.own.Requests > 0 {
+			r.Stores[address] = st.own
+		}
+	}
 	for id, t := range p.targets {
 		if t.own.Requests > 0 {
 			r.Work[id] = t.own
@@ -53,8 +62,13 @@
 func (p *Placer) Heard(now time.Time, host string, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[host] = peerWork{at: now, work: r.Work}
+	p.peers[host] = peerWork{at: now, work: r.Work, stores: r.Stores}
 	p.sumPeers()
+	for _, tr := range r.Transfers {
+		if st := p.stores[tr.Store]; st != nil {
+			st.pace.learn(now, tr)
+		}
+	}
 	for _, pl := range r.Placed {
 		if t := p.targets[pl.Upstream]; t != nil && t.engine != nil {
 			t.kept.put(now, pl.Key, pl.Tokens, p.room(t))
@@ -87,7 +101,15 @@
 	for _, t := range p.targets {
 		t.peers = Work{}
 	}
+	for _, st := range p.stores {
+		st.peers = Work{}
+	}
 	for _, w := range p.peers {
+		for address, work := range w.stores {
+			if st := p.stores[address]; st != nil {
+				st.peers.add(work)
+			}
+		}
 		for id, work := range w.work {
 			if t := p.targets[id]; t != nil {
 				t.peers.add(work)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,21 +31,23 @@
 type Placer struct {
 	opts Options
 
-	mu      sync.Mutex
-	targets map[string]*target   // targets are all known upstreams by ID.
-	pools   map[string][]*target // pools has those of each service that take new work.
-	peers   map[string]peerWork
-	stores  map[string]*store // stores of kept context by address.
-	clock   clock             // clock is the newest reading of the upstreams' clock.
-	current time.Time         // current is when the operators' feed was known to be current.
-	placed  []Placement       // placed waits to be told to other hosts.
-	named   map[string]follower.Named
+	mu        sync.Mutex
+	targets   map[string]*target   // targets are all known upstreams by ID.
+	pools     map[string][]*target // pools has those of each service that take new work.
+	peers     map[string]peerWork
+	stores    map[string]*store // stores of kept context by address.
+	clock     clock             // clock is the newest reading of the upstreams' clock.
+	current   time.Time         // current is when the operators' feed was known to be current.
+	transfers []Transfer        // transfers wait to be told to other hosts.
+	placed    []Placement       // placed waits to be told to other hosts.
+	named     map[string]follower.Named
 }
 
 // peerWork is what another host said last.
 type peerWork struct {
-	at   time.Time
-	work map[string]Work
+	at     time.Time
+	work   map[string]Work
+	stores map[string]Work
 }
 
 // New returns a placer that knows no upstream.
@@ -181,7 +183,7 @@
 		p.plan(now, ask, best, &c, tk)
 	}
 	best.own.add(tk.work)
-	if tk.work.Pending >= urgentTokens && p.opts.Urgent != nil {
+	if tk.work.Pending+tk.moved.Pending >= urgentTokens && p.opts.Urgent != nil {
 		p.opts.Urgent()
 	}
 	c.Ticket = tk
@@ -216,14 +218,19 @@
 
 // Ticket is one request under way at an upstream.
 type Ticket struct {
-	placer *Placer
-	target *target
-	start  time.Time
-	work   Work // work is what still counts.
-	keys   []ChainKey
-	parts  []Part
-	first  bool
-	done   bool
+	placer  *Placer
+	target  *target
+	start   time.Time
+	work    Work // work is what still counts.
+	keys    []ChainKey
+	parts   []Part
+	store   *store // store is where the request fetches from, or nil.
+	moved   Work   // moved is what it fetches there.
+	queued  int    // queued are the tokens that go out there up to its own.
+	missing int    // missing are the tokens that it had to read.
+	quiet   bool   // quiet tells that its engine had nothing else to read.
+	first   bool
+	done    bool
 }
 
 // First tells that the upstream has read the prompt.
@@ -236,9 +243,19 @@
 	tk.first = true
 	tk.target.own.Pending -= tk.work.Pending
 	tk.work.Pending = 0
+	tk.placer.timed(now, tk)
+	tk.arrived()
 	tk.placer.note(now, tk.target, tk.keys, tk.parts)
 }
 
+// arrived takes the request's transfer off its store.
+func (tk *Ticket) arrived() {
+	if tk.store != nil {
+		tk.store.own.sub(tk.moved)
+		tk.store = nil
+	}
+}
+
 // Done tells the end. Later calls do nothing.
 func (tk *Ticket) Done(now time.Time, result Result) {
 	tk.placer.mu.Lock()
@@ -247,6 +264,7 @@
 		return
 	}
 	tk.done = true
+	tk.arrived()
 	t := tk.target
 	t.own.sub(tk.work)
 	switch result {
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -17,7 +17,7 @@
 
 // fetchPlan plans the transfers for a prompt at an engine: from another engine
 // as far as that goes, then from stores.
-func fetchPlan(t *target, ask *Ask, known *chained) fetch {
+func fetchPlan(now time.Time, t *target, ask *Ask, known *chained) fetch {
 	parts := ask.Prompt.Parts
 	n, kept := t.kept.leading(known.keys, parts)
 	f := fetch{first: n, engine: n, parts: n, kept: kept, missing: ask.Prompt.Tokens() - kept}
@@ -28,9 +28,12 @@
 		f.time = transferFixed + transferTime(moved, t.engine.BytesPerToken, t.engine.LinkMbps)
 	}
 	for f.parts < len(known.stored) {
-		st := known.stored[f.parts].service
 		tokens := parts[f.parts].Tokens
-		f.time += transferFixed + st.FirstDelay + transferTime(tokens, t.engine.BytesPerToken, st.LinkMbps)
+		took := known.stored[f.parts].fetchTime(now, t, tokens)
+		if !worthFetching(took, tokens) {
+			break
+		}
+		f.time += took
 		f.missing -= tokens
 		f.parts++
 	}
@@ -42,7 +45,7 @@
 func (p *Placer) plan(now time.Time, ask *Ask, t *target, c *Choice, tk *Ticket) {
 	parts := ask.Prompt.Parts
 	known := p.under(ask, c.Weights)
-	f := fetchPlan(t, ask, known)
+	f := fetchPlan(now, t, ask, known)
 	if f.parts > f.first {
 		c.Fetch = make([]string, len(parts))
 		for i := f.first; i < f.parts; i++ {
@@ -51,6 +54,7 @@
 			} else {
 				c.Fetch[i] = known.stored[i].service.Address
 				c.Until = p.until(now)
+				tk.fetches(known.stored[i], parts[i].Tokens)
 			}
 		}
 	}
@@ -59,12 +63,34 @@
 	}
 	c.Basis.Missing = f.missing
 	c.Basis.Moved = ask.Prompt.Tokens() - f.missing - f.kept
+	tk.missing = f.missing
+	tk.quiet = c.Basis.Work.Pending < quietPending
 	tk.work.Pending = f.missing
 	tk.work.Memory = ask.Prompt.Tokens() + ask.Prompt.Output
 	// The last part is the request's own: nobody else can begin with it.
 	tk.keys, tk.parts = known.keys[:len(known.keys)-1], parts[:len(parts)-1]
 }
 
+// fetches counts a transfer from a store. Only the first of several stores is
+// counted: a prompt has one long part.
+func (tk *Ticket) fetches(st *store, tokens int) {
+	if tk.store == nil {
+		tk.store = st
+		tk.moved.Requests = 1
+		tk.queued = st.own.Pending + st.peers.Pending
+		st.own.Requests++
+	}
+	if tk.store == st {
+		far := 1
+		if st.service.AvailabilityZone != tk.target.upstream.AvailabilityZone {
+			far = farFactor
+		}
+		tk.moved.Pending += far * tokens
+		tk.queued += far * tokens
+		st.own.Pending += far * tokens
+	}
+}
+
 // saves names the stores that shared parts are to be saved to.
 func (p *Placer) saves(now time.Time, salt string, parts []Part) []string {
 	var out []string
--- a/placer/store.go
+++ b/placer/store.go
@@ -24,6 +24,9 @@
 	service matcher.Store
 	hash    uint64
 	near    bool
+	pace    pace
+	own     Work // own and peers are transfers under way.
+	peers   Work
 	up      bool // up tells that the store has answered lately.
 	epoch   int64
 	held    map[PartName]int // held has the tokens of parts that lie there whole.
@@ -62,11 +65,22 @@
 			st = &store{hash: xxhash.Sum64String(s.Store.Address), held: make(map[PartName]int), saving: make(map[PartName]saving)}
 		}
 		st.service = *s.Store
+		st.pace.nominal = float64(transferTime(1000, p.bytesPerToken(view), s.Store.LinkMbps)) / 1000
 		st.near = s.Store.AvailabilityZone == p.opts.AvailabilityZone
 		p.stores[s.Store.Address] = st
 	}
 }
 
+// bytesPerToken is the size of kept context, which is the same for all engines.
+func (p *Placer) bytesPerToken(view *follower.View) int {
+	for _, s := range view.Table.Services() {
+		if s.Engine != nil {
+			return s.Engine.BytesPerToken
+		}
+	}
+	return 0
+}
+
 // StoreChange is a part that a store has taken in whole, or has given up.
 type StoreChange struct {
 	Part    PartName
