--- /dev/null
+++ b/conductor/counters.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"amaranthgate.example/amaranthgate/exchanger"
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/renewer"
+)
+
+// counters are the metrics of one host. Label values are from closed lists, so
+// that their number is bounded.
+type counters struct {
+	set *metrics.Set
+}
+
+func newCounters(h *Host) *counters {
+	c := &counters{set: metrics.NewSet()}
+	c.set.NewGauge("amaranthgate_requests_open", func() float64 { return float64(h.open.Load()) })
+	c.set.NewGauge("amaranthgate_ready", func() float64 { return boolean(h.Ready()) })
+	c.set.NewGauge("amaranthgate_hosts_live", func() float64 { return float64(len(live(*h.hosts.Load()))) })
+	c.set.NewGauge("amaranthgate_configuration_version", func() float64 {
+		if t := h.view.Load().Table; t != nil {
+			return float64(t.Version())
+		}
+		return 0
+	})
+	c.set.NewGauge("amaranthgate_upstreams_known", func() float64 { return float64(len(h.view.Load().Upstreams)) })
+	c.set.NewGauge("amaranthgate_connections_opened_total", func() float64 { return float64(h.opts.Pool.Opened.Load()) })
+	c.set.NewGauge("amaranthgate_answers_crossed_total", func() float64 { return float64(h.opts.Pool.Crossed.Load()) })
+	c.set.NewGauge("amaranthgate_log_lines_dropped_total", func() float64 { return float64(h.opts.Dropped()) })
+	c.set.NewGauge("amaranthgate_peer_bytes_sent_total", func() float64 { return float64(h.messenger.Traffic().SentBytes) })
+	return c
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// request counts a request by its end, and times its first byte.
+func (c *counters) request(o exchanger.Outcome) {
+	reason := o.Reason
+	if reason == exchanger.ReasonNone {
+		reason = "Answered"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf(`amaranthgate_requests_total{reason=%q,class="%dxx"}`, string(reason), o.Status/100)).Inc()
+	if o.Late {
+		c.set.GetOrCreateCounter("amaranthgate_requests_late_total").Inc()
+	}
+	if o.First > 0 {
+		c.set.GetOrCreateHistogram("amaranthgate_first_byte_seconds").Update(o.First.Seconds())
+	}
+	if o.Attempts > 1 {
+		c.set.GetOrCreateCounter("amaranthgate_attempts_repeated_total").Add(o.Attempts - 1)
+	}
+}
+
+// store counts a call to the platform's store.
+func (c *counters) store(call string, started time.Time, now time.Time, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_store_calls_total{call=%q,result=%q}", call, result)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf("amaranthgate_store_call_seconds{call=%q}", call)).Update(now.Sub(started).Seconds())
+}
+
+// feed notes when a feed was current.
+func (c *counters) feed(f follower.Feed, at time.Time) {
+	c.set.GetOrCreateGauge(fmt.Sprintf("amaranthgate_feed_current_timestamp_seconds{feed=%q}", string(f)), nil).Set(float64(at.UnixMilli()) / 1000)
+}
+
+// order counts an order to an engine.
+func (c *counters) order(r renewer.OrderResult) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_orders_total{result=%q}", string(r))).Inc()
+}
+
+// write writes all metrics as text.
+func (c *counters) write(w io.Writer) {
+	c.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -72,6 +72,7 @@
 	Timing   Timing
 	Timer    timer.Service
 	Log      zerolog.Logger
+	Dropped  func() uint64 // Dropped is the number of log lines that were lost because nobody read them.
 }
 
 // Host is one process of the system.
@@ -83,6 +84,7 @@
 	budget    *retrier.Shared
 	exchanger *exchanger.Exchanger
 	messenger *messenger.Messenger
+	counters  *counters
 	events    chan Event
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -155,6 +157,7 @@
 		Up:      func(host string) { h.post(PeerUp{Host: host}) },
 		Log:     opts.Log,
 	})
+	h.counters = newCounters(h)
 	return h
 }
 
@@ -184,6 +187,7 @@
 		{s.Platform.Ready, edge.ReadyHandler()},
 		{s.Platform.Directory, edge.Directory()},
 		{s.Peers, h.messenger.Handler()},
+		{s.Operators, h.operators()},
 	} {
 		if err := h.listen(e.endpoint.Listen, e.handler); err != nil {
 			h.cancel()
@@ -343,6 +347,7 @@
 		h.watchStores(a.View)
 	case Current:
 		h.placer.Trust(a.At)
+		h.counters.feed(follower.FeedOperator, a.At)
 	case PublishHosts:
 		h.keeper.Store(tracker.Place(live(a.Hosts), h.opts.Settings.Host, "keeper") == 0)
 		h.hosts.Store(&a.Hosts)
@@ -368,6 +373,7 @@
 		ev.News, ev.Err = h.opts.Store.Read(h.ctx, a.Feed, a.From, a.Wait)
 	}
 	ev.News.Feed = a.Feed
+	h.counters.store("read", asked, h.opts.Timer.Now(), ev.Err)
 	h.post(ev)
 }
 
@@ -418,7 +424,9 @@
 	h.open.Add(1)
 	h.asked.Store(h.opts.Timer.Now().UnixNano())
 	defer h.open.Add(-1)
-	h.record(r, h.exchanger.Handle(ctx, r, w))
+	o := h.exchanger.Handle(ctx, r, w)
+	h.counters.request(o)
+	h.record(r, o)
 }
 
 // Ready tells that this host takes callers.
--- /dev/null
+++ b/conductor/operators.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// Dump is what a host believes, on request. It holds no keys of workspaces.
+type Dump struct {
+	Settings  loader.Settings
+	Ready     bool
+	Leaving   bool
+	Open      int64
+	Version   uint64 // Version is that of the configuration in force; 0 if none is.
+	Named     map[string]follower.Named
+	Hosts     []tracker.HostRecord
+	Upstreams []follower.Upstream
+	Placement placer.Dump
+}
+
+// Dump returns what the host believes now.
+func (h *Host) Dump() Dump {
+	view := h.view.Load()
+	d := Dump{
+		Settings:  h.opts.Settings.Redacted(),
+		Ready:     h.Ready(),
+		Leaving:   h.Leaving(),
+		Open:      h.open.Load(),
+		Named:     view.Named,
+		Hosts:     *h.hosts.Load(),
+		Upstreams: view.Upstreams,
+		Placement: h.placer.Dump(h.opts.Timer.Now()),
+	}
+	if view.Table != nil {
+		d.Version = view.Table.Version()
+	}
+	return d
+}
+
+// operators serves the metrics and the state dump.
+func (h *Host) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		h.counters.write(w)
+	})
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(h.Dump()) // an operator who has gone asks again
+	})
+	return mux
+}
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -30,6 +30,7 @@
 		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
 		defer cancel()
 		ev.Result = h.opts.Engines.Order(ctx, h.opts.Settings.Host, c)
+		h.counters.order(ev.Result)
 		h.log.Info().Str("Upstream", c.Upstream.ID).Str("Model", c.Model).Uint64("Version", c.Version).
 			Uint64("Token", c.Token).Str("Result", string(ev.Result)).Msg("order")
 	case renewer.Ask:
@@ -41,7 +42,9 @@
 }
 
 func (h *Host) readLease() (renewer.Lease, error) {
+	asked := h.opts.Timer.Now()
 	b, end, err := h.opts.Store.Lease(h.ctx, leaseName)
+	h.counters.store("lease", asked, h.opts.Timer.Now(), err)
 	if err != nil {
 		h.log.Warn().Err(err).Msg("lease not read")
 		return renewer.Lease{}, err
@@ -58,7 +61,9 @@
 	if err != nil {
 		return false, err
 	}
+	asked := h.opts.Timer.Now()
 	conflict, err := h.opts.Store.WriteLease(h.ctx, leaseName, c.At, b)
+	h.counters.store("lease-write", asked, h.opts.Timer.Now(), err)
 	h.log.Info().Int64("At", c.At).Uint64("Nonce", c.Record.Nonce).Bool("Conflict", conflict).AnErr("Failure", err).Msg("lease write")
 	return conflict, err
 }
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -35,7 +35,7 @@
 			}
 			var h host = runner.New(s, newLogger(e.err, s.LogLevel))
 			if s.Platform != nil {
-				h = newPlatformHost(s, newLogger(e.out, s.LogLevel))
+				h = newPlatformHost(s, e.out)
 			}
 			if err := h.Start(); err != nil {
 				return err
