--- a/placer/placer.go
+++ b/placer/placer.go
@@ -270,8 +270,8 @@
 	switch result {
 	case ResultServed:
 		t.succeeded(now.Sub(tk.start))
-	case ResultFailed:
-		t.failed()
+	case ResultFailed, ResultRefused:
+		t.failed() // also a full one is the worse choice for a while
 	case ResultUnreached:
 		t.unreached(now)
 	default:
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,242 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+var start = time.Unix(1000, 0)
+
+// testView has n engines, two plain upstreams and two stores.
+func testView(n int, named uint64, weights ...uint64) *follower.View {
+	v := &follower.View{
+		Table: matcher.New(matcher.Parts{Services: []matcher.Service{
+			{Name: "engines", Engine: &matcher.Engine{Slots: 8, CapacityTokens: 60000, BytesPerToken: 18432, LinkMbps: 370000}},
+			{Name: "plain"},
+			{Name: "s1", Store: &matcher.Store{Address: "s1:1", CapacityTokens: 100000, LinkMbps: 50000}},
+			{Name: "s2", Store: &matcher.Store{Address: "s2:1", CapacityTokens: 100000, LinkMbps: 50000}},
+		}}),
+		Named: map[string]follower.Named{"m": {Version: named, Since: start.Add(-3 * time.Second)}},
+	}
+	for i := range n {
+		w := named
+		if i < len(weights) {
+			w = weights[i]
+		}
+		v.Upstreams = append(v.Upstreams, follower.Upstream{
+			ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("e", i, ":1"), Standing: follower.StandingReady,
+			Slots: 8, Weights: map[string]uint64{"m": w},
+		})
+	}
+	for i := range 2 {
+		v.Upstreams = append(v.Upstreams, follower.Upstream{ID: fmt.Sprint("p", i), Service: "plain", Standing: follower.StandingReady, Slots: 2})
+	}
+	return v
+}
+
+func testPlacer(v *follower.View) *Placer {
+	p := New(Options{})
+	p.Update(v)
+	p.Trust(start)
+	for _, a := range []string{"s1:1", "s2:1"} {
+		p.StoreHeard(start, a, StoreNews{Epoch: 1, Clock: 5_000_000})
+	}
+	return p
+}
+
+func saltOf(workspace string) func(uint64) string {
+	return func(w uint64) string { return Salt{Model: "m", Weights: w, Workspace: workspace}.String() }
+}
+
+func askFor(shared string, own string) *Ask {
+	return &Ask{Service: "engines", SaltOf: saltOf(""), Weights: 1, Prompt: &Prompt{Model: "m", Output: 20, Parts: []Part{{shared, 12800}, {own, 4000}}}}
+}
+
+func serve(p *Placer, now time.Time, c Choice) {
+	c.Ticket.First(now)
+	c.Ticket.Done(now, ResultServed)
+}
+
+func TestLongPromptsSpread(t *testing.T) {
+	p := testPlacer(testView(6, 1))
+	used := make(map[string]int)
+	for i := range 6 {
+		c, ok := p.Choose(start, askFor(fmt.Sprint("shared", i), "own"))
+		assert.Assert(t, ok)
+		used[c.Upstream.ID]++
+	}
+	assert.Equal(t, len(used), 6, "%v", used)
+	short := &Ask{Service: "engines", SaltOf: saltOf(""), Prompt: &Prompt{Model: "m", Parts: []Part{{"x", 50}, {"y", 80}}}}
+	p.targets["e3"].own = Work{}
+	c, _ := p.Choose(start, short)
+	assert.Equal(t, c.Upstream.ID, "e3") // the one that reads nothing
+}
+
+// TestOthersWorkCounts: an engine that another host has given a long prompt is
+// not idle, until that host falls silent.
+func TestOthersWorkCounts(t *testing.T) {
+	a, b := testPlacer(testView(2, 1)), testPlacer(testView(2, 1))
+	c, _ := a.Choose(start, askFor("x", "own"))
+	b.Heard(start, "a", a.Report())
+	d, _ := b.Choose(start, askFor("y", "own"))
+	assert.Assert(t, c.Upstream.ID != d.Upstream.ID)
+	d.Ticket.Done(start, ResultServed)
+	assert.Equal(t, b.Busy(c.Upstream.ID), 1)
+	b.Forget(start.Add(2 * peerLifetime))
+	assert.Equal(t, b.Busy(c.Upstream.ID), 0)
+}
+
+func TestKeptPartsAreFetchedFromAnEngine(t *testing.T) {
+	p := testPlacer(testView(2, 1))
+	first, _ := p.Choose(start, askFor("x", "own1"))
+	serve(p, start, first)
+	holder := p.targets[first.Upstream.ID]
+	holder.own.Pending = 100000 // the holder is busy
+	c, _ := p.Choose(start, askFor("x", "own2"))
+	assert.Assert(t, c.Upstream.ID != first.Upstream.ID)
+	assert.DeepEqual(t, c.Fetch, []string{first.Upstream.Address, ""})
+	assert.Equal(t, c.Basis.Missing, 4000)
+}
+
+func TestPartsAreSavedOnceAndFetchedFromStores(t *testing.T) {
+	p := testPlacer(testView(1, 1))
+	c, _ := p.Choose(start, askFor("x", "own"))
+	store := c.Save[0]
+	assert.Assert(t, store != "" && c.Save[1] == "") // the own part is nobody else's
+	other := testPlacer(testView(1, 1))
+	same, _ := other.Choose(start, askFor("x", "own"))
+	assert.Equal(t, same.Save[0], store) // all hosts choose alike
+	again, _ := p.Choose(start, askFor("x", "own"))
+	assert.Assert(t, again.Save == nil) // it is on its way
+	assert.Assert(t, again.Fetch == nil, "what is not known to lie there whole is not fetched")
+
+	name := PartName{Salt: saltOf("")(1), ID: "x"}
+	p.StoreHeard(start, store, StoreNews{Epoch: 1, Clock: 5_000_000, Changes: []StoreChange{{Part: name, Tokens: 12800}}})
+	got, _ := p.Choose(start, askFor("x", "own"))
+	assert.DeepEqual(t, got.Fetch, []string{store, ""})
+	assert.Equal(t, got.Until, 5_000_000+fetchTime.Milliseconds())
+
+	late := start.Add(StoreTrust + time.Second)
+	got, _ = p.Choose(late, askFor("x", "own"))
+	assert.Assert(t, got.Fetch == nil, "a host that hears nothing new fetches from no store")
+
+	p.StoreHeard(start, store, StoreNews{Epoch: 2, Clock: 5_000_000}) // it has started anew
+	got, _ = p.Choose(start, askFor("x", "own"))
+	assert.Assert(t, got.Fetch == nil)
+}
+
+// TestReplacedWeights: what was made with replaced weights is neither fetched
+// from stores nor saved, and is freed.
+func TestReplacedWeights(t *testing.T) {
+	p := testPlacer(testView(1, 2, 1))
+	old := PartName{Salt: saltOf("")(1), ID: "x"}
+	p.StoreHeard(start, "s1:1", StoreNews{Epoch: 1, Clock: 1, Changes: []StoreChange{{Part: old, Tokens: 12800}}})
+	c, _ := p.Choose(start, askFor("x", "own"))
+	assert.Equal(t, c.Weights, uint64(1))
+	assert.Assert(t, c.Fetch == nil && c.Save == nil)
+	freed := p.Unused(func(text string) bool {
+		s, ok := ParseSalt(text)
+		return !ok || s.Weights >= 2
+	})
+	assert.DeepEqual(t, freed, []Freed{{Address: "s1:1", Epoch: 1, Parts: []PartName{old}}})
+}
+
+func TestRenewedEnginesComeFirst(t *testing.T) {
+	p := testPlacer(testView(3, 2, 1, 2, 1))
+	ask := askFor("x", "own")
+	ask.Weights = 2
+	c, _ := p.Choose(start, ask)
+	assert.Equal(t, c.Upstream.ID, "e1")
+	p.Avoid(map[string]bool{"e1": true})
+	p.targets["e1"].own = Work{}
+	c, _ = p.Choose(start, ask)
+	assert.Assert(t, c.Upstream.ID != "e1")
+}
+
+// TestWalls: an isolated workspace finds nothing that others have left.
+func TestWalls(t *testing.T) {
+	p := testPlacer(testView(2, 1))
+	open, _ := p.Choose(start, askFor("x", "own"))
+	serve(p, start, open)
+	ask := askFor("x", "own")
+	ask.SaltOf = saltOf("w")
+	c, _ := p.Choose(start, ask)
+	assert.Assert(t, c.Fetch == nil)
+	assert.Equal(t, c.Basis.Missing, 16800)
+}
+
+func TestUnreachedUpstreamsRest(t *testing.T) {
+	p := testPlacer(testView(0, 1))
+	ask := &Ask{Service: "plain"}
+	c, _ := p.Choose(start, ask)
+	c.Ticket.Done(start, ResultUnreached)
+	for range 5 {
+		d, ok := p.Choose(start, ask)
+		assert.Assert(t, ok && d.Upstream.ID != c.Upstream.ID)
+	}
+	for _, tg := range p.targets {
+		tg.own = Work{}
+	}
+	later := start.Add(firstPause)
+	p.targets[c.Upstream.ID].failing = 0
+	one, _ := p.Choose(later, &Ask{Service: "plain", Exclude: []string{other(c.Upstream.ID)}})
+	assert.Equal(t, one.Upstream.ID, c.Upstream.ID) // one request tries it
+	two, _ := p.Choose(later, ask)
+	assert.Equal(t, two.Upstream.ID, other(c.Upstream.ID)) // and no other until that has ended
+}
+
+func other(id string) string {
+	return strings.NewReplacer("p0", "p1", "p1", "p0").Replace(id)
+}
+
+func TestSlowStoreIsLeftAlone(t *testing.T) {
+	p := testPlacer(testView(2, 1))
+	name := PartName{Salt: saltOf("")(1), ID: "x"}
+	p.StoreHeard(start, "s1:1", StoreNews{Epoch: 1, Clock: 1, Changes: []StoreChange{{Part: name, Tokens: 12800}}})
+	for range 10 {
+		p.Heard(start, "a", Report{Transfers: []Transfer{{Store: "s1:1", Tokens: 12800, Took: 3 * time.Second}}})
+	}
+	c, _ := p.Choose(start, askFor("x", "own"))
+	assert.Assert(t, c.Fetch == nil)
+	c.Ticket.Done(start, ResultCaller)
+	later := start.Add(StoreTrust - time.Millisecond)
+	p.Trust(later.Add(30 * time.Second))
+	c, _ = p.Choose(later.Add(30*time.Second), askFor("x", "own"))
+	assert.Assert(t, c.Fetch != nil, "a store that was slow is tried again")
+}
+
+func TestSalts(t *testing.T) {
+	for _, s := range []Salt{{"m", 1, ""}, {"m", 12, "w"}, {"m", 3, "w/x"}} {
+		got, ok := ParseSalt(s.String())
+		assert.Assert(t, ok)
+		assert.Equal(t, got, s)
+	}
+	for _, bad := range []string{"", "1", "1/m", "x/m/w"} {
+		_, ok := ParseSalt(bad)
+		assert.Assert(t, !ok, bad)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{18, 140, 620} {
+		b.Run(fmt.Sprintf("Engines%d", n), func(b *testing.B) {
+			p := testPlacer(testView(n, 1))
+			i := 0
+			for b.Loop() {
+				i++
+				c, _ := p.Choose(start, askFor(fmt.Sprint("shared", i%200), "own"))
+				c.Ticket.Done(start, ResultServed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/retrier/shared_test.go
@@ -0,0 +1,40 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package retrier
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSharedStaysWithinAllowance: whatever its number, hosts together never
+// spend more than the allowance, even if every one of them has saved all it can.
+func TestSharedStaysWithinAllowance(t *testing.T) {
+	a := Allowance{Share: 0.2, Slack: 56}
+	for _, hosts := range []int{1, 6, 8, 11, 84} {
+		spent, requests := 0, 0
+		for range hosts {
+			s := NewShared(a)
+			s.SetHosts(hosts)
+			for range 1000 {
+				s.Request("x") // a quiet time
+			}
+			for range 300 {
+				s.Request("x")
+				requests++
+				for s.Withdraw("x") {
+					spent++
+				}
+			}
+		}
+		assert.Assert(t, float64(spent) <= a.Share*float64(requests)+a.Slack, "%d hosts: %d of %d", hosts, spent, requests)
+	}
+}
+
+func TestSharedKeepsServicesApart(t *testing.T) {
+	s := NewShared(Allowance{Share: 0.01, Slack: 56})
+	assert.Assert(t, s.Withdraw("x") && !s.Withdraw("x"))
+	assert.Assert(t, s.Withdraw("y"))
+}
