Read stores' history at once at a start; let one peer tell what engines keep

Cause: after a loss of all power hosts knew neither what stores nor what engines keep; stores' histories came in pages with pauses of 150 ms.

Change: full pages are read without a pause; parts are known by salt and ID; the first in rank hands its beliefs of engines to a host that it connects to.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -132,6 +132,7 @@
 		Decoder: opts.Store,
 		Timing:  opts.Timing,
 		Busy:    h.placer.Busy,
+		Kept:    h.placer.Kept,
 		Renewer: renewer.Options{
 			Host:   s.Host,
 			Term:   opts.Timing.Term,
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -45,6 +46,9 @@
 func (n *Node) greet(now time.Time, host string) {
 	n.lastFull[host] = now
 	n.send(host, &messenger.Message{Full: true, Digest: n.hosts.Digest(), Hosts: n.hosts.All()})
+	if tracker.Place(n.hosts.Live(), n.opts.Self.Host, "teller/"+host) == 0 {
+		n.send(host, &messenger.Message{Report: &placer.Report{Placed: n.opts.Kept()}})
+	}
 }
 
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -26,6 +26,7 @@
 const (
 	keptWait    = 900 * time.Millisecond // keptWait is how long a store may wait for news; it allows a second.
 	keptTimeout = 500 * time.Millisecond // keptTimeout bounds a question beyond that.
+	keptPage    = 100                    // keptPage is the number of news after which more are likely to wait: a host that starts reads them all at once.
 	keptGather  = 150 * time.Millisecond // keptGather lets news come together.
 )
 
@@ -72,7 +73,9 @@
 		}
 		since, epoch = next, news.Epoch
 		h.placer.StoreHeard(h.opts.Timer.Now(), address, news)
-		pause(ctx, keptGather)
+		if len(news.Changes) < keptPage {
+			pause(ctx, keptGather)
+		}
 	}
 }
 
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -150,6 +150,7 @@
 	Timing  Timing
 	Renewer renewer.Options
 	Busy    func(upstream string) int // Busy is the work under way at an upstream.
+	Kept    func() []placer.Placement // Kept is what engines are believed to keep, for hosts that start.
 }
 
 // Node is the control plane of one host. It is not safe for concurrent use.
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -16,6 +16,7 @@
 
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -108,6 +109,7 @@
 		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(),
 		Renewer: renewer.Options{Host: s.name, Term: 2 * time.Second, Turn: 3 * time.Second, Margin: 250 * time.Millisecond, AtOnce: 3},
 		Busy:    func(string) int { return 0 },
+		Kept:    func() []placer.Placement { return nil },
 	})
 	var found []tracker.HostRecord
 	for _, o := range c.nodes {
--- a/forwarder/pool_test.go
+++ b/forwarder/pool_test.go
@@ -206,7 +206,7 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 				n, _ := io.Copy(io.Discard, req.Body)
 				got <- int(n)
-				if req, err = http.ReadRequest(r); err == nil {
+				if _, err = http.ReadRequest(r); err == nil {
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				}
 			}()
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -54,7 +54,7 @@
 		}
 	}
 	c := chained{weights: weights, salt: ask.SaltOf(weights)}
-	c.keys = chain(c.salt, ask.Prompt.Parts)
+	c.keys = keysOf(c.salt, ask.Prompt.Parts)
 	c.source = p.source(ask, weights, c.keys)
 	if weights >= p.named[ask.Prompt.Model].Version && ask.now.Sub(p.current) < StoreTrust && p.clock.millis > 0 {
 		// What stores hold for replaced weights is about to be freed.
@@ -78,7 +78,7 @@
 }
 
 // source finds the engine that keeps the longest beginning of a prompt.
-func (p *Placer) source(ask *Ask, weights uint64, keys []ChainKey) source {
+func (p *Placer) source(ask *Ask, weights uint64, keys []PartKey) source {
 	var best source
 	for _, t := range p.pools[ask.Service] {
 		if t.upstream.Weights[ask.Prompt.Model] != weights {
@@ -138,7 +138,7 @@
 }
 
 // shared returns the key of the deepest part that other requests may have.
-func shared(keys []ChainKey) ChainKey {
+func shared(keys []PartKey) PartKey {
 	if len(keys) == 1 {
 		return keys[0]
 	}
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -9,9 +9,9 @@
 // plain service it estimates the wait for a slot. What other hosts have under
 // way counts as this host's own; they say so several times a second.
 //
-// A prompt is named by its parts. A part is known by the chain of all parts up
-// to it, since it can be used only after them, and by a salt that keeps weight
-// versions and isolated workspaces apart.
+// A prompt is named by its parts. A part is known by its ID and a salt that keeps
+// weight versions and isolated workspaces apart. It is of use only where all parts
+// before it are kept as well.
 //
 // # Usage
 //
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -9,7 +9,7 @@
 const (
 	// maxPlaced bounds the placements that wait to be told. What does not fit is
 	// lost, and costs other hosts a reading.
-	maxPlaced = 512
+	maxPlaced = 4096
 	// peerLifetime is how long the last word of another host counts. Hosts speak
 	// several times a second; one that is silent for longer is gone or cut off,
 	// and its requests have ended or soon will.
@@ -18,9 +18,9 @@
 
 // Placement says that an engine has read a part.
 type Placement struct {
-	Upstream string   `cbor:"1,keyasint"`
-	Key      ChainKey `cbor:"2,keyasint"`
-	Tokens   int      `cbor:"3,keyasint"`
+	Upstream string  `cbor:"1,keyasint"`
+	Key      PartKey `cbor:"2,keyasint"`
+	Tokens   int     `cbor:"3,keyasint"`
 }
 
 // Report is what a host tells the others.
@@ -58,12 +58,28 @@
 	return r
 }
 
+// Kept returns all that engines are believed to keep, for a host that has just
+// started.
+func (p *Placer) Kept() []Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Placement
+	for id, t := range p.targets {
+		for k, part := range t.kept.parts {
+			out = append(out, Placement{Upstream: id, Key: k, Tokens: part.tokens})
+		}
+	}
+	return out
+}
+
 // Heard takes in the report of another host.
 func (p *Placer) Heard(now time.Time, host string, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[host] = peerWork{at: now, work: r.Work, stores: r.Stores}
-	p.sumPeers()
+	if r.Work != nil { // a report of what is kept only says nothing of work
+		p.peers[host] = peerWork{at: now, work: r.Work, stores: r.Stores}
+		p.sumPeers()
+	}
 	for _, tr := range r.Transfers {
 		if st := p.stores[tr.Store]; st != nil {
 			st.pace.learn(now, tr)
--- a/placer/kept.go
+++ b/placer/kept.go
@@ -9,7 +9,7 @@
 // used forgotten first. It is a guess because the engine decides; a wrong one
 // costs a transfer or a reading and is never an error.
 type keptSet struct {
-	parts  map[ChainKey]*keptPart
+	parts  map[PartKey]*keptPart
 	tokens int
 }
 
@@ -18,12 +18,12 @@
 	used   time.Time
 }
 
-func (s *keptSet) has(k ChainKey) bool { return s.parts[k] != nil }
+func (s *keptSet) has(k PartKey) bool { return s.parts[k] != nil }
 
 // put notes that a part was read, and forgets the oldest beyond capacity.
-func (s *keptSet) put(now time.Time, k ChainKey, tokens, capacity int) {
+func (s *keptSet) put(now time.Time, k PartKey, tokens, capacity int) {
 	if s.parts == nil {
-		s.parts = make(map[ChainKey]*keptPart)
+		s.parts = make(map[PartKey]*keptPart)
 	}
 	if p := s.parts[k]; p != nil {
 		p.used = now
@@ -36,8 +36,8 @@
 	}
 }
 
-func (s *keptSet) dropOldest(except ChainKey) {
-	var oldest ChainKey
+func (s *keptSet) dropOldest(except PartKey) {
+	var oldest PartKey
 	var at time.Time
 	for k, p := range s.parts {
 		if k != except && (at.IsZero() || p.used.Before(at)) {
@@ -47,17 +47,15 @@
 	s.drop(oldest)
 }
 
-func (s *keptSet) drop(k ChainKey) {
+func (s *keptSet) drop(k PartKey) {
 	if p := s.parts[k]; p != nil {
 		s.tokens -= p.tokens
 		delete(s.parts, k)
 	}
 }
 
-func (s *keptSet) clear() { s.parts, s.tokens = nil, 0 }
-
 // leading returns how many of the first parts are kept, and their tokens.
-func (s *keptSet) leading(keys []ChainKey, parts []Part) (n, tokens int) {
+func (s *keptSet) leading(keys []PartKey, parts []Part) (n, tokens int) {
 	for i, k := range keys {
 		if !s.has(k) {
 			break
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -137,7 +137,7 @@
 type chained struct {
 	weights uint64
 	salt    string
-	keys    []ChainKey
+	keys    []PartKey
 	source  source
 	stored  []*store // stored has for each part the store that holds it, up to the first that none holds.
 }
@@ -222,7 +222,7 @@
 	target  *target
 	start   time.Time
 	work    Work // work is what still counts.
-	keys    []ChainKey
+	keys    []PartKey
 	parts   []Part
 	store   *store // store is where the request fetches from, or nil.
 	moved   Work   // moved is what it fetches there.
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -110,7 +110,7 @@
 }
 
 // note remembers that an engine has read parts, and that other hosts should know.
-func (p *Placer) note(now time.Time, t *target, keys []ChainKey, parts []Part) {
+func (p *Placer) note(now time.Time, t *target, keys []PartKey, parts []Part) {
 	if t.engine == nil {
 		return
 	}
--- a/placer/prompt.go
+++ b/placer/prompt.go
@@ -3,11 +3,7 @@
 
 package placer
 
-import (
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Part is a piece of a prompt that other prompts may begin with as well.
 type Part struct {
@@ -31,22 +27,26 @@
 	return sum
 }
 
-// ChainKey names a part together with all parts before it and the salt.
-type ChainKey uint64
+// PartKey names a part under a salt. It is a hash, so that hosts can tell each
+// other of many; two parts with one key cost a reading.
+type PartKey uint64
+
+// keyOf returns the key of a part.
+func keyOf(name PartName) PartKey {
+	return PartKey(xxhash.Sum64String(name.Salt + "/" + name.ID))
+}
 
-// chain returns the keys of a prompt's parts.
-func chain(salt string, parts []Part) []ChainKey {
-	keys := make([]ChainKey, len(parts))
-	sum := xxhash.Sum64String(salt)
+// keysOf returns the keys of a prompt's parts.
+func keysOf(salt string, parts []Part) []PartKey {
+	keys := make([]PartKey, len(parts))
 	for i, part := range parts {
-		sum = xxhash.Sum64String(strconv.FormatUint(sum, 36) + "/" + part.ID)
-		keys[i] = ChainKey(sum)
+		keys[i] = keyOf(PartName{Salt: salt, ID: part.ID})
 	}
 	return keys
 }
 
 // rendezvous ranks upstreams for a key: the highest is every host's first guess.
-func rendezvous(key ChainKey, upstream uint64) uint64 {
+func rendezvous(key PartKey, upstream uint64) uint64 {
 	x := uint64(key) ^ upstream
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/placer/store.go
+++ b/placer/store.go
@@ -223,7 +223,6 @@
 func (p *Placer) saver(now time.Time, name PartName, tokens int) *store {
 	var best *store
 	var most float64
-	key := xxhash.Sum64String(name.Salt + "/" + name.ID)
 	for _, st := range p.stores {
 		if s, ok := st.saving[name]; ok && now.Sub(s.at) < savingTime {
 			return nil
@@ -234,7 +233,7 @@
 		if !st.up || !st.room(now, tokens) {
 			continue
 		}
-		weight := weighted(rendezvous(ChainKey(key), st.hash), float64(st.service.CapacityTokens))
+		weight := weighted(rendezvous(keyOf(name), st.hash), float64(st.service.CapacityTokens))
 		if best == nil || weight > most {
 			best, most = st, weight
 		}
