Send completions over the same pool of connections

Cause: two clients towards upstreams, one over net/http's transport with its silent repeats switched off by closing each connection, one of our own.

Change: the completions' forwarder uses forwarder.Pool. A settings file written from the struct no longer names a platform that is not there (it stopped every host of the process tests, found by running them).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,11 +7,8 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,10 +71,7 @@
 
 // Forwarder sends attempts. It is safe for concurrent use.
 type Forwarder struct {
-	opts Options
-
-	mu         sync.Mutex
-	transports map[string]*http.Transport
+	pool *Pool
 
 	Crossed atomic.Uint64 // Crossed counts answers that named another attempt.
 }
@@ -93,71 +87,32 @@
 	if opts.ConnsPerUpstream == 0 {
 		opts.ConnsPerUpstream = defaultConns
 	}
-	if opts.DialTimeout == 0 {
-		opts.DialTimeout = defaultDial
-	}
-	return &Forwarder{opts: opts, transports: make(map[string]*http.Transport)}
+	return &Forwarder{pool: NewPool(PoolOptions{DialTimeout: opts.DialTimeout, ConnsPerUpstream: opts.ConnsPerUpstream})}
 }
 
-// transport returns the pool of connections to one upstream.
-func (f *Forwarder) transport(address string) *http.Transport {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.transports[address]
-	if t == nil {
-		t = &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: f.opts.DialTimeout}).DialContext,
-			MaxConnsPerHost:        f.opts.ConnsPerUpstream,
-			MaxIdleConnsPerHost:    f.opts.ConnsPerUpstream,
-			IdleConnTimeout:        time.Minute,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeader,
-		}
-		f.transports[address] = t
-	}
-	return t
-}
-
-// Retain closes idle connections to the upstreams for which keep is false.
-func (f *Forwarder) Retain(keep func(address string) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for a, t := range f.transports {
-		if !keep(a) {
-			t.CloseIdleConnections()
-			delete(f.transports, a)
-		}
-	}
-}
+// Retain closes idle connections to addresses that keep does not want.
+func (f *Forwarder) Retain(keep func(address string) bool) { f.pool.Retain(keep) }
 
 // Open sends an attempt and waits for the head of its answer. Exactly one of
 // the results is not nil. The caller must close the response.
 func (f *Forwarder) Open(ctx context.Context, a *Attempt) (*Response, *Failure) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.Method, "http://"+a.Address+a.Path, bytes.NewReader(a.Body))
-	if err != nil {
-		cancel(nil)
-		return nil, &Failure{Cause: CauseMalformed, Ran: RanNo, Detail: err.Error()}
-	}
-	if a.OnlyOnce {
-		req.GetBody = nil
-		req.Close = true
+	header := a.Header
+	if header == nil {
+		header = make(http.Header)
 	}
-	if a.Header != nil {
-		req.Header = a.Header
-	}
-	req.Header.Set(wire.HeaderNonce, a.Nonce)
+	header.Set(wire.HeaderNonce, a.Nonce)
 	watch := newWatch(a.FirstToken, cancel)
-	resp, err := f.transport(a.Address).RoundTrip(req)
-	if err != nil {
+	reply, fail := f.pool.Do(ctx, &Call{
+		Address: a.Address, Method: a.Method, Target: a.Path, Host: a.Address, Header: header, Body: a.Body, Once: a.OnlyOnce,
+	})
+	if fail != nil {
 		watch.stop()
-		fail := openFailure(ctx, err, connected.Load()) // before cancel, which ends ctx
+		fail = silenced(ctx, fail) // before cancel, which ends ctx
 		cancel(nil)
 		return nil, fail
 	}
-	r := &Response{forwarder: f, attempt: a, ctx: ctx, cancel: cancel, watch: watch, resp: resp}
+	r := &Response{forwarder: f, attempt: a, ctx: ctx, cancel: cancel, watch: watch, reply: reply}
 	if fail := r.head(); fail != nil {
 		r.Close()
 		return nil, fail
@@ -165,6 +120,14 @@
 	return r, nil
 }
 
+// silenced tells a failure by the upstream's silence from one by the caller.
+func silenced(ctx context.Context, f *Failure) *Failure {
+	if _, silent := context.Cause(ctx).(errSilent); silent && f.Cause == CauseCaller {
+		f.Cause = CauseTimeout
+	}
+	return f
+}
+
 // errSilent is the cause by which a watch cancels an attempt.
 type errSilent struct{}
 
@@ -182,20 +145,6 @@
 func (w *watch) reset(d time.Duration) { w.timer.Reset(d) }
 func (w *watch) stop()                 { w.timer.Stop() }
 
-func openFailure(ctx context.Context, err error, connected bool) *Failure {
-	f := &Failure{Cause: CauseLost, Ran: RanUnknown, Detail: err.Error()}
-	if !connected {
-		f.Cause, f.Ran = CauseConnect, RanNo
-	}
-	if ctx.Err() != nil {
-		f.Cause = CauseCaller
-		if _, silent := context.Cause(ctx).(errSilent); silent {
-			f.Cause = CauseTimeout
-		}
-	}
-	return f
-}
-
 // Response is the answer to an attempt whose head has arrived.
 type Response struct {
 	forwarder *Forwarder
@@ -203,37 +152,37 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
 	watch     *watch
-	resp      *http.Response
+	reply     *Reply
 }
 
 // Status returns the status of the answer.
-func (r *Response) Status() int { return r.resp.StatusCode }
+func (r *Response) Status() int { return r.reply.Status }
 
 // Header returns the header of the answer.
-func (r *Response) Header() http.Header { return r.resp.Header }
+func (r *Response) Header() http.Header { return r.reply.Header }
 
 // Version returns the weight version that answers.
-func (r *Response) Version() string { return r.resp.Header.Get(wire.HeaderVersion) }
+func (r *Response) Version() string { return r.reply.Header.Get(wire.HeaderVersion) }
 
 // Close ends the attempt; the upstream is cancelled if it still runs.
 func (r *Response) Close() {
 	r.watch.stop()
+	r.reply.Close() // before cancel, which would close a connection that can be kept
 	r.cancel(nil)
-	_ = r.resp.Body.Close()
 }
 
 // head checks whose answer it is and whether the upstream refused.
 func (r *Response) head() *Failure {
-	if said := r.resp.Header.Get(wire.HeaderRan); said == "no" {
-		return &Failure{Cause: CauseRefused, Ran: RanNo, Status: r.resp.StatusCode, RetryAfter: retryAfter(r.resp.Header), Detail: r.text()}
+	if said := r.reply.Header.Get(wire.HeaderRan); said == "no" {
+		return &Failure{Cause: CauseRefused, Ran: RanNo, Status: r.reply.Status, RetryAfter: retryAfter(r.reply.Header), Detail: r.text()}
 	}
-	failed := r.resp.StatusCode >= http.StatusBadRequest // a server in front of the upstream may know no nonces
-	if got := r.resp.Header.Get(wire.HeaderNonce); got != r.attempt.Nonce && (got != "" || !failed) {
+	failed := r.reply.Status >= http.StatusBadRequest // a server in front of the upstream may know no nonces
+	if got := r.reply.Header.Get(wire.HeaderNonce); got != r.attempt.Nonce && (got != "" || !failed) {
 		r.forwarder.Crossed.Add(1)
-		return &Failure{Cause: CauseCrossed, Ran: RanUnknown, Status: r.resp.StatusCode, Detail: "the answer names another attempt"}
+		return &Failure{Cause: CauseCrossed, Ran: RanUnknown, Status: r.reply.Status, Detail: "the answer names another attempt"}
 	}
-	if r.resp.StatusCode >= http.StatusInternalServerError || r.resp.StatusCode == http.StatusTooManyRequests {
-		return &Failure{Cause: CauseRefused, Ran: RanUnknown, Status: r.resp.StatusCode, RetryAfter: retryAfter(r.resp.Header), Detail: r.text()}
+	if r.reply.Status >= http.StatusInternalServerError || r.reply.Status == http.StatusTooManyRequests {
+		return &Failure{Cause: CauseRefused, Ran: RanUnknown, Status: r.reply.Status, RetryAfter: retryAfter(r.reply.Header), Detail: r.text()}
 	}
 	r.watch.reset(r.attempt.Interval)
 	return nil
@@ -243,7 +192,7 @@
 const maxDetail = 256
 
 func (r *Response) text() string {
-	b, _ := io.ReadAll(io.LimitReader(r.resp.Body, maxDetail))
+	b, _ := io.ReadAll(io.LimitReader(r.reply, maxDetail))
 	return string(bytes.TrimSpace(b))
 }
 
@@ -257,20 +206,17 @@
 
 // failure turns an error while reading the body into a failure.
 func (r *Response) failure(err error) *Failure {
-	f := &Failure{Cause: CauseCut, Ran: RanYes, Status: r.resp.StatusCode, Detail: err.Error()}
+	f := &Failure{Cause: CauseCut, Ran: RanYes, Status: r.reply.Status, Detail: err.Error()}
 	if r.ctx.Err() == nil {
 		return f
 	}
 	f.Cause = CauseCaller
-	if _, silent := context.Cause(r.ctx).(errSilent); silent {
-		f.Cause = CauseTimeout
-	}
-	return f
+	return silenced(r.ctx, f)
 }
 
 // Whole reads an answer that is not a stream, up to limit bytes.
 func (r *Response) Whole(limit int64) ([]byte, *Failure) {
-	body, err := io.ReadAll(io.LimitReader(r.resp.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(r.reply, limit+1))
 	if err != nil {
 		return nil, r.failure(err)
 	}
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -42,7 +42,8 @@
 
 // PoolOptions set up a Pool. The zero value is ready to use.
 type PoolOptions struct {
-	DialTimeout time.Duration // DialTimeout bounds a connect; default 1 s.
+	DialTimeout      time.Duration // DialTimeout bounds a connect; default 1 s.
+	ConnsPerUpstream int           // ConnsPerUpstream bounds connections to addresses without a bound of their own; 0 does not.
 }
 
 // Pool sends plain HTTP/1.1 requests over kept connections. Unlike
@@ -201,7 +202,11 @@
 func (p *Pool) reserve(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit := p.cap[address]; limit > 0 && p.open[address] >= limit {
+	limit, ok := p.cap[address]
+	if !ok {
+		limit = p.opts.ConnsPerUpstream
+	}
+	if limit > 0 && p.open[address] >= limit {
 		list := p.idle[address]
 		if len(list) == 0 {
 			return false
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -42,7 +42,7 @@
 // stream was whole.
 func (r *Response) Stream(sink Sink) *Failure {
 	s := streamState{nonce: r.attempt.Nonce}
-	body := &watchedBody{body: r.resp.Body, response: r, sink: sink}
+	body := &watchedBody{body: r.reply, response: r, sink: sink}
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if gone := (errSink{}); errors.As(err, &gone) {
 			return &Failure{Cause: CauseCaller, Ran: RanYes, Detail: gone.Error()}
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -131,7 +131,7 @@
 		forwarder: New(Options{}),
 		attempt:   &Attempt{Nonce: "N-01", Interval: time.Minute},
 		ctx:       ctx, cancel: cancel, watch: newWatch(time.Minute, cancel),
-		resp: &http.Response{Body: &endless{event: event, left: b.N}},
+		reply: &Reply{body: &endless{event: event, left: b.N}},
 	}
 	b.ReportAllocs()
 	r.Stream(discard{})
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -35,7 +35,7 @@
 	PeerSecret       string    // PeerSecret proves that a peer belongs to the deployment.
 	BlockSecret      string    // BlockSecret keys the names of kept context.
 	OperatorDigests  []string  // OperatorDigests are SHA-256 digests of operators' tokens.
-	Platform         *Platform // Platform is set where the host runs on the users' platform; Log and HostList are then unused.
+	Platform         *Platform `json:",omitempty"` // Platform is set where the host runs on the users' platform; Log and HostList are then unused.
 	Log              string    // Log is the URL of the platform's append-only log.
 	HostList         string    // HostList is the URL of the platform's host list.
 	Limits           Limits
