--- a/cmd/amaranthgate/process_test.go
+++ b/cmd/amaranthgate/process_test.go
@@ -504,3 +504,16 @@
 	*to = e
 	return ok
 }
+
+// TestReloadByHup: SIGHUP asks a host to read its settings again, and must not
+// end it.
+func TestReloadByHup(t *testing.T) {
+	s := startSystem(t, 2, deployment.Options{Engines: 1})
+	for range 3 {
+		s.host(0).signal(syscall.SIGHUP)
+	}
+	s.waitReady(0)
+	s.host(0).signal(syscall.SIGTERM)
+	<-s.host(0).done
+	assert.Equal(t, s.host(0).code, 0)
+}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -215,6 +215,25 @@
 	assert.Assert(t, c.Fetch != nil, "a store that was slow is tried again")
 }
 
+// TestGapsInStoreNews: a host that was told of later changes only says so, and
+// is whole again with a full report.
+func TestGapsInStoreNews(t *testing.T) {
+	part := func(id string) StoreChange { return StoreChange{Part: PartName{Salt: "s", ID: id}, Tokens: 10} }
+	asker, p := testPlacer(testView(1, 1)), testPlacer(testView(1, 1))
+	asker.StoreHeard(start, "s1:1", StoreNews{Epoch: 1, From: 0, Next: 1, Changes: []StoreChange{part("a")}})
+	later := StoreNews{Epoch: 1, From: 1, Next: 2, Changes: []StoreChange{part("b")}}
+	asker.StoreHeard(start, "s1:1", later)
+	assert.Assert(t, !p.StoreTold(start, StoreReport{Address: "s1:1", News: later}))
+	for _, r := range asker.StoreReports() {
+		assert.Assert(t, p.StoreTold(start, r))
+	}
+	assert.Equal(t, len(p.stores["s1:1"].held), 2)
+	assert.Assert(t, p.StoreTold(start, StoreReport{Address: "s1:1", News: StoreNews{Epoch: 1, From: 2, Next: 2}}))
+	assert.Assert(t, !p.StoreTold(start, StoreReport{Address: "s1:1", News: StoreNews{Epoch: 9, From: 5, Next: 6}}), "another start of the store")
+	p.StoreTold(start, StoreReport{Address: "s1:1", Lost: true})
+	assert.Assert(t, !p.stores["s1:1"].up)
+}
+
 func TestSalts(t *testing.T) {
 	for _, s := range []Salt{{"m", 1, ""}, {"m", 12, "w"}, {"m", 3, "w/x"}} {
 		got, ok := ParseSalt(s.String())
