Take a page of another host for a sign that the store is there

The store had turned that host away until 11.5 s; since then it only heard pages that others had read, so it still believed the store away and took the removal for a lapsed entry.

Ruled out: a lost message (all hosts applied the record at 15.01 s).

Change: a page that another host has read ends the belief that the store is away.

The test fails without the change.

--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -229,6 +229,9 @@
 		if !ok || news.Full && f.known && news.Next <= f.next {
 			continue
 		}
+		if !news.Full {
+			n.state.Answered(now) // it has answered another host, so it is there
+		}
 		n.take(now, news, now.Add(-news.Age))
 	}
 }
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -289,6 +289,29 @@
 	assert.DeepEqual(t, c.nodes[1].node.view.ByService["s"], []string{"a"})
 }
 
+// TestRemovalAfterRefusal: after the store turned hosts away for a while, one of
+// them reads for all and the others only hear of it. They must not go on taking
+// removed upstreams for ones whose entries lapsed.
+func TestRemovalAfterRefusal(t *testing.T) {
+	c := newCluster(3)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.write(follower.FeedUpstreams, "a", "ready")
+	c.run(3 * time.Second)
+	for _, s := range c.nodes {
+		c.set(s, accessRefuse)
+	}
+	c.run(5 * time.Second)
+	for _, s := range c.nodes {
+		c.set(s, accessOK)
+	}
+	c.run(4 * time.Second)
+	c.write(follower.FeedUpstreams, "a", "")
+	c.run(2 * time.Second)
+	for _, s := range c.nodes {
+		assert.Equal(t, len(s.node.view.ByService["s"]), 0, s.name)
+	}
+}
+
 // TestManyHosts: 40 hosts in three availability zones, which reach each other
 // through relays. Nobody is taken for silent, and a change reaches all in 2 s also
 // when all relays have just died.
--- a/follower/state.go
+++ b/follower/state.go
@@ -37,7 +37,7 @@
 	return &State{named: make(map[string]Named), upstreams: make(map[string]*entry)}
 }
 
-// Answered tells that the store has answered.
+// Answered tells that the store has answered this host or another.
 func (s *State) Answered(now time.Time) {
 	if s.away {
 		s.away, s.returned = false, now
