Let a fifth of all engines load weights at once where that is more than three

Cause: three at a time take 27 s for 89 engines, over the 12 s in which they must be renewed; the weight store slows down beyond 17 of 89 and 28 of 140 only.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -141,6 +141,7 @@
 			Turn:   s.Platform.Lease.Std(),
 			Margin: opts.Timing.Margin,
 			AtOnce: s.Platform.LoadsAtOnce,
+			Share:  s.Platform.LoadsShare,
 			Seed:   self.Incarnation,
 		},
 	})
--- a/renewer/handover_test.go
+++ b/renewer/handover_test.go
@@ -63,3 +63,22 @@
 	third.Heard(now, st)
 	assert.Assert(t, !third.lease.released)
 }
+
+// TestManyEnginesLoadTogether: a fifth of many engines load at once, and at least
+// three of a few.
+func TestManyEnginesLoadTogether(t *testing.T) {
+	for _, c := range []struct{ engines, want int }{{2, 2}, {9, 3}, {40, 8}} {
+		s := newSim(1, c.engines)
+		s.hosts[0].renewer.opts.Share = 0.2
+		s.run(3 * time.Second)
+		s.named = 2
+		s.run(500 * time.Millisecond)
+		loading := 0
+		for _, e := range s.engines {
+			if e.loading > 0 {
+				loading++
+			}
+		}
+		assert.Equal(t, loading, c.want)
+	}
+}
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -17,7 +17,8 @@
 	Term   time.Duration // Term is how long a hold lasts without renewal.
 	Turn   time.Duration // Turn is the least time between orders of two hosts to one engine.
 	Margin time.Duration // Margin covers late timers and clocks that run at different rates.
-	AtOnce int           // AtOnce is the number of engines that load at the same time.
+	AtOnce int           // AtOnce is the least number of engines that load at the same time.
+	Share  float64       // Share is the part of all engines that may load at the same time, where that is more.
 	Seed   uint64        // Seed begins the numbers that tell writes apart; it must differ between starts.
 }
 
@@ -199,6 +200,7 @@
 	slices.SortStableFunc(need, func(a, b follower.Upstream) int {
 		return cmp.Or(cmp.Compare(in.Busy(a.ID), in.Busy(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
+	atOnce := max(r.opts.AtOnce, int(r.opts.Share*float64(engines(in.View))))
 	var out []Command
 	loading := 0
 	for _, u := range need {
@@ -220,8 +222,8 @@
 		if j.loading || j.calling {
 			continue
 		}
-		if loading >= r.opts.AtOnce {
-			if len(r.next) < r.opts.AtOnce {
+		if loading >= atOnce {
+			if len(r.next) < atOnce {
 				r.next = append(r.next, u.ID)
 			}
 			continue
@@ -237,6 +239,17 @@
 	return out
 }
 
+// engines counts the upstreams that have weights.
+func engines(view *follower.View) int {
+	n := 0
+	for i := range view.Upstreams {
+		if len(view.Upstreams[i].Weights) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Renewer) mayOrder(now time.Time, id string, j *job) bool {
 	if now.Before(r.notBefore) || now.Before(j.again) {
 		return false
