--- /dev/null
+++ b/conductor/loop.go
@@ -0,0 +1,147 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// report tells other hosts what this one has under way.
+func (h *Host) report(now time.Time) {
+	h.placer.Forget(now)
+	h.post(WorkReported{Report: h.placer.Report()})
+}
+
+// hurry asks for a report before its time.
+func (h *Host) hurry() {
+	select {
+	case h.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// hurryPause is the least time between two reports out of turn.
+const hurryPause = 4 * time.Millisecond
+
+// reportUrgently sends reports that were asked for.
+func (h *Host) reportUrgently() {
+	for {
+		select {
+		case <-h.urgent:
+			h.post(WorkReported{Report: h.placer.Report()})
+			pause(h.ctx, hurryPause)
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+// loop is the control goroutine.
+func (h *Host) loop() {
+	for {
+		select {
+		case ev := <-h.events:
+			for _, a := range h.node.Handle(h.opts.Timer.Now(), ev) {
+				h.carryOut(a)
+			}
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) carryOut(a Action) {
+	switch a := a.(type) {
+	case Send:
+		h.messenger.Send(a.To, a.Address, a.Message)
+	case Spread:
+		h.messenger.SendAll(a.To, a.Message)
+	case TakeStore:
+		if !h.placer.StoreTold(h.opts.Timer.Now(), a.Report) {
+			h.goDo(func() { h.post(StoreGap{From: a.From}) })
+		}
+	case Read:
+		h.goDo(func() { h.read(a) })
+	case PublishView:
+		h.view.Store(a.View)
+		h.placer.Update(a.View)
+		h.bound(a.View)
+		h.watchStores(a.View)
+	case Current:
+		h.placer.Trust(a.At)
+		h.counters.feed(follower.FeedOperator, a.At)
+	case PublishHosts:
+		h.keeper.Store(tracker.Place(live(a.Hosts), h.opts.Settings.Host, "keeper") == 0)
+		h.hosts.Store(&a.Hosts)
+		h.budget.SetHosts(len(a.Hosts))
+		h.watchStores(h.view.Load())
+		h.bound(h.view.Load())
+	case TakeReport:
+		h.placer.Heard(h.opts.Timer.Now(), a.From, a.Report)
+	case Renew:
+		h.goDo(func() { h.renew(a.Command) })
+	case PublishAvoid:
+		h.placer.Avoid(a.IDs)
+	case Note:
+		h.note(a)
+	}
+}
+
+func (h *Host) read(a Read) {
+	asked := h.opts.Timer.Now()
+	ev := FeedRead{Asked: asked, Wait: a.Wait}
+	if a.Full {
+		ev.News, ev.Err = h.opts.Store.Newest(h.ctx, a.Feed)
+	} else {
+		ev.News, ev.Err = h.opts.Store.Read(h.ctx, a.Feed, a.From, a.Wait)
+	}
+	ev.News.Feed = a.Feed
+	h.counters.store("read", asked, h.opts.Timer.Now(), ev.Err)
+	h.post(ev)
+}
+
+// connectionShare is the part of an upstream's connections that hosts use, so
+// that a host that starts finds some free.
+const connectionShare = 0.8
+
+// bound divides each upstream's connections among the hosts.
+func (h *Host) bound(view *follower.View) {
+	if view.Table == nil {
+		return
+	}
+	hosts := max(len(*h.hosts.Load()), 1)
+	known := make(map[string]bool, len(view.Upstreams))
+	for _, u := range view.Upstreams {
+		known[u.Address] = true
+		if s, ok := view.Table.Service(u.Service); ok && s.MaxConnections > 0 {
+			h.opts.Pool.SetCap(u.Address, max(1, int(connectionShare*float64(s.MaxConnections))/hosts))
+		}
+	}
+	for _, s := range view.Table.Services() {
+		if s.Store != nil {
+			known[s.Store.Address] = true
+		}
+	}
+	h.opts.Pool.Retain(func(address string) bool { return known[address] })
+}
+
+func (h *Host) note(n Note) {
+	ev := h.log.Info()
+	if n.Err != nil {
+		ev = h.log.Warn().Err(n.Err)
+	}
+	if n.Feed != "" {
+		ev = ev.Str("Feed", string(n.Feed)).Int64("Offset", n.Offset).Dur("Age", n.Age)
+	}
+	if n.Host != "" {
+		ev = ev.Str("Peer", n.Host)
+	}
+	if n.Key != "" {
+		ev = ev.Str("Key", n.Key)
+	}
+	ev.Msg(string(n.What))
+}
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -16,6 +16,9 @@
 	lastID string
 }
 
+// eventEnd is the empty line that ends an event.
+const eventEnd = "\n\n"
+
 // maxEventBytes bounds one event; a longer one is no event.
 const maxEventBytes = 1 << 20
 
@@ -49,37 +52,41 @@
 
 // events passes on the whole events at the beginning of b and returns the rest.
 func (d *dispatcher) events(answer Answer, b []byte, ticket *placer.Ticket) ([]byte, *attempt) {
-	end := 0
-	for {
-		i := bytes.Index(b[end:], []byte("\n\n"))
-		if i < 0 {
-			break
-		}
-		event := b[end : end+i+2]
-		end += len(event)
-		if id := eventID(event); id != "" {
-			d.outcome.Events++
-			defer d.noteID(id)
-		}
-	}
-	if end == 0 {
+	whole, last := d.wholeEvents(b)
+	if whole == 0 {
 		return b, nil
 	}
 	ticket.First(d.opts.Timer.Now())
-	if err := d.begin(answer); err != nil {
-		return nil, d.callerLeft()
+	err := d.begin(answer)
+	if err == nil {
+		err = d.responder.Write(b[:whole])
 	}
-	err := d.responder.Write(b[:end])
 	if err == nil {
 		err = d.responder.Flush()
 	}
 	if err != nil {
 		return nil, d.callerLeft()
 	}
-	return b[end:], nil
+	d.stream.lastID = later(d.stream.lastID, last)
+	return b[whole:], nil
 }
 
-func (d *dispatcher) noteID(id string) { d.stream.lastID = later(d.stream.lastID, id) }
+// wholeEvents returns the length of the whole events at the beginning of b, and
+// the latest of their IDs.
+func (d *dispatcher) wholeEvents(b []byte) (length int, last string) {
+	for {
+		i := bytes.Index(b[length:], []byte(eventEnd))
+		if i < 0 {
+			return length, last
+		}
+		next := length + i + len(eventEnd)
+		if id := eventID(b[length:next]); id != "" {
+			d.outcome.Events++
+			last = later(last, id)
+		}
+		length = next
+	}
+}
 
 // later returns the ID that comes later: IDs grow, so the longer or greater one.
 func later(a, b string) string {
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -74,13 +74,12 @@
 
 // Status is what a host tells the others.
 type Status struct {
-	Lease    Lease                    `cbor:"1,keyasint"`           // Lease is the newest record that the host knows.
-	Holding  bool                     `cbor:"2,keyasint,omitempty"` // Holding tells that the host gives orders.
-	Stopped  bool                     `cbor:"3,keyasint,omitempty"` // Stopped tells that Lease is the host's own and that it gives no more orders under it.
-	Ordered  map[string]time.Duration `cbor:"4,keyasint,omitempty"` // Ordered is how long ago engines were ordered last.
-	Avoid    []string                 `cbor:"5,keyasint,omitempty"` // Avoid are engines that load or are next.
-	Renewed  []Renewed                `cbor:"6,keyasint,omitempty"`
-	AvoidFor time.Duration            `cbor:"-"`
+	Lease   Lease                    `cbor:"1,keyasint"`           // Lease is the newest record that the host knows.
+	Holding bool                     `cbor:"2,keyasint,omitempty"` // Holding tells that the host gives orders.
+	Stopped bool                     `cbor:"3,keyasint,omitempty"` // Stopped tells that Lease is the host's own and that it gives no more orders under it.
+	Ordered map[string]time.Duration `cbor:"4,keyasint,omitempty"` // Ordered is how long ago engines were ordered last.
+	Avoid   []string                 `cbor:"5,keyasint,omitempty"` // Avoid are engines that load or are next.
+	Renewed []Renewed                `cbor:"6,keyasint,omitempty"`
 }
 
 // Input is what a step depends on.
