Take callers only when the upstreams have been read as well

The two feeds are read side by side; if the store falls silent between their answers, the host refuses all requests as if no upstream were there.

Ruled out: a race in the test alone; the directory names such a host to callers.

Change: ready means that configuration and a listing of the upstreams are known.

Measured: go test -race -count=3 of follower, exchanger, conductor and platform passes; the new case and TestReadyNeedsBoth fail without the change.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -256,7 +256,7 @@
 }
 
 // Ready tells that this host takes callers.
-func (h *Host) Ready() bool { return h.view.Load().Table != nil && !h.leaving.Load() }
+func (h *Host) Ready() bool { return h.view.Load().Ready() && !h.leaving.Load() }
 
 // Leaving tells that this host is ending.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -76,7 +76,7 @@
 
 // admit finds route and workspace, or says why the request is not served.
 func (e *exchange) admit() (Refusal, bool) {
-	if e.view.Table == nil {
+	if !e.view.Ready() {
 		return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: retryUnready}, false
 	}
 	var ok bool
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -136,8 +136,10 @@
 		route.Kind, route.PathPrefix = matcher.KindOnce, "/other/"
 	case "Unready":
 		return &follower.View{}
+	case "Unlisted": // the configuration is known and the upstreams are not
+		return &follower.View{Table: matcher.New(matcher.Parts{Routes: []matcher.Route{route}, Workspaces: []matcher.Workspace{{Keys: []string{"key"}}}})}
 	}
-	view := &follower.View{Table: matcher.New(matcher.Parts{
+	view := &follower.View{Listed: true, Table: matcher.New(matcher.Parts{
 		Routes:     []matcher.Route{route},
 		Services:   []matcher.Service{{Name: "s"}},
 		Workspaces: []matcher.Workspace{{Name: "w", Keys: []string{"key"}}},
--- a/follower/state.go
+++ b/follower/state.go
@@ -21,6 +21,7 @@
 	table     *matcher.Table
 	named     map[string]Named
 	upstreams map[string]*entry
+	listed    bool      // listed tells that a whole listing of the upstreams was taken in.
 	away      bool      // away tells that the store's last answer was a failure.
 	returned  time.Time // returned is when the store answered again after a failure.
 }
@@ -134,7 +135,8 @@
 // the given offset. Upstreams that are not listed and were not heard of since
 // are removed.
 func (s *State) Replace(now time.Time, listed map[string]bool, end int64) bool {
-	changed := false
+	changed := !s.listed
+	s.listed = true
 	for id, e := range s.upstreams {
 		if !listed[id] && e.offset < end {
 			changed = s.remove(now, id, end) || changed
@@ -165,13 +167,17 @@
 type View struct {
 	Table     *matcher.Table // Table is nil while no configuration is known.
 	Named     map[string]Named
+	Listed    bool                // Listed tells that Upstreams has been read; without it their absence says nothing.
 	Upstreams []Upstream          // Upstreams are ordered by ID.
 	ByService map[string][]string // ByService has the IDs of upstreams that take new work.
 }
 
+// Ready tells that requests can be served: configuration and upstreams are known.
+func (v *View) Ready() bool { return v.Table != nil && v.Listed }
+
 // View returns what is believed now.
 func (s *State) View() *View {
-	v := &View{Table: s.table, Named: maps.Clone(s.named), ByService: make(map[string][]string)}
+	v := &View{Table: s.table, Listed: s.listed, Named: maps.Clone(s.named), ByService: make(map[string][]string)}
 	for _, e := range s.upstreams {
 		v.Upstreams = append(v.Upstreams, e.upstream)
 	}
--- a/follower/state_test.go
+++ b/follower/state_test.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// TestReadyNeedsBoth: a host that knows its routes but not who serves them must
+// not take callers.
+func TestReadyNeedsBoth(t *testing.T) {
+	state := New()
+	now := time.Unix(1000, 0)
+	assert.Assert(t, !state.View().Ready())
+	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 1})}, 1)
+	assert.Assert(t, !state.View().Ready())
+	assert.Assert(t, state.Replace(now, nil, 1), "the first listing is news, also if it is empty")
+	assert.Assert(t, state.View().Ready())
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	state := New()
 	now := time.Unix(1000, 0)
