--- a/renewer/handover_test.go
+++ b/renewer/handover_test.go
@@ -94,9 +94,9 @@
 	s.hosts[0].paused = true
 	s.run(3 * time.Second)
 	s.hosts[0].paused = false
-	s.run(3500 * time.Millisecond)
+	s.run(2600 * time.Millisecond)
 	assert.Equal(t, len(s.faults), 0, "%q", s.faults)
 	for id, e := range s.engines {
-		assert.Equal(t, e.version, uint64(2), "%s, 7.2 s after the version was named", id)
+		assert.Equal(t, e.version, uint64(2), "%s, 6.3 s after the version was named", id)
 	}
 }
