Give up connections that have fallen silent

Cause: a connection whose packets vanish shows neither reset nor end. Links between hosts were kept for as long as the kernel retransmits (minutes), so that hosts placed requests without knowing of each other's work; reused connections to upstreams held requests until their deadlines.

Ruled out: the store's client (each call has a bound of its own and its connection is closed at it); hosts' views (all changes came in time, no rule was broken).

Change: one dialer for all connections, with TCP_USER_TIMEOUT of 1.5 s and probes of idle connections; WebSocket pings each second between hosts, for paths on which something still acknowledges.

The new test of the messenger times out without the change.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"amaranthgate.example/amaranthgate/internal/dialer"
 )
 
 // Bounds of pooled connections.
@@ -51,7 +53,8 @@
 // belong to other requests, and says how much may have reached the upstream.
 // It is safe for concurrent use.
 type Pool struct {
-	opts PoolOptions
+	opts   PoolOptions
+	dialer *net.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*pooled
@@ -67,7 +70,7 @@
 	if opts.DialTimeout == 0 {
 		opts.DialTimeout = defaultDial
 	}
-	return &Pool{opts: opts, idle: make(map[string][]*pooled), open: make(map[string]int), cap: make(map[string]int)}
+	return &Pool{opts: opts, dialer: dialer.New(opts.DialTimeout), idle: make(map[string][]*pooled), open: make(map[string]int), cap: make(map[string]int)}
 }
 
 // pooled is one connection; one request uses it at a time.
@@ -181,8 +184,7 @@
 	if !p.reserve(call.Address) {
 		return nil, &Failure{Cause: CauseConnect, Ran: RanNo, Detail: "all connections to the upstream are in use"}
 	}
-	dialer := net.Dialer{Timeout: p.opts.DialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", call.Address)
+	conn, err := p.dialer.DialContext(ctx, "tcp4", call.Address)
 	if err != nil {
 		p.mu.Lock()
 		p.open[call.Address]--
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -17,9 +17,9 @@
 package faultproxy
 
 import (
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthgate.example/amaranthgate/internal/duration"
@@ -34,6 +34,9 @@
 	Delay       Kind = "Delay"       // Delay holds each piece of data back for Time.
 	Refuse      Kind = "Refuse"      // Refuse resets new connections at once.
 	HalfOpen    Kind = "HalfOpen"    // HalfOpen accepts connections and lets nothing through.
+	DropRequest Kind = "DropRequest" // DropRequest lets nothing through towards the target.
+	DropAnswer  Kind = "DropAnswer"  // DropAnswer lets nothing through towards the caller.
+	Silence     Kind = "Silence"     // Silence lets nothing more through on what is open, and passes new connections.
 	ResetAfter  Kind = "ResetAfter"  // ResetAfter passes Bytes of the request on and resets both sides.
 	LoseAnswer  Kind = "LoseAnswer"  // LoseAnswer passes the request on and drops the connection when the answer begins.
 	CutAnswer   Kind = "CutAnswer"   // CutAnswer cuts the connection after Bytes of the answer.
@@ -48,14 +51,29 @@
 	Bytes int
 }
 
-// Proxy passes connections on to one address.
+// Proxy passes connections on to one address. A connection on which bytes were
+// dropped stays silent: passing on what follows would be another fault.
 type Proxy struct {
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	fault Fault
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	fault    Fault
+	sessions map[*session]struct{}
+}
+
+// session is a caller's connection and the one to the target.
+type session struct {
+	caller *net.TCPConn
+	target *net.TCPConn // target is nil until it stands.
+	silent atomic.Bool
+}
+
+func (s *session) close() {
+	_ = s.caller.Close()
+	if s.target != nil {
+		_ = s.target.Close()
+	}
 }
 
 // New starts a proxy on loopback, on a port that the system picks.
@@ -64,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{target: target, listener: l, sessions: make(map[*session]struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -77,11 +95,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
-	if f.Kind != CutExisting && f.Kind != Refuse {
-		return
-	}
-	for c := range p.conns {
-		_ = c.Close()
+	for s := range p.sessions {
+		switch f.Kind {
+		case CutExisting, Refuse:
+			s.close()
+		case Silence:
+			s.silent.Store(true)
+		}
 	}
 }
 
@@ -90,8 +110,8 @@
 	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
-		_ = c.Close()
+	for s := range p.sessions {
+		s.close()
 	}
 }
 
@@ -111,15 +131,16 @@
 	}
 }
 
-func (p *Proxy) track(c net.Conn) func() {
+// track remembers a session until the function that it returns is called.
+func (p *Proxy) track(s *session) func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = struct{}{}
+	p.sessions[s] = struct{}{}
 	return func() {
-		_ = c.Close()
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		delete(p.conns, c)
+		s.close()
+		delete(p.sessions, s)
 	}
 }
 
@@ -128,26 +149,28 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) serve(from *net.TCPConn) {
-	defer p.track(from)()
+func (p *Proxy) serve(caller *net.TCPConn) {
+	s := &session{caller: caller}
+	defer p.track(s)()
 	if p.current().Kind == Refuse {
-		reset(from)
+		reset(caller)
 		return
 	}
 	conn, err := net.Dial("tcp", p.target)
 	if err != nil {
-		reset(from)
+		reset(caller)
 		return
 	}
-	to := conn.(*net.TCPConn)
-	defer p.track(to)()
+	p.mu.Lock()
+	s.target = conn.(*net.TCPConn)
+	p.mu.Unlock()
 	done := make(chan struct{}, 2)
 	go func() {
-		p.requests(from, to)
+		p.pump(s, caller, s.target, p.request(s))
 		done <- struct{}{}
 	}()
 	go func() {
-		p.answers(from, to)
+		p.pump(s, s.target, caller, p.answer(s))
 		done <- struct{}{}
 	}()
 	<-done
@@ -155,8 +178,10 @@
 
 const pieceBytes = 32 << 10
 
-// requests passes what the caller sends.
-func (p *Proxy) requests(from, to *net.TCPConn) {
+// pump passes on what one side sends, a piece at a time. pass returns what of a
+// piece is still to be written, and whether the connection lives on; passed counts
+// the bytes before it.
+func (p *Proxy) pump(s *session, from, to *net.TCPConn, pass func(b []byte, passed int) (rest []byte, alive bool)) {
 	buf := make([]byte, pieceBytes)
 	passed := 0
 	for {
@@ -164,72 +189,74 @@
 		if err != nil {
 			return
 		}
-		switch f := p.current(); f.Kind {
-		case HalfOpen:
+		if s.silent.Load() {
 			continue
-		case Delay:
-			time.Sleep(f.Time.Std())
-		case ResetAfter:
-			if passed+n > f.Bytes {
-				_, _ = to.Write(buf[:max(0, f.Bytes-passed)])
-				reset(from)
-				return
-			}
 		}
+		rest, alive := pass(buf[:n], passed)
 		passed += n
-		if _, err := to.Write(buf[:n]); err != nil {
+		if _, err := to.Write(rest); err != nil {
+			return
+		}
+		if !alive {
+			reset(s.caller)
 			return
 		}
 	}
 }
 
-// answers passes what the target sends.
-func (p *Proxy) answers(from, to *net.TCPConn) {
-	buf := make([]byte, pieceBytes)
-	passed := 0
-	for {
-		n, err := to.Read(buf)
-		if err != nil {
-			return
+// request decides on a piece that the caller sends.
+func (p *Proxy) request(s *session) func(b []byte, passed int) ([]byte, bool) {
+	return func(b []byte, passed int) ([]byte, bool) {
+		switch f := p.current(); f.Kind {
+		case HalfOpen, DropRequest:
+			s.silent.Store(true)
+			return nil, true
+		case Delay:
+			time.Sleep(f.Time.Std())
+		case ResetAfter:
+			return upTo(f.Bytes, passed, b)
 		}
+		return b, true
+	}
+}
+
+// answer decides on a piece that the target sends.
+func (p *Proxy) answer(s *session) func(b []byte, passed int) ([]byte, bool) {
+	return func(b []byte, passed int) ([]byte, bool) {
 		switch f := p.current(); f.Kind {
-		case HalfOpen:
-			continue
+		case HalfOpen, DropAnswer:
+			s.silent.Store(true)
+			return nil, true
 		case Delay:
 			time.Sleep(f.Time.Std())
 		case LoseAnswer:
-			reset(from)
-			return
+			return nil, false
 		case CutAnswer:
-			if passed+n > f.Bytes {
-				_, _ = from.Write(buf[:max(0, f.Bytes-passed)])
-				reset(from)
-				return
-			}
+			return upTo(f.Bytes, passed, b)
 		case SlowAnswer:
-			if !drip(from, buf[:n], f, passed) {
-				return
-			}
-			passed += n
-			continue
-		}
-		passed += n
-		if _, err := from.Write(buf[:n]); err != nil {
-			return
+			return p.drip(s, b, f, passed)
 		}
+		return b, true
+	}
+}
+
+// upTo returns what of a piece lies before the byte at which a connection ends.
+func upTo(bytes, passed int, piece []byte) ([]byte, bool) {
+	if passed+len(piece) <= bytes {
+		return piece, true
 	}
+	return piece[:max(0, bytes-passed)], false
 }
 
-// drip writes the first bytes of an answer one by one.
-func drip(to io.Writer, b []byte, f Fault, passed int) bool {
+// drip writes the first bytes of an answer one by one and returns the others.
+func (p *Proxy) drip(s *session, b []byte, f Fault, passed int) ([]byte, bool) {
 	for len(b) > 0 && passed < f.Bytes {
 		time.Sleep(f.Time.Std())
-		if _, err := to.Write(b[:1]); err != nil {
-			return false
+		if _, err := s.caller.Write(b[:1]); err != nil {
+			return nil, false
 		}
 		b = b[1:]
 		passed++
 	}
-	_, err := to.Write(b)
-	return err == nil
+	return b, true
 }
--- a/messenger/mesh.go
+++ b/messenger/mesh.go
@@ -16,6 +16,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
+
+	"amaranthgate.example/amaranthgate/internal/dialer"
 )
 
 // Headers of the handshake.
@@ -33,6 +35,11 @@
 	firstPause   = 50 * time.Millisecond
 	longestPause = 2 * time.Second
 	idleTimeout  = time.Minute
+	// pingInterval and pingTimeout bound how long a connection may carry nothing to
+	// the other side without anybody noticing: when a middle box or a stopped
+	// process still acknowledges what is sent, the kernel sees no fault.
+	pingInterval = time.Second
+	pingTimeout  = time.Second
 )
 
 // Options set up a messenger.
@@ -47,6 +54,7 @@
 // Messenger holds the connections of one host. It is safe for concurrent use.
 type Messenger struct {
 	opts   Options
+	http   *http.Client // http makes the handshakes.
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -69,7 +77,8 @@
 // New returns a messenger without connections.
 func New(opts Options) *Messenger {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Messenger{opts: opts, ctx: ctx, cancel: cancel, links: make(map[string]*link)}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.New(dialTimeout).DialContext}}
+	return &Messenger{opts: opts, http: client, ctx: ctx, cancel: cancel, links: make(map[string]*link)}
 }
 
 // Traffic returns what was carried so far.
@@ -197,7 +206,7 @@
 	header.Set(headerFrom, self.Host)
 	header.Set(headerIncarnation, strconv.FormatUint(self.Incarnation, 10))
 	header.Set(headerProof, l.messenger.proof(self.Host, l.host))
-	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+"/peer", &websocket.DialOptions{HTTPHeader: header})
+	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+"/peer", &websocket.DialOptions{HTTPClient: l.messenger.http, HTTPHeader: header})
 	return conn, err
 }
 
@@ -205,6 +214,7 @@
 // reports whether the link was idle.
 func (l *link) write(conn *websocket.Conn) (idle bool) {
 	closed := conn.CloseRead(l.ctx) // answers pings and sees the close
+	go l.watch(closed, conn)
 	timer := time.NewTimer(idleTimeout)
 	defer timer.Stop()
 	for {
@@ -222,6 +232,19 @@
 	}
 }
 
+// watch closes a connection on which the other side no longer answers.
+func (l *link) watch(closed context.Context, conn *websocket.Conn) {
+	for sleep(closed, pingInterval) {
+		ctx, cancel := context.WithTimeout(closed, pingTimeout)
+		err := conn.Ping(ctx)
+		cancel()
+		if err != nil {
+			_ = conn.CloseNow()
+			return
+		}
+	}
+}
+
 func (l *link) send(conn *websocket.Conn, b []byte) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
 	defer cancel()
--- a/messenger/message_test.go
+++ b/messenger/message_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/internal/faultproxy"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -68,3 +69,27 @@
 	}
 	assert.Equal(t, len(got), 0)
 }
+
+// TestSilentConnectionIsReplaced: a connection on which nothing arrives any more,
+// though it shows no end, is given up, and messages go over a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	from, address, got := connect(t, [2]string{"secret", "secret"})
+	proxy, err := faultproxy.New(address)
+	assert.NilError(t, err)
+	t.Cleanup(proxy.Close)
+	arrives := func(digest uint64) {
+		for {
+			from.Send("b", proxy.Address(), &Message{Digest: digest})
+			select {
+			case m := <-got:
+				if m.Digest == digest {
+					return
+				}
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+	arrives(1)
+	proxy.Set(faultproxy.Fault{Kind: faultproxy.Silence})
+	arrives(2)
+}
