Share filters, attempts and endings between both ways of running

Cause: server and exchanger each had a loop of attempts with rules of its own on what may be sent again and what may be said of a request: the promise 'not run is true' stood twice, and a mend in one was missing in the other (the budget of retries was drawn on for connections that never stood; a 503 was given after an attempt that may have run).

Ruled out: one exchange for both with codecs at its ends only; their streams differ in what makes them whole and in how they go on (docs/PLATFORM.md).

Change: package dispatcher has the chain of filters, the attempts under one policy, and the endings; the exchanger's admission is a chain of filters like the server's.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/placer"
 )
@@ -24,7 +25,7 @@
 
 // plain reads a whole answer and passes it on, or holds it back when another
 // upstream may do better.
-func (d *dispatcher) plain(answer Answer, ticket *placer.Ticket) attempt {
+func (d *delivery) plain(answer Answer, ticket *placer.Ticket) dispatcher.Result {
 	body, err := io.ReadAll(io.LimitReader(answer, heldBytes+1))
 	if err != nil {
 		return broken(err)
@@ -35,18 +36,19 @@
 	}
 	h := &held{answer: answer, body: body}
 	if answer.Status() >= http.StatusInternalServerError {
-		return attempt{verdict: verdictMaybe, reached: true, held: h}
+		d.held = h
+		return dispatcher.Result{Verdict: dispatcher.Maybe, Reached: true}
 	}
 	d.passOn(h)
-	return attempt{verdict: verdictDone}
+	return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 }
 
-func broken(err error) attempt {
+func broken(err error) dispatcher.Result {
 	f := &forwarder.Failure{Cause: forwarder.CauseCut, Ran: forwarder.RanYes, Detail: err.Error()}
-	return attempt{verdict: verdictMaybe, reached: true, failure: f}
+	return dispatcher.Failed(f)
 }
 
-func (d *dispatcher) passOn(h *held) {
+func (d *delivery) passOn(h *held) {
 	d.outcome.Status = h.answer.Status()
 	d.outcome.First = d.opts.Timer.Now().Sub(d.request.Start)
 	err := d.responder.Begin(h.answer, int64(len(h.body)))
@@ -59,7 +61,7 @@
 }
 
 // long passes on an answer that is too large to be held.
-func (d *dispatcher) long(answer Answer, start []byte) attempt {
+func (d *delivery) long(answer Answer, start []byte) dispatcher.Result {
 	d.outcome.Status = answer.Status()
 	d.outcome.First = d.opts.Timer.Now().Sub(d.request.Start)
 	err := d.responder.Begin(answer, -1)
@@ -76,13 +78,13 @@
 		}
 		switch {
 		case end == io.EOF:
-			return attempt{verdict: verdictDone}
+			return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 		case end != nil:
 			d.outcome.Reason, d.outcome.Detail = ReasonInterrupted, end.Error()
 			d.responder.Abort()
-			return attempt{verdict: verdictDone}
+			return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 		}
 	}
 	d.outcome.Reason = ReasonCallerGone
-	return attempt{verdict: verdictDone}
+	return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 }
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -6,66 +6,47 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/placer"
 )
 
-// maxArrivals bounds how often one request is offered, refusals and connections
+// maxAttempts bounds how often one request is offered, refusals and connections
 // that did not stand included, so that a request does not tour a dead service.
-const maxArrivals = 4
+const maxAttempts = 4
 
-// verdict says what an attempt means for the request.
-type verdict string
-
-const (
-	verdictDone   verdict = "Done"   // verdictDone says that the caller has its final answer.
-	verdictNotRun verdict = "NotRun" // verdictNotRun says that the attempt did not run.
-	verdictMaybe  verdict = "Maybe"  // verdictMaybe says that the attempt may have run, or ran, without an answer for the caller.
-)
-
-// attempt is how one attempt ended.
-type attempt struct {
-	verdict verdict
-	reached bool               // reached tells that an upstream may have seen the request.
-	failure *forwarder.Failure // failure is nil if an answer is held back instead.
-	held    *held              // held is an answer that may be passed on if no better one comes.
-}
-
-// dispatcher makes the attempts of one exchange.
-type dispatcher struct {
+// delivery makes the attempts of one exchange. It is the dispatcher.Way of
+// requests whose answers are passed through.
+type delivery struct {
 	*exchange
-	tried    []string
-	arrivals int  // arrivals counts the upstreams that may have seen the request.
-	runs     int  // runs counts the attempts that may have run.
-	maybe    bool // maybe tells that one of them may have run.
-	last     attempt
-	stream   *relay // stream is what the caller has of a stream.
+	tried  []string
+	held   *held  // held is an answer that is passed on if no better one comes.
+	stream *relay // stream is what the caller has of a stream.
 }
 
+// dispatch makes attempts and gives the final answer if none of them did.
 func (e *exchange) dispatch(ctx context.Context) {
-	d := &dispatcher{exchange: e}
-	for {
-		choice, ok := d.choose()
-		if !ok {
-			break
-		}
-		a := d.try(ctx, choice)
-		if a.verdict == verdictDone {
-			return
-		}
-		d.account(a)
-		if !d.again(ctx, a) {
-			break
-		}
+	d := &delivery{exchange: e}
+	tries := dispatcher.Run(ctx, dispatcher.Policy{
+		Repeatable: e.route.Repeatable(),
+		Runs:       e.route.MaxAttempts,
+		Attempts:   maxAttempts,
+	}, d)
+	if !tries.Done() {
+		d.conclude(ctx, &tries)
 	}
-	d.conclude(ctx)
 }
 
-// choose asks for the next upstream.
-func (d *dispatcher) choose() (placer.Choice, bool) {
+// Withdraw implements dispatcher.Way.
+func (d *delivery) Withdraw() bool { return d.opts.Budget.Withdraw(d.service) }
+
+// Continues implements dispatcher.Way.
+func (d *delivery) Continues() bool { return d.stream == nil || d.route.Resumable }
+
+// Choose implements dispatcher.Way.
+func (d *delivery) Choose() (placer.Choice, bool) {
 	ask := &placer.Ask{Service: d.service, Prompt: d.request.Prompt, Exclude: d.tried}
 	if ask.Prompt != nil {
 		ask.Weights = d.view.Named[ask.Prompt.Model].Version
@@ -74,7 +55,8 @@
 	return d.opts.Placer.Choose(d.opts.Timer.Now(), ask)
 }
 
-func (d *dispatcher) try(ctx context.Context, choice placer.Choice) attempt {
+// Try implements dispatcher.Way.
+func (d *delivery) Try(ctx context.Context, choice placer.Choice) dispatcher.Result {
 	d.tried = append(d.tried, choice.Upstream.ID)
 	d.outcome.Attempts++
 	d.outcome.Upstream = choice.Upstream.ID
@@ -99,20 +81,16 @@
 	if d.stream != nil && d.stream.lastID != "" {
 		dir.LastEvent = d.stream.lastID
 	}
-	a := d.send(ctx, choice, dir)
-	choice.Ticket.Done(d.opts.Timer.Now(), result(ctx, a))
-	return a
+	r := d.send(ctx, choice, dir)
+	choice.Ticket.Done(d.opts.Timer.Now(), forPlacement(ctx, r))
+	return r
 }
 
 // send carries out one attempt and passes its answer on.
-func (d *dispatcher) send(ctx context.Context, choice placer.Choice, dir *Directions) attempt {
+func (d *delivery) send(ctx context.Context, choice placer.Choice, dir *Directions) dispatcher.Result {
 	answer, fail := d.opts.Sender.Send(ctx, d.request, dir)
 	if fail != nil {
-		a := attempt{verdict: verdictMaybe, reached: fail.Cause != forwarder.CauseConnect, failure: fail}
-		if fail.Ran == forwarder.RanNo {
-			a.verdict = verdictNotRun
-		}
-		return a
+		return dispatcher.Failed(fail)
 	}
 	defer answer.Close()
 	if d.route.Kind == matcher.KindStream && answer.Status() == http.StatusOK {
@@ -121,16 +99,16 @@
 	return d.plain(answer, choice.Ticket)
 }
 
-// result tells placement how the attempt went.
-func result(ctx context.Context, a attempt) placer.Result {
+// forPlacement tells placement how the attempt went.
+func forPlacement(ctx context.Context, r dispatcher.Result) placer.Result {
 	switch {
-	case a.verdict == verdictDone:
+	case r.Verdict == dispatcher.Done:
 		return placer.ResultServed
-	case a.held != nil:
+	case r.Failure == nil:
 		return placer.ResultFailed
-	case a.failure.Cause == forwarder.CauseConnect:
+	case r.Failure.Cause == forwarder.CauseConnect:
 		return placer.ResultUnreached
-	case a.verdict == verdictNotRun:
+	case r.Verdict == dispatcher.NotRun:
 		return placer.ResultRefused
 	case ctx.Err() == context.Canceled:
 		return placer.ResultCaller
@@ -138,71 +116,43 @@
 	return placer.ResultFailed
 }
 
-func (d *dispatcher) account(a attempt) {
-	if a.reached {
-		d.arrivals++
-	}
-	if a.verdict == verdictMaybe {
-		d.maybe = true
-		d.runs++
-	}
-	if d.last.held == nil || a.held != nil {
-		d.last = a
-	}
-}
-
-// again tells whether another attempt may be made.
-func (d *dispatcher) again(ctx context.Context, a attempt) bool {
-	switch {
-	case ctx.Err() != nil || len(d.tried) >= maxArrivals:
-		return false
-	case a.verdict == verdictMaybe && !d.route.Repeatable():
-		return false
-	case d.runs >= max(d.route.MaxAttempts, 1):
-		return false
-	case d.stream != nil && !d.route.Resumable:
-		return false
-	case d.arrivals == 0:
-		return true // nobody has seen the request: this is still its first attempt
-	}
-	return d.opts.Budget.Withdraw(d.service)
-}
-
 // conclude gives the final answer when no attempt gave it.
-func (d *dispatcher) conclude(ctx context.Context) {
+func (d *delivery) conclude(ctx context.Context, tries *dispatcher.Tries) {
+	ending := tries.Ending(ctx)
 	switch {
 	case d.stream != nil:
 		d.outcome.Reason = ReasonInterrupted
 		d.responder.Abort()
-	case d.last.held != nil:
-		d.passOn(d.last.held)
-	case ctx.Err() == context.Canceled:
+	case d.held != nil:
+		d.passOn(d.held)
+	case ending == dispatcher.CallerGone:
 		d.outcome.Reason = ReasonCallerGone
 		d.responder.Abort()
-	case d.maybe && ctx.Err() != nil:
+	case tries.Ran() == forwarder.RanNo:
+		d.refuse(notRun(ending, tries))
+	case ending == dispatcher.Deadline:
 		d.refuse(Refusal{Status: http.StatusGatewayTimeout, Reason: ReasonDeadline})
-	case d.maybe:
-		d.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonUnknown})
 	default:
-		d.refuse(d.notRun(ctx))
+		d.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonUnknown})
 	}
-	if d.last.failure != nil {
-		d.outcome.Detail = d.last.failure.Detail
+	if fail := tries.Last.Failure; fail != nil {
+		d.outcome.Detail = fail.Detail
 	}
 }
 
+// reasons are the words for endings in which a request has not run.
+var reasons = map[dispatcher.Ending]Reason{
+	dispatcher.Deadline:   ReasonDeadline,
+	dispatcher.NoUpstream: ReasonNoUpstream,
+	dispatcher.Unreached:  ReasonUnreached,
+	dispatcher.Refused:    ReasonFull,
+}
+
 // notRun is the refusal of a request that has not run anywhere.
-func (d *dispatcher) notRun(ctx context.Context) Refusal {
-	r := Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoUpstream, RetryAfter: retryFull}
-	switch {
-	case ctx.Err() != nil:
-		r.Reason = ReasonDeadline
-	case d.last.failure == nil:
-	case d.last.failure.Cause == forwarder.CauseConnect:
-		r.Reason = ReasonUnreached
-	default:
-		r.Reason = ReasonFull
-		r.RetryAfter = max(r.RetryAfter, min(d.last.failure.RetryAfter, time.Second))
+func notRun(ending dispatcher.Ending, tries *dispatcher.Tries) Refusal {
+	r := Refusal{Status: http.StatusServiceUnavailable, Reason: reasons[ending], RetryAfter: retryFull}
+	if ending == dispatcher.Refused {
+		r.RetryAfter = max(r.RetryAfter, min(tries.Last.Failure.RetryAfter, longestRetry))
 	}
 	return r
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/placer"
@@ -21,6 +22,7 @@
 const (
 	retryUnready = 200 * time.Millisecond // retryUnready is about what a starting host needs to read its beliefs.
 	retryFull    = 50 * time.Millisecond  // retryFull is about three plain requests' work.
+	longestRetry = time.Second            // longestRetry bounds what upstreams advise; callers do not wait for longer.
 	// longestWait bounds requests of callers that name no time on routes that
 	// name none.
 	longestWait = 60 * time.Second
@@ -42,11 +44,14 @@
 
 // Exchanger takes requests to their answers. It is safe for concurrent use.
 type Exchanger struct {
-	opts Options
+	opts   Options
+	handle dispatcher.Handler[*exchange, Outcome]
 }
 
 // New returns an Exchanger.
-func New(opts Options) *Exchanger { return &Exchanger{opts: opts} }
+func New(opts Options) *Exchanger {
+	return &Exchanger{opts: opts, handle: dispatcher.Chain(forward, informed, routed, identified, bounded)}
+}
 
 // exchange is one request on its way.
 type exchange struct {
@@ -64,35 +69,64 @@
 // Handle takes a request to its final answer. ctx ends when the caller leaves.
 func (x *Exchanger) Handle(ctx context.Context, r *Request, w Responder) Outcome {
 	e := &exchange{Exchanger: x, request: r, responder: w, view: x.opts.Beliefs.Load()}
-	if refusal, ok := e.admit(); !ok {
-		e.refuse(refusal)
-	} else {
-		e.serve(ctx)
+	o := x.handle(ctx, e)
+	o.Took = x.opts.Timer.Now().Sub(r.Start)
+	o.Late = e.route != nil && e.route.Objective > 0 && o.First > e.route.Objective
+	return o
+}
+
+// handler is a step of the chain.
+type handler = dispatcher.Handler[*exchange, Outcome]
+
+// informed refuses requests while this host does not know what is in force.
+func informed(next handler) handler {
+	return func(ctx context.Context, e *exchange) Outcome {
+		if !e.view.Ready() {
+			return e.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: retryUnready})
+		}
+		return next(ctx, e)
 	}
-	e.outcome.Took = x.opts.Timer.Now().Sub(r.Start)
-	e.outcome.Late = e.route != nil && e.route.Objective > 0 && e.outcome.First > e.route.Objective
-	return e.outcome
 }
 
-// admit finds route and workspace, or says why the request is not served.
-func (e *exchange) admit() (Refusal, bool) {
-	if !e.view.Ready() {
-		return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: retryUnready}, false
+// routed finds the route.
+func routed(next handler) handler {
+	return func(ctx context.Context, e *exchange) Outcome {
+		var ok bool
+		if e.route, ok = e.view.Table.Route(e.request.Host, e.request.Path); !ok {
+			return e.refuse(Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute})
+		}
+		e.service = e.route.Pick(rand.Float64())
+		e.outcome.Route, e.outcome.Service = e.route.Name, e.service
+		return next(ctx, e)
 	}
-	var ok bool
-	if e.route, ok = e.view.Table.Route(e.request.Host, e.request.Path); !ok {
-		return Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute}, false
+}
+
+// identified finds the workspace that the caller's key proves.
+func identified(next handler) handler {
+	return func(ctx context.Context, e *exchange) Outcome {
+		if e.view.Table.Keyed() && !e.route.Public {
+			var ok bool
+			if e.workspace, ok = e.view.Table.Workspace(e.request.Key); !ok {
+				return e.refuse(Refusal{Status: http.StatusUnauthorized, Reason: ReasonNoKey})
+			}
+		}
+		return next(ctx, e)
 	}
-	e.outcome.Route = e.route.Name
-	if e.view.Table.Keyed() && !e.route.Public {
-		if e.workspace, ok = e.view.Table.Workspace(e.request.Key); !ok {
-			return Refusal{Status: http.StatusUnauthorized, Reason: ReasonNoKey}, false
+}
+
+// bounded ends the work when the request's time is over. A request that must run
+// at most once is brought to its end when the caller leaves: breaking it off would
+// leave the caller's next question without an answer as well.
+func bounded(next handler) handler {
+	return func(ctx context.Context, e *exchange) Outcome {
+		if !e.route.Repeatable() && e.route.Kind != matcher.KindStream {
+			ctx = context.WithoutCancel(ctx)
 		}
+		e.end = e.request.Start.Add(e.patience())
+		ctx, cancel := context.WithDeadline(ctx, e.end)
+		defer cancel()
+		return next(ctx, e)
 	}
-	e.service = e.route.Pick(rand.Float64())
-	e.outcome.Service = e.service
-	e.end = e.request.Start.Add(e.patience())
-	return Refusal{}, true
 }
 
 // patience is the lesser of the caller's time and the route's.
@@ -107,23 +141,19 @@
 	return wait
 }
 
-// serve makes attempts within the request's time. A request that must run at
-// most once is brought to its end when the caller leaves: breaking it off would
-// leave the caller's next question without an answer as well.
-func (e *exchange) serve(ctx context.Context) {
-	if !e.route.Repeatable() && e.route.Kind != matcher.KindStream {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, e.end)
-	defer cancel()
+// forward is the last step: the attempts.
+func forward(ctx context.Context, e *exchange) Outcome {
 	e.opts.Budget.Request(e.service)
 	e.dispatch(ctx)
+	return e.outcome
 }
 
-func (e *exchange) refuse(r Refusal) {
+// refuse gives the caller an answer of the system's own.
+func (e *exchange) refuse(r Refusal) Outcome {
 	e.outcome.Status = r.Status
 	e.outcome.Reason = r.Reason
 	e.responder.Refuse(r)
+	return e.outcome
 }
 
 // rank is the request's urgency.
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"io"
 
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/placer"
 )
@@ -24,7 +25,7 @@
 
 // relay passes on the events of a stream as they come. Only whole events are
 // passed on, so that another upstream can go on after the last.
-func (d *dispatcher) relay(answer Answer, ticket *placer.Ticket) attempt {
+func (d *delivery) relay(answer Answer, ticket *placer.Ticket) dispatcher.Result {
 	var pending []byte
 	buf := make([]byte, 16<<10)
 	for {
@@ -43,15 +44,15 @@
 		case err != nil:
 			return broken(err)
 		case len(pending) > maxEventBytes:
-			return attempt{verdict: verdictMaybe, reached: true, failure: &forwarder.Failure{
+			return dispatcher.Failed(&forwarder.Failure{
 				Cause: forwarder.CauseMalformed, Ran: forwarder.RanYes, Detail: "an event of the stream has no end",
-			}}
+			})
 		}
 	}
 }
 
 // events passes on the whole events at the beginning of b and returns the rest.
-func (d *dispatcher) events(answer Answer, b []byte, ticket *placer.Ticket) ([]byte, *attempt) {
+func (d *delivery) events(answer Answer, b []byte, ticket *placer.Ticket) ([]byte, *dispatcher.Result) {
 	whole, last := d.wholeEvents(b)
 	if whole == 0 {
 		return b, nil
@@ -73,7 +74,7 @@
 
 // wholeEvents returns the length of the whole events at the beginning of b, and
 // the latest of their IDs.
-func (d *dispatcher) wholeEvents(b []byte) (length int, last string) {
+func (d *delivery) wholeEvents(b []byte) (length int, last string) {
 	for {
 		i := bytes.Index(b[length:], []byte(eventEnd))
 		if i < 0 {
@@ -96,13 +97,13 @@
 	return a
 }
 
-func (d *dispatcher) callerLeft() *attempt {
+func (d *delivery) callerLeft() *dispatcher.Result {
 	d.outcome.Reason = ReasonCallerGone
-	return &attempt{verdict: verdictDone}
+	return &dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 }
 
 // begin writes the head of the first upstream's answer.
-func (d *dispatcher) begin(answer Answer) error {
+func (d *delivery) begin(answer Answer) error {
 	if d.stream != nil {
 		return nil
 	}
@@ -114,7 +115,7 @@
 
 // endStream ends a stream whose upstream has ended it. Bytes after the last
 // whole event are passed on: the upstream's answer is whole with them.
-func (d *dispatcher) endStream(answer Answer, rest []byte) attempt {
+func (d *delivery) endStream(answer Answer, rest []byte) dispatcher.Result {
 	err := d.begin(answer)
 	if err == nil && len(rest) > 0 {
 		err = d.responder.Write(rest)
@@ -122,7 +123,7 @@
 	if err != nil {
 		return *d.callerLeft()
 	}
-	return attempt{verdict: verdictDone}
+	return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 }
 
 // eventID returns the value of an event's id field, or "".
--- a/server/doc.go
+++ b/server/doc.go
@@ -4,7 +4,8 @@
 // Package server answers callers over HTTP.
 //
 // A request passes a chain of filters: identify, limit, claim, wait, forward;
-// the outcome comes back through the same chain and is recorded. Each filter
+// the outcome comes back through the same chain and is recorded. The chain and the
+// attempts at upstreams are those of package dispatcher. Each filter
 // is one function with one job and the outcome is a value. The filters read
 // the newest snapshot and take part in no agreement themselves; what needs
 // agreement is asked of a Claims.
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -4,12 +4,12 @@
 package server
 
 import (
-	"context"
 	"crypto/rand"
 	"net/http"
 	"time"
 
 	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/internal/wire"
 	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/publisher"
@@ -63,18 +63,7 @@
 }
 
 // Handler answers an exchange.
-type Handler func(ctx context.Context, x *Exchange) Outcome
-
-// Filter wraps a handler in one more step.
-type Filter func(next Handler) Handler
-
-// chain returns last behind the filters, the first of them outermost.
-func chain(last Handler, filters ...Filter) Handler {
-	for i := len(filters) - 1; i >= 0; i-- {
-		last = filters[i](last)
-	}
-	return last
-}
+type Handler = dispatcher.Handler[*Exchange, Outcome]
 
 // newID returns a random request ID. Its length is constant.
 func newID() string { return rand.Text() }
--- a/server/forward.go
+++ b/server/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/internal/wire"
 	"amaranthgate.example/amaranthgate/keeper"
@@ -16,15 +17,22 @@
 	"amaranthgate.example/amaranthgate/router"
 )
 
-// delivery is the state of a request over its attempts.
+// delivery is the state of a request over its attempts. It is the
+// dispatcher.Way of the completions API.
 type delivery struct {
-	server     *Server
-	x          *Exchange
-	outcome    Outcome
-	mayHaveRun bool // mayHaveRun tells that some attempt may have run.
-	tried      []int
-	text       []byte // text is what the caller has, escaped as in JSON.
-	version    string // version is the weight version of the first attempt whose text the caller has.
+	server  *Server
+	x       *Exchange
+	outcome Outcome
+	tried   []int
+	stale   bool   // stale tells that the request's claim ran out before it could be sent.
+	text    []byte // text is what the caller has, escaped as in JSON.
+	version string // version is the weight version of the first attempt whose text the caller has.
+}
+
+// picked is an upstream of the pool with the decision that led to it.
+type picked struct {
+	upstream *publisher.Upstream
+	decision router.Decision
 }
 
 // forward sends the request to an upstream and its answer back, with retries
@@ -35,71 +43,51 @@
 	}
 	d := &delivery{server: s, x: x}
 	s.opts.Budget.Request()
-	var last *forwarder.Failure
-	for {
-		fail := d.attempt(ctx)
-		if fail == nil {
-			return d.outcome
-		}
-		if fail.Cause == causeNoTarget && last != nil {
-			fail = last // what the last upstream said tells the caller more
-			return d.failed(ctx, fail)
-		}
-		d.mayHaveRun = d.mayHaveRun || fail.Ran != forwarder.RanNo
-		if !d.again(ctx, fail) {
-			return d.failed(ctx, fail)
-		}
-		last = fail
+	most := x.Snapshot.Document.Retry.Attempts
+	tries := dispatcher.Run(ctx, dispatcher.Policy{Repeatable: x.Repeatable, Runs: most, Attempts: most}, d)
+	if tries.Done() {
+		return d.outcome
 	}
+	return d.failed(ctx, &tries)
 }
 
-// again reports whether another attempt is allowed after a failure.
-func (d *delivery) again(ctx context.Context, fail *forwarder.Failure) bool {
-	x := d.x
-	switch {
-	case ctx.Err() != nil || fail.Cause == forwarder.CauseCaller || fail.Cause == causeNoTarget:
-		return false
-	case d.outcome.Attempts >= x.Snapshot.Document.Retry.Attempts:
-		return false
-	case !x.Repeatable && (fail.Ran != forwarder.RanNo || !d.mayDispatch()):
-		return false
-	case d.outcome.written && !d.resumable():
-		return false
-	}
-	return d.server.opts.Budget.Withdraw()
-}
+// Withdraw implements dispatcher.Way.
+func (d *delivery) Withdraw() bool { return d.server.opts.Budget.Withdraw() }
 
-// mayDispatch reports whether a claimed request may still be sent. A host that
-// was paused after it won finds its claim stale.
-func (d *delivery) mayDispatch() bool {
-	return d.x.before.IsZero() || d.server.opts.Timer.Now().Before(d.x.before)
+// Continues implements dispatcher.Way: an answer of which the caller has a part
+// can be continued elsewhere if it is a stream that lacks tokens.
+func (d *delivery) Continues() bool {
+	prompt := d.x.Call.Prompt
+	return !d.outcome.written || prompt != nil && prompt.Stream && d.outcome.Tokens < prompt.MaxTokens
 }
 
-// resumable reports whether an answer of which the caller has a part can be
-// continued elsewhere.
-func (d *delivery) resumable() bool {
-	return d.x.Call.Prompt != nil && d.x.Call.Prompt.Stream && d.outcome.Tokens < d.x.Call.Prompt.MaxTokens
+// claimed reports whether a claimed request may still be sent. A host that was
+// paused after it won finds its claim stale.
+func (d *delivery) claimed() bool {
+	return d.x.before.IsZero() || d.server.opts.Timer.Now().Before(d.x.before)
 }
 
-// causeNoTarget says that no upstream was left to try.
-const causeNoTarget forwarder.Cause = "NoTarget"
-
-// attempt makes one attempt. It returns nil when the answer is whole.
-func (d *delivery) attempt(ctx context.Context) *forwarder.Failure {
-	s, x := d.server, d.x
+// Choose implements dispatcher.Way.
+func (d *delivery) Choose() (picked, bool) {
 	i, decision, ok := d.choose()
 	if !ok {
-		return &forwarder.Failure{Cause: causeNoTarget, Ran: forwarder.RanNo, Detail: "no upstream is left to try"}
+		return picked{}, false
 	}
-	if !d.mayDispatch() {
-		return &forwarder.Failure{Cause: causeNoTarget, Ran: forwarder.RanNo, Detail: "the claim went stale"}
+	if !d.claimed() {
+		d.stale = true
+		return picked{}, false
 	}
 	d.tried = append(d.tried, i)
+	return picked{upstream: &d.x.Pool.Upstreams[i], decision: decision}, true
+}
+
+// Try implements dispatcher.Way.
+func (d *delivery) Try(ctx context.Context, c picked) dispatcher.Result {
+	s, x, up := d.server, d.x, c.upstream
 	d.outcome.Attempts++
-	up := &x.Pool.Upstreams[i]
 	d.outcome.Upstream = up.Name
 	start := s.opts.Timer.Now()
-	tokens := x.Routing.Tokens - decision.Reused
+	tokens := x.Routing.Tokens - c.decision.Reused
 	up.Instruments.Meter.Start(tokens)
 	x.release()
 	gotFirst := false
@@ -114,14 +102,17 @@
 		up.Instruments.Meter.Finish(s.opts.Timer.Now().Sub(start))
 		x.pool.gate.Wake(s.opts.Timer.Now())
 	}()
-	fail := d.send(ctx, up, decision, first)
+	fail := d.send(ctx, up, c.decision, first)
 	if gotFirst {
-		d.placed(up, decision, fail == nil)
+		d.placed(up, c.decision, fail == nil)
 	}
 	if fail == nil || fail.Cause != forwarder.CauseCaller {
 		up.Instruments.Breaker.Record(s.opts.Timer.Now(), fail == nil || !blames(fail))
 	}
-	return fail
+	if fail == nil {
+		return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
+	}
+	return dispatcher.Failed(fail)
 }
 
 // placed tells what the upstream has computed now: the prompt, and the answer
@@ -274,23 +265,24 @@
 	set.Continue = true
 }
 
-// failed turns the last failure into the outcome for the caller.
-func (d *delivery) failed(ctx context.Context, fail *forwarder.Failure) Outcome {
+// failed turns the attempts of a request without an answer into its outcome.
+func (d *delivery) failed(ctx context.Context, tries *dispatcher.Tries) Outcome {
 	o := d.outcome
-	o.Ran = fail.Ran
-	o.Detail = fail.Detail
-	o.RetryAfter = fail.RetryAfter
-	if d.mayHaveRun && o.Ran == forwarder.RanNo {
-		o.Ran = forwarder.RanUnknown // an earlier attempt may have run
+	o.Ran = tries.Ran()
+	if fail := tries.Last.Failure; fail != nil {
+		o.Detail, o.RetryAfter = fail.Detail, fail.RetryAfter
 	}
-	switch {
-	case fail.Cause == forwarder.CauseCaller && ctx.Err() == nil, ctx.Err() == context.Canceled:
+	switch tries.Ending(ctx) {
+	case dispatcher.CallerGone:
 		o.Status, o.Reason = statusCallerGone, ReasonCallerGone
-	case ctx.Err() == context.DeadlineExceeded:
+	case dispatcher.Deadline:
 		o.Status, o.Reason = http.StatusGatewayTimeout, ReasonDeadline
-	case fail.Cause == causeNoTarget:
+	case dispatcher.NoUpstream:
 		o.Status, o.Reason = http.StatusServiceUnavailable, ReasonNoUpstream
-	case fail.Cause == forwarder.CauseConnect, fail.Cause == forwarder.CauseRefused && fail.Ran == forwarder.RanNo:
+		if d.stale {
+			o.Detail = "the claim went stale"
+		}
+	case dispatcher.Unreached, dispatcher.Refused:
 		o.Status, o.Reason = http.StatusServiceUnavailable, ReasonUpstream
 	default:
 		o.Status, o.Reason = http.StatusBadGateway, ReasonUpstream
--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/claimer"
+	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/internal/wire"
 	"amaranthgate.example/amaranthgate/keeper"
@@ -114,7 +115,7 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 2))}
 	s.pools = poolSet{server: s, pools: make(map[string]*poolState)}
-	s.handler = chain(s.forward, s.identify, s.limit, s.resolve, s.claim, s.wait)
+	s.handler = dispatcher.Chain(s.forward, s.identify, s.limit, s.resolve, s.claim, s.wait)
 	s.http = &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: opts.ReadTimeout,
