Depend on the time of day nowhere but in logs

Cause, from reading the code: a host's incarnation is the time of day at its start, so that a process started twice within a backward jump is older than what is remembered of it, and its statements are dropped; the drain's quiet time was taken from the time of day.

Ruled out: all other times; they carry Go's monotonic reading.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -33,7 +33,7 @@
 		if end, ok := ctx.Deadline(); ok && end.Sub(now) < 2*closeTime {
 			break
 		}
-		quiet := now.Sub(time.Unix(0, h.asked.Load())) > quietTime
+		quiet := now.Sub(h.started)-time.Duration(h.asked.Load()) > quietTime
 		if now.Sub(begun) > least && quiet && h.open.Load() == 0 {
 			break
 		}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -95,7 +95,8 @@
 	leaving atomic.Bool
 	keeper  atomic.Bool // keeper tells that this host is first in rank to free kept context.
 	open    atomic.Int64
-	asked   atomic.Int64 // asked is when the last request came, in Unix nanoseconds.
+	started time.Time
+	asked   atomic.Int64 // asked is when the last request came, in nanoseconds after started: the time of day may jump.
 	servers []*http.Server
 	watched map[string]context.CancelFunc // watched are the stores of kept context that are asked for news.
 }
@@ -109,6 +110,7 @@
 	s := opts.Settings
 	h := &Host{
 		opts:    opts,
+		started: opts.Timer.Now(),
 		log:     opts.Log,
 		events:  make(chan Event, eventQueue),
 		watched: make(map[string]context.CancelFunc),
@@ -248,7 +250,7 @@
 // Handle takes a caller's request to its answer.
 func (h *Host) Handle(ctx context.Context, r *exchanger.Request, w exchanger.Responder) {
 	h.open.Add(1)
-	h.asked.Store(h.opts.Timer.Now().UnixNano())
+	h.asked.Store(int64(h.opts.Timer.Now().Sub(h.started)))
 	defer h.open.Add(-1)
 	o := h.exchanger.Handle(ctx, r, w)
 	h.counters.request(o)
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -141,11 +141,17 @@
 	return []HostRecord{r}
 }
 
-// refute answers what others say of this host.
+// refute answers what others say of this host. Incarnations come from the time of
+// day: a process that was started after its clock had jumped back would else never
+// be believed against what is remembered of the one before.
 func (h *Hosts) refute(r HostRecord) []HostRecord {
-	if r.Incarnation != h.self.Incarnation || !r.supersedes(h.self) {
+	if !r.supersedes(h.self) {
 		return nil
 	}
+	if r.Incarnation > h.self.Incarnation {
+		h.self.Incarnation = r.Incarnation + 1
+		return []HostRecord{h.self}
+	}
 	h.self.Version = r.Version + 1
 	return []HostRecord{h.self}
 }
