Keep turns of orders over holders that hand over, and soak real processes

Three ways led there: a holder no longer told of an order once the engine had the version, so that its heir did not know of it; a process started anew took its own host's hold without knowing whom that hold had followed; and an heir of a holder that was itself still waiting out a turn did not wait.

Ruled out: late delivery (the orders were logged by their senders at those times).

Change: orders are told for a whole turn, own ones and those heard of; a holder that gives the lease up says how long it still had to wait; a new process waits a turn from its start before it orders under its own host's hold. renewer.TestOrdersAreToldAfterTheirEnd, TestStartedAnewWaitsATurn and TestHeirWaitsAsItsPredecessorHadTo fail without them.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/reporter"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -186,7 +187,7 @@
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	r, ok := a.opts.Control.Publish(ctx, d)
-	a.opts.Log.Info().Str("Change", id).Str("Author", author).Uint64("Base", base).Bool("Known", ok).Str("Fate", string(r.Fate)).Msg("change published")
+	a.opts.Log.Info().Str("Change", id).Str("Author", author).Uint64("Base", base).Bool("Known", ok).Str("Fate", string(r.Fate)).Msg(logger.ChangePublished)
 	if !ok {
 		return PublishAnswer{ID: id}
 	}
--- a/administrator/console.go
+++ b/administrator/console.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/configurer"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/reporter"
 )
 
@@ -64,7 +65,7 @@
 	w.WriteHeader(status)
 	p := page{Title: title, Operator: operatorOf(r), Kinds: kinds, Body: body}
 	if err := templates.ExecuteTemplate(w, name, p); err != nil {
-		a.opts.Log.Error().Err(err).Str("Page", name).Msg("page not rendered")
+		a.opts.Log.Error().Err(err).Str("Page", name).Msg(logger.PageFailed)
 	}
 }
 
--- a/administrator/report.go
+++ b/administrator/report.go
@@ -11,6 +11,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/reporter"
 )
 
@@ -24,7 +25,7 @@
 	rep, _ := a.opts.Control.Report()
 	svg, err := drawReport(rep)
 	if err != nil {
-		a.opts.Log.Error().Err(err).Msg("plot not drawn")
+		a.opts.Log.Error().Err(err).Msg(logger.PageFailed)
 		http.Error(w, "plot not drawn", http.StatusInternalServerError)
 		return
 	}
--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"amaranthgate.example/amaranthgate/logger"
 )
 
 // Figures of a graceful end.
@@ -26,7 +28,7 @@
 	h.leaving.Store(true)
 	h.post(DrainBegun{})
 	begun := h.opts.Timer.Now()
-	h.log.Info().Int64("Open", h.open.Load()).Msg("draining")
+	h.log.Info().Int64("Open", h.open.Load()).Msg(logger.Draining)
 	least := longKeepers*h.opts.Settings.Timing.AddressTTL.Std() + quietTime
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
@@ -55,6 +57,6 @@
 	cut := int(h.open.Load())
 	h.messenger.Close()
 	h.cancel()
-	h.log.Info().Int("Cut", cut).Msg("stopped")
+	h.log.Info().Int("Cut", cut).Msg(logger.Stopped)
 	return cut
 }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
@@ -70,14 +70,14 @@
 	Edge     func(h *Host) Edge
 	Timing   Timing
 	Timer    timer.Service
-	Log      zerolog.Logger
+	Log      *logger.Logger
 	Dropped  func() uint64 // Dropped is the number of log lines that were lost because nobody read them.
 }
 
 // Host is one process of the system.
 type Host struct {
 	opts      Options
-	log       zerolog.Logger
+	log       *logger.Logger
 	node      *Node
 	placer    *placer.Placer
 	budget    *retrier.Shared
@@ -154,13 +154,14 @@
 		Sender:  opts.Sender,
 		Budget:  h.budget,
 		Timer:   opts.Timer,
+		Chosen:  h.recordChoice,
 	})
 	h.messenger = messenger.New(messenger.Options{
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
 		Secret:  []byte(s.PeerSecret),
 		Receive: func(from string, m *messenger.Message) { h.post(PeerMessage{From: from, Message: m}) },
 		Up:      func(host string) { h.post(PeerUp{Host: host}) },
-		Log:     opts.Log,
+		Log:     opts.Log.Logger,
 	})
 	h.counters = newCounters(h)
 	return h
@@ -205,9 +206,11 @@
 	h.goDo(h.reportUrgently)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
+	cancelAccount := h.opts.Timer.Every(time.Second, func(time.Time) { h.log.Account() })
 	context.AfterFunc(h.ctx, cancelTick)
+	context.AfterFunc(h.ctx, cancelAccount)
 	context.AfterFunc(h.ctx, cancelReport)
-	h.log.Info().Str("Host", s.Host).Str("AvailabilityZone", s.AvailabilityZone).Str("Store", s.Platform.Store).Msg("started")
+	h.log.Info().Str("Host", s.Host).Str("AvailabilityZone", s.AvailabilityZone).Str("Store", s.Platform.Store).Msg(logger.Started)
 	return nil
 }
 
@@ -241,7 +244,7 @@
 	h.servers = append(h.servers, server)
 	h.goDo(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			h.log.Error().Err(err).Str("Address", address).Msg("no longer listening")
+			h.log.Error().Err(err).Str("Address", address).Msg(logger.ListenerEnded)
 		}
 	})
 	return nil
@@ -275,9 +278,9 @@
 // Reload takes over the retry allowance; all else is fixed when a host starts.
 func (h *Host) Reload(s loader.Settings) {
 	if s.Platform == nil {
-		h.log.Error().Msg("reload refused: the settings name no platform")
+		h.log.Error().Str("Reason", "the settings name no platform").Msg(logger.ReloadRefused)
 		return
 	}
 	h.budget.SetAllowance(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack})
-	h.log.Info().Float64("RetryShare", s.Platform.RetryShare).Float64("RetrySlack", s.Platform.RetrySlack).Msg("settings reloaded")
+	h.log.Info().Float64("RetryShare", s.Platform.RetryShare).Float64("RetrySlack", s.Platform.RetrySlack).Msg(logger.SettingsReloaded)
 }
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -71,7 +72,7 @@
 		}
 		if (err == nil) != up {
 			up = err == nil
-			h.log.Info().Str("Store", address).Bool("Up", up).AnErr("Failure", err).Msg("store of kept context")
+			h.log.Info().Str("Store", address).Bool("Up", up).AnErr("Failure", err).Msg(logger.KeptStoreChanged)
 		}
 		if err != nil {
 			h.placer.StoreLost(address)
@@ -121,7 +122,7 @@
 		ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
 		err := h.opts.Stores.Free(ctx, f)
 		cancel()
-		h.log.Info().Str("Store", f.Address).Int("Parts", len(f.Parts)).AnErr("Failure", err).Msg("kept context of replaced weights freed")
+		h.log.Info().Str("Store", f.Address).Int("Parts", len(f.Parts)).AnErr("Failure", err).Msg(logger.KeptContextFreed)
 	}
 }
 
--- a/conductor/meet.go
+++ b/conductor/meet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/internal/codec"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -32,7 +33,7 @@
 			h.found(cards)
 			return
 		}
-		h.log.Warn().Err(err).Msg("hosts not read")
+		h.log.Warn().Err(err).Msg(logger.HostsUnread)
 		pause(h.ctx, h.opts.Timing.Again)
 	}
 }
@@ -42,7 +43,7 @@
 	for name, card := range cards {
 		var r tracker.HostRecord
 		if err := codec.Unmarshal(card, &r); err != nil {
-			h.log.Warn().Err(err).Str("Host", name).Msg("host record unreadable")
+			h.log.Warn().Err(err).Str("Host", name).Msg(logger.HostRecordUnreadable)
 			continue
 		}
 		ev.Hosts = append(ev.Hosts, r)
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/renewer"
@@ -140,13 +141,13 @@
 type NoteKind string
 
 const (
-	NoteStoreLost      NoteKind = "StoreLost"
-	NoteStoreBack      NoteKind = "StoreBack"
-	NoteUnreadable     NoteKind = "RecordUnreadable"
-	NoteRecord         NoteKind = "RecordApplied"
-	NoteHostChanged    NoteKind = "HostChanged"
-	NoteLapsesCounted  NoteKind = "LapsedEntriesRemoved"
-	NoteListingApplied NoteKind = "ListingApplied"
+	NoteStoreLost      NoteKind = logger.StoreLost
+	NoteStoreBack      NoteKind = logger.StoreBack
+	NoteUnreadable     NoteKind = logger.RecordUnreadable
+	NoteRecord         NoteKind = logger.RecordApplied
+	NoteHostChanged    NoteKind = logger.HostChanged
+	NoteLapsesCounted  NoteKind = logger.LapsedEntriesRemoved
+	NoteListingApplied NoteKind = logger.ListingApplied
 )
 
 func (Send) action()         {}
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/internal/codec"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/renewer"
 )
 
@@ -32,7 +33,7 @@
 		ev.Result = h.opts.Engines.Order(ctx, h.opts.Settings.Host, c)
 		h.counters.order(ev.Result)
 		h.log.Info().Str("Upstream", c.Upstream.ID).Str("Model", c.Model).Uint64("Version", c.Version).
-			Uint64("Token", c.Token).Str("Result", string(ev.Result)).Msg("order")
+			Uint64("Token", c.Token).Str("Result", string(ev.Result)).Msg(logger.OrderGiven)
 	case renewer.Ask:
 		ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
 		defer cancel()
@@ -46,7 +47,7 @@
 	b, end, err := h.opts.Store.Lease(h.ctx, leaseName)
 	h.counters.store("lease", asked, h.opts.Timer.Now(), err)
 	if err != nil {
-		h.log.Warn().Err(err).Msg("lease not read")
+		h.log.Warn().Err(err).Msg(logger.LeaseUnread)
 		return renewer.Lease{}, err
 	}
 	got := renewer.Lease{End: end}
@@ -64,6 +65,6 @@
 	asked := h.opts.Timer.Now()
 	conflict, err := h.opts.Store.WriteLease(h.ctx, leaseName, c.At, b)
 	h.counters.store("lease-write", asked, h.opts.Timer.Now(), err)
-	h.log.Info().Int64("At", c.At).Uint64("Nonce", c.Record.Nonce).Bool("Conflict", conflict).AnErr("Failure", err).Msg("lease write")
+	h.log.Info().Int64("At", c.At).Uint64("Nonce", c.Record.Nonce).Bool("Conflict", conflict).AnErr("Failure", err).Msg(logger.LeaseWritten)
 	return conflict, err
 }
--- a/conductor/record.go
+++ b/conductor/record.go
@@ -7,16 +7,30 @@
 	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/exchanger"
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/placer"
 )
 
-// record writes the one line of a request: what became of it, and for each
-// attempt what the choice was based on. Requests that went well are left out
-// below the level debug.
+// recordChoice writes the line of an upstream that was chosen for a request. It is
+// there before the request is sent, so that one whose host ends meanwhile is not
+// without a trace.
+func (h *Host) recordChoice(r *exchanger.Request, v *follower.View, c *placer.Choice) {
+	ev := h.log.Routine()
+	if !ev.Enabled() {
+		return
+	}
+	ev.Str("RequestID", r.ID).Uint64("Configuration", v.Table.Version()).
+		EmbedObject((*attempt)(c)).Msg(logger.UpstreamChosen)
+}
+
+// record writes the line of a request's end. One that failed or was late repeats
+// what each choice was based on, since the lines of choices may have been left out.
 func (h *Host) record(r *exchanger.Request, o exchanger.Outcome) {
-	ev := h.log.Debug()
-	if o.Late || o.Reason != exchanger.ReasonNone || o.Status >= 500 {
-		ev = h.log.Info()
+	failed := o.Late || o.Reason != exchanger.ReasonNone || o.Status >= 500
+	ev := h.log.Routine()
+	if failed {
+		ev = h.log.Failure()
 	}
 	if !ev.Enabled() {
 		return
@@ -25,10 +39,10 @@
 	if o.Reason != exchanger.ReasonNone {
 		ev.Str("Reason", string(o.Reason)).Str("Detail", o.Detail)
 	}
-	if len(o.Choices) > 0 {
+	if failed && len(o.Choices) > 0 {
 		ev.Array("Attempts", attempts(o.Choices))
 	}
-	ev.Bool("Late", o.Late).Int("Events", o.Events).Dur("First", o.First).Dur("Took", o.Took).Msg("request")
+	ev.Bool("Late", o.Late).Int("Events", o.Events).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
 }
 
 // attempts writes choices into a log line.
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -61,6 +61,9 @@
 	d.outcome.Attempts++
 	d.outcome.Upstream = choice.Upstream.ID
 	d.outcome.Choices = append(d.outcome.Choices, choice)
+	if d.opts.Chosen != nil {
+		d.opts.Chosen(d.request, d.view, &choice)
+	}
 	dir := &Directions{
 		Upstream:  choice.Upstream,
 		Remaining: d.end.Sub(d.opts.Timer.Now()),
@@ -121,7 +124,7 @@
 	ending := tries.Ending(ctx)
 	switch {
 	case d.stream != nil:
-		d.outcome.Reason = ReasonInterrupted
+		d.outcome.Reason = interrupted(ending)
 		d.responder.Abort()
 	case d.held != nil:
 		d.passOn(d.held)
@@ -140,6 +143,17 @@
 	}
 }
 
+// interrupted says why a stream of which the caller has a part broke off.
+func interrupted(ending dispatcher.Ending) Reason {
+	switch ending {
+	case dispatcher.CallerGone:
+		return ReasonCallerGone
+	case dispatcher.Deadline:
+		return ReasonDeadline
+	}
+	return ReasonInterrupted
+}
+
 // reasons are the words for endings in which a request has not run.
 var reasons = map[dispatcher.Ending]Reason{
 	dispatcher.Deadline:   ReasonDeadline,
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -40,6 +40,9 @@
 	Sender  Sender
 	Budget  *retrier.Shared
 	Timer   timer.Service
+	// Chosen is told of each upstream that a request is about to be sent to, and of
+	// the beliefs that the choice was made by; nil tells nobody.
+	Chosen func(r *Request, v *follower.View, c *placer.Choice)
 }
 
 // Exchanger takes requests to their answers. It is safe for concurrent use.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -89,6 +89,7 @@
 	body   string
 	end    error
 	closed bool
+	until  <-chan struct{} // until holds the end of the body back, if set.
 }
 
 func (a *fakeAnswer) Status() int { return a.status }
@@ -96,7 +97,10 @@
 func (a *fakeAnswer) Read(b []byte) (int, error) {
 	n := copy(b, a.body)
 	a.body = a.body[n:]
-	if a.body == "" {
+	if a.body == "" && a.until != nil && n == 0 {
+		<-a.until
+	}
+	if a.body == "" && (a.until == nil || n == 0) {
 		return n, a.end
 	}
 	return n, nil
@@ -237,6 +241,44 @@
 }
 
 // watchingSender lets the caller leave and sees whether the attempt is ended.
+// TestWhoEndedAStream: what is noted of a stream that broke off after some events
+// tells the caller's leaving and the end of its time from an upstream's failure.
+func TestWhoEndedAStream(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave bool
+		want  Reason
+	}{{"the caller left", true, ReasonCallerGone}, {"the time was over", false, ReasonDeadline}} {
+		t.Run(c.name, func(t *testing.T) {
+			view := testView("Stream")
+			var beliefs atomic.Pointer[follower.View]
+			beliefs.Store(view)
+			p := placer.New(placer.Options{})
+			p.Update(view)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			sender := stallingSender{cancel: func() {}}
+			if c.leave {
+				sender.cancel = cancel
+			}
+			x := New(Options{Beliefs: &beliefs, Placer: p, Sender: sender, Budget: retrier.NewShared(retrier.Allowance{}), Timer: timer.NewSystem()})
+			caller := &recorder{}
+			o := x.Handle(ctx, &Request{ID: "1", Start: time.Now(), Host: "h", Path: "/r/x", Key: "key"}, caller)
+			assert.Equal(t, o.Reason, c.want)
+			assert.Assert(t, caller.aborted)
+			assert.Equal(t, ids(caller.body.String()), "1 2")
+		})
+	}
+}
+
+// stallingSender answers with two events and then nothing until the attempt ends.
+type stallingSender struct{ cancel func() }
+
+func (s stallingSender) Send(ctx context.Context, _ *Request, _ *Directions) (Answer, *forwarder.Failure) {
+	s.cancel()
+	return &fakeAnswer{status: 200, body: events(0, 2), end: errCut, until: ctx.Done()}, nil
+}
+
 type watchingSender struct {
 	leave func()
 	ended bool
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -23,6 +23,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"amaranthgate.example/amaranthgate/logger"
 )
 
 // Line is one line of a log. Lines that lack a field leave it empty.
@@ -39,7 +41,7 @@
 	First     float64 // First is in milliseconds.
 	Took      float64 // Took is in milliseconds.
 	Attempts  []Attempt
-	Upstream  string
+	Attempt          // Attempt is the choice of an upstream, or names the one that a line is about.
 	Result    string
 	Feed      string
 	Key       string
@@ -112,18 +114,58 @@
 // Explain tells the story of a request; false if no line names it.
 func Explain(lines []Line, id string) (string, bool) {
 	var b strings.Builder
-	found := false
+	var chosen *Line
+	ended := false
 	for i := range lines {
 		l := &lines[i]
-		if l.RequestID == id && l.Message == "request" {
-			found = true
+		switch {
+		case l.RequestID != id:
+		case l.Message == logger.RequestEnded:
+			ended = true
 			l.tell(&b)
 			context(&b, lines, l)
+		case l.Message == logger.UpstreamChosen:
+			chosen = l
 		}
 	}
-	return b.String(), found
+	if chosen != nil && !ended {
+		unended(&b, lines, chosen)
+	}
+	return b.String(), ended || chosen != nil
+}
+
+// unended tells of a request whose host has not written its end.
+func unended(b *strings.Builder, lines []Line, chosen *Line) {
+	fmt.Fprintf(b, "%s %s: sent to %s, no end in the log\n", chosen.Time.Format(time.RFC3339), chosen.source, chosen.Upstream)
+	fmt.Fprintf(b, "  cause: %s\n", lostCause(lines, chosen))
+	context(b, lines, chosen)
+}
+
+// lostCause says why a request that was sent has no end in the log.
+func lostCause(lines []Line, chosen *Line) string {
+	if startedAfter(lines, chosen) {
+		return causeHostEnded
+	}
+	return causeUnderWay
 }
 
+// startedAfter tells that a host was started anew after a line of its.
+func startedAfter(lines []Line, l *Line) bool {
+	for i := range lines {
+		o := &lines[i]
+		if o.source == l.source && o.Message == logger.Started && !o.Time.Before(l.Time) {
+			return true
+		}
+	}
+	return false
+}
+
+// Causes of requests without an end.
+const (
+	causeHostEnded = "the host was killed or lost power while an upstream had the request; it may have run"
+	causeUnderWay  = "the log ends before the request does, or its line was left out under load"
+)
+
 // Cause returns what a request's line says of its end.
 func (l *Line) Cause() string {
 	if c, ok := causes[l.Reason]; ok {
@@ -147,6 +189,11 @@
 	return len(l.Attempts) > 0 && l.Attempts[len(l.Attempts)-1].Estimate > l.First/2
 }
 
+// failed tells that a request's end was not a whole answer in time.
+func (l *Line) failed() bool {
+	return l.Reason != "" || l.Status >= 500 || l.Late
+}
+
 func (l *Line) tell(b *strings.Builder) {
 	fmt.Fprintf(b, "%s %s: status %d after %.0f ms, first byte after %.0f ms, route %s\n", l.Time.Format(time.RFC3339), l.source, l.Status, l.Took, l.First, l.Route)
 	fmt.Fprintf(b, "  cause: %s\n", l.Cause())
@@ -178,11 +225,11 @@
 
 func (l *Line) concerns(end *Line) bool {
 	switch l.Message {
-	case "StoreLost", "StoreBack", "draining", "started", "settings reloaded":
+	case logger.StoreLost, logger.StoreBack, logger.Draining, logger.Started, logger.SettingsReloaded:
 		return true
 	}
-	for _, a := range end.Attempts {
-		if l.Upstream == a.Upstream || l.Key == a.Upstream {
+	for _, a := range append(end.Attempts, end.Attempt) {
+		if a.Upstream != "" && (l.Upstream == a.Upstream || l.Key == a.Upstream) {
 			return true
 		}
 	}
--- /dev/null
+++ b/explainer/summary.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package explainer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"amaranthgate.example/amaranthgate/logger"
+)
+
+// Summary counts the requests that failed or were late, by cause.
+type Summary struct {
+	Requests int // Requests is the number of requests that the lines name.
+	Failed   int
+	Unknown  int // Unknown are those that the lines give no cause for.
+	Causes   []Cause
+}
+
+// Cause is one cause with the requests that it explains.
+type Cause struct {
+	Text    string
+	Count   int
+	Example string // Example is the ID of the first of them.
+}
+
+// Summarize counts all requests of lines by their causes, the most frequent first.
+func Summarize(lines []Line) Summary {
+	ends := make(map[string]*Line)
+	chosen := make(map[string]*Line)
+	for i := range lines {
+		l := &lines[i]
+		switch l.Message {
+		case logger.RequestEnded:
+			ends[l.RequestID] = l
+		case logger.UpstreamChosen:
+			chosen[l.RequestID] = l
+		}
+	}
+	var s Summary
+	counts := make(map[string]*Cause)
+	add := func(id, text string) {
+		s.Failed++
+		if text == causeUnderWay {
+			s.Unknown++
+		}
+		c := counts[text]
+		if c == nil {
+			c = &Cause{Text: text, Example: id}
+			counts[text] = c
+		}
+		c.Count++
+	}
+	for id, l := range ends {
+		s.Requests++
+		if l.failed() {
+			add(id, l.Cause())
+		}
+	}
+	for id, l := range chosen {
+		if ends[id] == nil {
+			s.Requests++
+			add(id, lostCause(lines, l))
+		}
+	}
+	for _, c := range counts {
+		s.Causes = append(s.Causes, *c)
+	}
+	slices.SortFunc(s.Causes, func(a, b Cause) int {
+		if a.Count != b.Count {
+			return b.Count - a.Count
+		}
+		return strings.Compare(a.Text, b.Text)
+	})
+	return s
+}
+
+// String lists the causes.
+func (s Summary) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d requests, %d failed or late, %d of them without a known cause\n", s.Requests, s.Failed, s.Unknown)
+	for _, c := range s.Causes {
+		fmt.Fprintf(&b, "%7d  %s (such as %s)\n", c.Count, c.Text, c.Example)
+	}
+	return b.String()
+}
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -17,13 +17,13 @@
 func (e *env) explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell from logs what became of a request, and why",
+		Usage:     "tell from logs what became of requests, and why",
 		ArgsUsage: "LOG...",
 		Description: "Reads the logs of one or more hosts and prints the end of the request, the upstreams\n" +
 			"that were tried and why they were chosen, and what the host learned just before.\n" +
-			"Requests that were answered in time are in the log at the level debug only.",
+			"Without --request it counts all requests that failed or were late by their causes.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "request", Required: true, Usage: "`ID` of the request"},
+			&cli.StringFlag{Name: "request", Usage: "`ID` of the request"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			var lines []explainer.Line
@@ -34,6 +34,10 @@
 				}
 				lines = append(lines, got...)
 			}
+			if c.String("request") == "" {
+				fmt.Fprint(e.out, explainer.Summarize(lines))
+				return nil
+			}
 			story, ok := explainer.Explain(lines, c.String("request"))
 			if !ok {
 				return errors.New("no line of these logs names the request")
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
 	"amaranthgate.example/amaranthgate/conductor"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/platform"
 	"amaranthgate.example/amaranthgate/timer"
 )
@@ -44,10 +44,10 @@
 func newPlatformHost(s loader.Settings, out io.Writer) host {
 	var dropped atomic.Uint64
 	writer := diode.NewWriter(out, logQueue, 0, func(missed int) { dropped.Add(uint64(missed)) })
-	return &platformHost{Host: conductor.New(platformOptions(s, newLogger(writer, s.LogLevel), dropped.Load)), log: writer}
+	return &platformHost{Host: conductor.New(platformOptions(s, logger.New(writer, s.LogLevel), dropped.Load)), log: writer}
 }
 
-func platformOptions(s loader.Settings, log zerolog.Logger, dropped func() uint64) conductor.Options {
+func platformOptions(s loader.Settings, log *logger.Logger, dropped func() uint64) conductor.Options {
 	pool := forwarder.NewPool(forwarder.PoolOptions{DialTimeout: upstreamDial})
 	engines := platform.NewEngines(pool)
 	return conductor.Options{
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -5,16 +5,15 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/runner"
 )
 
@@ -33,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			var h host = runner.New(s, newLogger(e.err, s.LogLevel))
+			var h host = runner.New(s, logger.New(e.err, s.LogLevel).Logger)
 			if s.Platform != nil {
 				h = newPlatformHost(s, e.out)
 			}
@@ -77,15 +76,6 @@
 	h.Reload(s)
 }
 
-// newLogger returns a logger of JSON lines.
-func newLogger(w io.Writer, level string) zerolog.Logger {
-	l, err := zerolog.ParseLevel(level)
-	if err != nil {
-		l = zerolog.InfoLevel
-	}
-	return zerolog.New(w).Level(l).With().Timestamp().Logger()
-}
-
 // runUntilSignal runs a started host until a signal or the end of ctx.
 func runUntilSignal(ctx context.Context, h host, s loader.Settings, reload func()) error {
 	signals := make(chan os.Signal, 2)
--- /dev/null
+++ b/logger/kinds.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package logger
+
+// Kinds of lines, the values of the member "message".
+const (
+	Started              = "Started"
+	Listening            = "Listening"
+	ListenerEnded        = "ListenerEnded"
+	Draining             = "Draining"
+	Stopped              = "Stopped"
+	SettingsReloaded     = "SettingsReloaded"
+	ReloadRefused        = "ReloadRefused"
+	UpstreamChosen       = "UpstreamChosen"
+	RequestEnded         = "RequestEnded"
+	LinesLeftOut         = "LinesLeftOut"
+	StoreLost            = "StoreLost"
+	StoreBack            = "StoreBack"
+	ListingApplied       = "ListingApplied"
+	RecordApplied        = "RecordApplied"
+	RecordUnreadable     = "RecordUnreadable"
+	LapsedEntriesRemoved = "LapsedEntriesRemoved"
+	HostChanged          = "HostChanged"
+	HostsUnread          = "HostsUnread"
+	HostRecordUnreadable = "HostRecordUnreadable"
+	MessageRefused       = "MessageRefused"
+	LeaseUnread          = "LeaseUnread"
+	LeaseWritten         = "LeaseWritten"
+	OrderGiven           = "OrderGiven"
+	KeptStoreChanged     = "KeptStoreChanged"
+	KeptContextFreed     = "KeptContextFreed"
+	ConfigurationInForce = "ConfigurationInForce"
+	ChangePublished      = "ChangePublished"
+	AppendUnanswered     = "AppendUnanswered"
+	PageFailed           = "PageFailed"
+)
+
+// Kinds lists all of them.
+var Kinds = []string{
+	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
+	UpstreamChosen, RequestEnded, LinesLeftOut,
+	StoreLost, StoreBack, ListingApplied, RecordApplied, RecordUnreadable, LapsedEntriesRemoved,
+	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
+	LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
+	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
+}
--- a/messenger/mesh.go
+++ b/messenger/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/internal/dialer"
+	"amaranthgate.example/amaranthgate/logger"
 )
 
 // Headers of the handshake.
@@ -288,7 +289,7 @@
 		m.receivedBytes.Add(uint64(len(b)))
 		msg, err := Decode(b)
 		if err != nil {
-			m.opts.Log.Warn().Str("Peer", from).Err(err).Msg("message refused")
+			m.opts.Log.Warn().Str("Peer", from).Err(err).Msg(logger.MessageRefused)
 			return
 		}
 		m.opts.Receive(from, msg)
--- a/renewer/lease.go
+++ b/renewer/lease.go
@@ -19,10 +19,11 @@
 
 // lease is what a host knows of the lease.
 type lease struct {
-	known    bool
-	now      Lease
-	seen     time.Time // seen is when this host first saw the record.
-	released bool      // released tells that its holder has stopped for good.
+	known     bool
+	now       Lease
+	seen      time.Time // seen is when this host first saw the record.
+	released  bool      // released tells that its holder has stopped for good.
+	orderFrom time.Time // orderFrom is when a holder that released the lease could have ordered itself.
 
 	busy  bool      // busy tells that a call to the store is under way.
 	asked time.Time // asked is when the store was last asked.
@@ -108,10 +109,19 @@
 }
 
 // takeOver works out from when this host may order: a turn after the one before
-// can have given its last order.
+// can have given its last order. A holder that released the lease has told of all
+// orders within a turn, and of what it had to wait for itself. A process that finds its own host's hold does not know whom
+// that hold had followed, and waits a turn from its start.
 func (r *Renewer) takeOver() {
 	l := &r.lease
-	if l.now.End == 0 || l.now.Record.Host == r.opts.Host || l.released {
+	switch {
+	case l.now.End == 0:
+		return
+	case l.released:
+		r.notBefore = l.orderFrom
+		return
+	case l.now.Record.Host == r.opts.Host:
+		r.notBefore = r.started.Add(r.opts.Turn + r.opts.Margin)
 		return
 	}
 	l.prior = l.now
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -78,6 +78,7 @@
 	Holding bool                     `cbor:"2,keyasint,omitempty"` // Holding tells that the host gives orders.
 	Stopped bool                     `cbor:"3,keyasint,omitempty"` // Stopped tells that Lease is the host's own and that it gives no more orders under it.
 	Ordered map[string]time.Duration `cbor:"4,keyasint,omitempty"` // Ordered is how long ago engines were ordered last.
+	Wait    time.Duration            `cbor:"7,keyasint,omitempty"` // Wait is how long the host itself still had to wait before its first order.
 	Avoid   []string                 `cbor:"5,keyasint,omitempty"` // Avoid are engines that load or are next.
 	Renewed []Renewed                `cbor:"6,keyasint,omitempty"`
 }
@@ -107,7 +108,9 @@
 	nonce     uint64
 	needed    time.Time            // needed is since when engines have old weights.
 	notBefore time.Time            // notBefore is when this host may give its first order.
+	started   time.Time            // started is when this process took its first step.
 	foreign   map[string]time.Time // foreign is when another host ordered an engine last.
+	given     map[string]time.Time // given is when this host ordered an engine last.
 	jobs      map[string]*job
 	next      []string // next are engines that will be ordered soon.
 	told      []Renewed
@@ -123,6 +126,7 @@
 		nonce:   opts.Seed,
 		lease:   lease{sent: make(map[uint64]time.Time)},
 		foreign: make(map[string]time.Time),
+		given:   make(map[string]time.Time),
 		jobs:    make(map[string]*job),
 		avoid:   make(map[string]time.Time),
 	}
@@ -130,6 +134,9 @@
 
 // Step returns what is to be done now.
 func (r *Renewer) Step(now time.Time, in Input) []Command {
+	if r.started.IsZero() {
+		r.started = now
+	}
 	need := r.outdated(in.View)
 	r.next = nil
 	if len(need) == 0 {
@@ -233,6 +240,7 @@
 		loading++
 		j.loading, j.calling, j.ordered, j.asked = true, true, now, now
 		j.again = now.Add(orderAgain)
+		r.given[u.ID] = now
 		out = append(out, Order{Upstream: u, Model: j.model, Version: j.version, Token: r.lease.token})
 	}
 	return out
--- a/renewer/status.go
+++ b/renewer/status.go
@@ -14,11 +14,9 @@
 	s := &Status{Lease: r.lease.now, Holding: holding, Renewed: r.told}
 	r.told = nil
 	if holding || r.wasHeld {
-		s.Ordered = make(map[string]time.Duration)
+		s.Ordered = r.recent(now)
+		s.Wait = max(0, r.notBefore.Sub(now))
 		for id, j := range r.jobs {
-			if !j.ordered.IsZero() {
-				s.Ordered[id] = now.Sub(j.ordered)
-			}
 			if j.loading {
 				s.Avoid = append(s.Avoid, id)
 			}
@@ -38,6 +36,26 @@
 	return s
 }
 
+// recent returns how long ago engines were ordered within a turn, by whichever host.
+// What others told of is passed on: who hears only the last of several holders must
+// keep the turns of those before it as well.
+func (r *Renewer) recent(now time.Time) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, orders := range []map[string]time.Time{r.given, r.foreign} {
+		for id, at := range orders {
+			age := now.Sub(at)
+			if age > r.opts.Turn+r.opts.Margin {
+				delete(orders, id)
+				continue
+			}
+			if known, ok := out[id]; !ok || age < known {
+				out[id] = age
+			}
+		}
+	}
+	return out
+}
+
 // Heard takes in what another host says.
 func (r *Renewer) Heard(now time.Time, s *Status) {
 	r.saw(now, s.Lease)
@@ -56,10 +74,10 @@
 	case !s.Stopped:
 	case s.Lease == r.lease.now:
 		r.holder = time.Time{}
-		r.lease.released = true
+		r.lease.released, r.lease.orderFrom = true, now.Add(s.Wait)
 	case s.Lease == r.lease.prior:
 		// This host has taken over meanwhile and need not wait any longer.
-		r.notBefore = time.Time{}
+		r.notBefore = now.Add(s.Wait)
 	}
 }
 
--- /dev/null
+++ b/renewer/turns_test.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package renewer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// oneEngine is a view with one engine that has a version while another is named.
+func oneEngine(has, named uint64) *follower.View {
+	return &follower.View{
+		Named:     map[string]follower.Named{"m": {Version: named}},
+		Upstreams: []follower.Upstream{{ID: "e0", Standing: follower.StandingReady, Weights: map[string]uint64{"m": has}}},
+	}
+}
+
+// stepper drives one renewer by hand.
+type stepper struct {
+	now time.Time
+	r   *Renewer
+	end int64 // end is the offset after the lease's newest record.
+}
+
+func newStepper(host string) *stepper {
+	return &stepper{
+		now: time.Unix(1000, 0),
+		r:   New(Options{Host: host, Term: time.Second, Turn: simTurn, Margin: 200 * time.Millisecond, AtOnce: 3, Seed: 10}),
+	}
+}
+
+// steps runs for a while, lets writes of the lease succeed, and returns the orders.
+func (s *stepper) steps(d time.Duration, view *follower.View) []Order {
+	var out []Order
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simTick) {
+		for _, c := range s.r.Step(s.now, Input{View: view, Busy: func(string) int { return 0 }}) {
+			switch c := c.(type) {
+			case ReadLease:
+				s.r.LeaseRead(s.now, s.r.lease.now, nil)
+			case WriteLease:
+				s.end = c.At + 1
+				s.r.LeaseWritten(s.now, c, false, nil)
+			case Order:
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+// TestOrdersAreToldAfterTheirEnd: a holder tells of an order also when the engine
+// had the version already, so that the next holder keeps the turn.
+func TestOrdersAreToldAfterTheirEnd(t *testing.T) {
+	a, b := newStepper("a"), newStepper("b")
+	orders := a.steps(3*simTick, oneEngine(1, 2)) // read the lease, write it, order
+	assert.Equal(t, len(orders), 1)
+	a.r.Ordered(a.now, orders[0], OrderHolds)
+	b.now = a.now
+	for range 30 {
+		a.steps(simTick, oneEngine(2, 2))
+		b.now = a.now
+		if st := a.r.Status(a.now); st != nil {
+			b.r.Heard(b.now, st)
+		}
+	}
+	assert.Assert(t, b.r.lease.released, "the hold has ended and that was said")
+	assert.Equal(t, len(b.steps(time.Second, oneEngine(2, 3))), 0, "ordered within a turn of another host")
+	assert.Equal(t, len(b.steps(simTurn, oneEngine(2, 3))), 1)
+}
+
+// TestStartedAnewWaitsATurn: a process that finds the lease in its own host's name
+// knows nothing of orders that others gave before, and waits out their turn.
+func TestStartedAnewWaitsATurn(t *testing.T) {
+	s := newStepper("a")
+	s.r.LeaseRead(s.now, Lease{Record: Record{Host: "a", Nonce: 3}, End: 7}, nil)
+	assert.Equal(t, len(s.steps(simTurn, oneEngine(1, 2))), 0, "ordered right after its start")
+	assert.Equal(t, len(s.steps(time.Second, oneEngine(1, 2))), 1)
+}
+
+// TestHeirWaitsAsItsPredecessorHadTo: b takes over from a holder that fell silent and
+// has to wait for its turn; b gives the lease up before that time. Whoever follows b
+// must not order earlier than b might have.
+func TestHeirWaitsAsItsPredecessorHadTo(t *testing.T) {
+	silent := Lease{Record: Record{Host: "a", Nonce: 3}, End: 7}
+	b, c := newStepper("b"), newStepper("c")
+	seen := b.now
+	b.r.LeaseRead(b.now, silent, nil)
+	assert.Equal(t, len(b.steps(2*time.Second, oneEngine(1, 2))), 0)
+	assert.Assert(t, b.r.held(b.now))
+	for range 30 { // nothing is left to do for b, and its hold ends
+		b.steps(simTick, oneEngine(2, 2))
+		c.now = b.now
+		if st := b.r.Status(b.now); st != nil {
+			c.r.Heard(c.now, st)
+		}
+	}
+	assert.Assert(t, c.r.lease.released)
+	turn := seen.Add(time.Second + simTurn + 200*time.Millisecond)
+	assert.Equal(t, len(c.steps(turn.Sub(c.now), oneEngine(1, 3))), 0, "ordered within a turn of the holder that fell silent")
+	assert.Equal(t, len(c.steps(time.Second, oneEngine(1, 3))), 1)
+}
--- a/runner/host.go
+++ b/runner/host.go
@@ -20,6 +20,7 @@
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/publisher"
 	"amaranthgate.example/amaranthgate/retrier"
@@ -116,7 +117,7 @@
 	h.goDo(h.pollLoads)
 	h.goDo(h.pollCaches)
 	h.startTicks()
-	h.logger.Info().Str("Callers", addr.Callers).Str("Peers", addr.Peers).Str("Operators", addr.Operators).Msg("listening")
+	h.logger.Info().Str("Callers", addr.Callers).Str("Peers", addr.Peers).Str("Operators", addr.Operators).Msg(logger.Listening)
 	return nil
 }
 
@@ -251,20 +252,20 @@
 	h.registry.Retain(func(n string) bool { return names[n] })
 	h.forwarder.Retain(func(a string) bool { return addresses[a] })
 	h.limiter.Retain(func(w string) bool { return workspaces[w] })
-	h.logger.Info().Uint64("Revision", v.Revision).Msg("configuration in force")
+	h.logger.Info().Uint64("Revision", v.Revision).Msg(logger.ConfigurationInForce)
 }
 
 // Drain leaves the system without cutting a request: the host gives up its
 // duties, leaves the answers to callers, serves those that still come and ends
 // when it is idle. It returns the number of requests cut because ctx ended.
 func (h *Host) Drain(ctx context.Context) int {
-	h.logger.Info().Int("Open", h.server.Open()).Msg("draining")
+	h.logger.Info().Int("Open", h.server.Open()).Msg(logger.Draining)
 	h.loop.post(controller.Leave{})
 	cut := h.server.Drain(ctx)
 	h.flushOutcomes(h.timer.Now())
 	h.settleAll(ctx)
 	h.end()
-	h.logger.Info().Int("Cut", cut).Msg("drained")
+	h.logger.Info().Int("Cut", cut).Msg(logger.Stopped)
 	return cut
 }
 
@@ -338,5 +339,5 @@
 // Reload says that settings are fixed while a host runs; the configuration is
 // what changes, and it comes from the log.
 func (h *Host) Reload(loader.Settings) {
-	h.logger.Info().Msg("settings are read at the start only")
+	h.logger.Info().Str("Reason", "settings are read at the start only").Msg(logger.ReloadRefused)
 }
--- a/runner/loop.go
+++ b/runner/loop.go
@@ -12,6 +12,7 @@
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/controller"
+	"amaranthgate.example/amaranthgate/logger"
 )
 
 // eventQueue is the length of the queue before the control goroutine.
@@ -145,7 +146,7 @@
 func (l *loop) append(a controller.Append) {
 	_, err := l.host.log.Append(l.ctx, a.Stream, a.Record.Encode())
 	if err != nil {
-		l.host.logger.Warn().Str("Stream", a.Stream).Uint64("Sequence", a.Record.Sequence).Err(err).Msg("append not answered")
+		l.host.logger.Warn().Str("Stream", a.Stream).Uint64("Sequence", a.Record.Sequence).Err(err).Msg(logger.AppendUnanswered)
 	}
 	l.post(controller.AppendDone{Stream: a.Stream, Sequence: a.Record.Sequence, Err: err})
 }
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -18,6 +18,7 @@
 	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/controller"
 	"amaranthgate.example/amaranthgate/internal/wire"
+	"amaranthgate.example/amaranthgate/logger"
 )
 
 // Intervals that are no settings.
@@ -157,7 +158,7 @@
 		ev = h.logger.Warn().Err(err)
 	}
 	ev.Str("Upstream", a.Upstream).Str("Order", string(a.Order.Kind)).Uint64("Fencing", a.Order.Fencing).
-		Bool("Accepted", done.Answer != nil && done.Answer.Accepted).Msg("order")
+		Bool("Accepted", done.Answer != nil && done.Answer.Accepted).Msg(logger.OrderGiven)
 	if h.ctx.Err() == nil {
 		h.loop.post(done)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -22,6 +22,7 @@
 	"amaranthgate.example/amaranthgate/internal/wire"
 	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/publisher"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/router"
@@ -276,5 +277,5 @@
 	if o.Reason != ReasonNone {
 		ev.Str("Reason", string(o.Reason)).Str("Ran", string(o.Ran)).Str("Detail", o.Detail)
 	}
-	ev.Dur("FirstToken", o.FirstToken).Dur("Took", took).Int("Tokens", o.Tokens).Msg("request")
+	ev.Dur("FirstToken", o.FirstToken).Dur("Took", took).Int("Tokens", o.Tokens).Msg(logger.RequestEnded)
 }
--- /dev/null
+++ b/soaker/soak_test.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package soaker
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+)
+
+var (
+	seeds = flag.Int("soak.seeds", 2, "number of seeds")
+	first = flag.Uint64("soak.first", 1, "first seed")
+	span  = flag.Duration("soak.time", 6*time.Second, "how long faults come")
+	hosts = flag.Int("soak.hosts", 4, "number of hosts")
+	timed = flag.Bool("soak.timed", false, "check promises that have a bound in time")
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soaker")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "amaranthgate")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/amaranthgate").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// TestSoak plays new seeds.
+func TestSoak(t *testing.T) {
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+// TestSeedsThatFailed plays again what ever broke a promise.
+func TestSeedsThatFailed(t *testing.T) {
+	text, err := os.ReadFile("testdata/seeds.jsonc")
+	assert.NilError(t, err)
+	var cases []struct {
+		Seed  uint64
+		Cause string
+	}
+	_, faults := strictjson.Decode(text, &cases)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.Seed), func(t *testing.T) { soak(t, c.Seed) })
+	}
+}
+
+// soak plays one seed: a calm second, faults, the end of all faults, and a time in
+// which all is served again.
+func soak(t *testing.T, seed uint64) {
+	s := startSystem(t, *hosts)
+	load := startCallers(s, seed)
+	time.Sleep(time.Second)
+	newInjector(s, seed).run(*span)
+	s.heal()
+	s.recovered(load)
+	load.stop()
+	s.end()
+	check(t, s, load)
+	t.Logf("seed %d: %d requests, %v", seed, len(load.results), load.statuses())
+}
