--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -13,7 +13,7 @@
 // manyPause is how many times longer hosts wait between two reports when they are
 // many: a report goes to each host of the zone then, and long prompts are told at
 // once anyway.
-const manyPause = 2
+const manyPause = 4
 
 // report tells other hosts what this one has under way.
 func (h *Host) report(now time.Time) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -259,6 +259,9 @@
 		return
 	}
 	tk.first = true
+	if tk.work.Pending >= urgentTokens && tk.placer.opts.Urgent != nil {
+		tk.placer.opts.Urgent()
+	}
 	tk.target.own.Pending -= tk.work.Pending
 	tk.work.Pending = 0
 	tk.placer.timed(now, tk)
