--- a/conductor/record.go
+++ b/conductor/record.go
@@ -4,6 +4,8 @@
 package conductor
 
 import (
+	"encoding/binary"
+
 	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/exchanger"
@@ -62,5 +64,6 @@
 	b := c.Basis
 	e.Str("Upstream", c.Upstream.ID).Dur("Estimate", b.Estimate).Int("Requests", b.Work.Requests).
 		Int("Pending", b.Work.Pending).Int("Memory", b.Work.Memory).Int("Missing", b.Missing).Int("Moved", b.Moved).
-		Uint64("Weights", c.Weights).Dur("PeersAge", b.PeersAge)
+		Int("Stored", b.Stored).Int("Saved", b.Saved).
+		Uint64("Weights", c.Weights).Hex("Shared", binary.BigEndian.AppendUint64(nil, uint64(b.Shared))).Dur("PeersAge", b.PeersAge)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -156,6 +156,9 @@
 	Work     Work          // Work was under way at the upstream, of all hosts.
 	Missing  int           // Missing are prompt tokens to be read there.
 	Moved    int           // Moved are prompt tokens to be fetched.
+	Stored   int           // Stored is the number of leading parts that stores hold.
+	Saved    int           // Saved is the number of parts that are to be saved to stores.
+	Shared   PartKey       // Shared names the deepest part that other requests may have; 0 if there is none.
 	PeersAge time.Duration // PeersAge is the age of the oldest word of another host that was counted.
 }
 
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -61,7 +61,16 @@
 	if c.Weights >= p.named[ask.Prompt.Model].Version {
 		c.Save = p.saves(now, known.salt, parts)
 	}
+	c.Basis.Stored = len(known.stored)
+	for _, address := range c.Save {
+		if address != "" {
+			c.Basis.Saved++
+		}
+	}
 	c.Basis.Missing = f.missing
+	if len(parts) > 1 {
+		c.Basis.Shared = shared(known.keys)
+	}
 	c.Basis.Moved = ask.Prompt.Tokens() - f.missing - f.kept
 	tk.missing = f.missing
 	tk.quiet = c.Basis.Work.Pending < quietPending
