--- a/loader/settings.go
+++ b/loader/settings.go
@@ -34,7 +34,7 @@
 	Operators        Endpoint  // Operators is where the console and the state dump answer.
 	PeerSecret       string    // PeerSecret proves that a peer belongs to the deployment.
 	BlockSecret      string    // BlockSecret keys the names of kept context.
-	OperatorDigests  []string  // OperatorDigests are SHA-256 digests of operators' tokens.
+	OperatorDigests  []string  `json:",omitempty"` // OperatorDigests are SHA-256 digests of operators' tokens.
 	Platform         *Platform `json:",omitempty"` // Platform is set where the host runs on the users' platform; Log and HostList are then unused.
 	Log              string    // Log is the URL of the platform's append-only log.
 	HostList         string    // HostList is the URL of the platform's host list.
@@ -197,7 +197,6 @@
 	}
 }
 
-// distinct checks that no fixed listening address stands twice.
 func (v *validator) platform(p *Platform) {
 	_, err := netip.ParseAddrPort(p.Store)
 	v.check(err == nil, "/Platform/Store", "%q is not IP:port", p.Store)
@@ -210,12 +209,15 @@
 	v.check(p.Lease > 0, "/Platform/Lease", "want more than 0")
 }
 
+// distinct checks that no fixed listening address stands twice.
 func (v *validator) distinct(s *Settings) {
+	type listener struct{ pointer, listen string }
+	all := []listener{{"/Callers/Listen", s.Callers.Listen}, {"/Peers/Listen", s.Peers.Listen}, {"/Operators/Listen", s.Operators.Listen}}
+	if p := s.Platform; p != nil {
+		all = append(all, listener{"/Platform/Ready/Listen", p.Ready.Listen}, listener{"/Platform/Directory/Listen", p.Directory.Listen})
+	}
 	seen := make(map[netip.AddrPort]string)
-	for _, e := range []struct {
-		pointer string
-		listen  string
-	}{{"/Callers/Listen", s.Callers.Listen}, {"/Peers/Listen", s.Peers.Listen}, {"/Operators/Listen", s.Operators.Listen}} {
+	for _, e := range all {
 		a, err := netip.ParseAddrPort(e.listen)
 		if err != nil || a.Port() == 0 {
 			continue
