Divide large zones into cells that tell each other directly

Cause: direct reports go to every host of a zone; at 300 hosts in three zones each would send to 99 others, 250 reports a second in turn alone.

Change: a zone's hosts are divided into cells of 32 at most by hash, its engines likewise; hosts tell their cell directly and look at its engines, all others come as sums, which relays make for each cell without that cell's own hosts. Deployments with up to 32 hosts a zone are as before.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -41,7 +41,7 @@
 	for {
 		select {
 		case <-h.urgent:
-			h.post(WorkReported{Report: h.placer.Report()})
+			h.post(WorkReported{Report: h.placer.Report(), Urgent: true})
 			pause(h.ctx, hurryPause)
 		case <-h.ctx.Done():
 			return
@@ -95,6 +95,8 @@
 		h.goDo(func() { h.renew(a.Command) })
 	case PublishAvoid:
 		h.placer.Avoid(a.IDs)
+	case PublishCell:
+		h.placer.SetCell(a.Own, a.Cells)
 	case Note:
 		h.note(a)
 	}
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -41,7 +41,10 @@
 type HostsFound struct{ Hosts []tracker.HostRecord }
 
 // WorkReported is what this host has under way, for the others.
-type WorkReported struct{ Report placer.Report }
+type WorkReported struct {
+	Report placer.Report
+	Urgent bool // Urgent tells that it was made out of turn, for a long prompt.
+}
 
 // RenewalEnd is the end of a renewer's command.
 type RenewalEnd struct {
@@ -123,6 +126,9 @@
 // Current says up to when the operators' feed is known.
 type Current struct{ At time.Time }
 
+// PublishCell says which cell of its zone this host is in, and how many there are.
+type PublishCell struct{ Own, Cells int }
+
 // PublishAvoid names engines that load or will soon.
 type PublishAvoid struct{ IDs map[string]bool }
 
@@ -160,6 +166,7 @@
 func (Renew) action()        {}
 func (Current) action()      {}
 func (PublishAvoid) action() {}
+func (PublishCell) action()  {}
 func (Note) action()         {}
 
 // Decoder reads what a record says.
@@ -245,7 +252,7 @@
 	case HostsFound:
 		n.mergeHosts(now, "", ev.Hosts)
 	case WorkReported:
-		n.reportWork(now, ev.Report)
+		n.reportWork(now, ev)
 	case StoreHeard:
 		n.broadcast(&messenger.Message{Stores: []placer.StoreReport{ev.Report}})
 	case RenewalEnd:
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -65,7 +65,8 @@
 	waiting []*simRead
 	inbox   []Event
 	starts  uint64
-	version uint64 // version is what was published last.
+	version uint64                   // version is what was published last.
+	reports map[string]placer.Report // reports has the newest work of others, by who told of it.
 }
 
 type simRead struct {
@@ -105,7 +106,7 @@
 func (c *cluster) start(s *simNode) {
 	s.starts++
 	s.down, s.paused, s.waiting, s.inbox, s.version = false, false, nil, nil, 0
-	s.changed = c.now
+	s.changed, s.reports = c.now, make(map[string]placer.Report)
 	self := tracker.HostRecord{Host: s.name, AvailabilityZone: s.zone, Incarnation: s.starts, State: tracker.HostLive, Peers: s.name}
 	s.node = NewNode(NodeOptions{
 		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(),
@@ -143,7 +144,7 @@
 			}
 			inbox := append(s.inbox, Tick{})
 			if c.now.UnixMilli()%reportMilli == 0 {
-				inbox = append(inbox, WorkReported{})
+				inbox = append(inbox, WorkReported{Report: placer.Report{Work: map[string]placer.Work{"engine": {Requests: 1}}}})
 			}
 			s.inbox = nil
 			for _, ev := range inbox {
@@ -223,6 +224,10 @@
 				}
 				s.version = t.Version()
 			}
+		case TakeReport:
+			if a.Report.Work != nil {
+				s.reports[a.From] = a.Report
+			}
 		case Renew:
 			s.inbox = append(s.inbox, RenewalEnd{Command: a.Command, Err: errors.New("not simulated")})
 		}
--- a/conductor/tree.go
+++ b/conductor/tree.go
@@ -23,8 +23,8 @@
 // 89 engines has 2 KB; three a second are 7 KB/s to each host.
 const sumInterval = 300 * time.Millisecond
 
-// otherZones marks the sum over all availability zones but the receiver's.
-const otherZones = "*"
+// outsideCell marks the sum over all hosts but those of the receiver's cell.
+const outsideCell = "*"
 
 // tree says how this host reaches all others when they are many: through one
 // relay in each availability zone, the one with the widest link there. Bytes
@@ -34,6 +34,27 @@
 	relay   string
 	relays  []string // relays are those of the other zones.
 	members []string // members are the live hosts of this zone.
+	cells   [][]string
+	own     int // own is the place of this host's cell among them.
+}
+
+// cellHosts is the largest number of hosts that tell each other directly what they
+// have under way. With 24 a host sends and gets 160 reports a second.
+const cellHosts = 32
+
+// cellsOf divides the hosts of a zone into cells of about the same size. Hosts that
+// see others as live than their neighbours do may put some into another cell; these
+// hear of the neighbours' work by sums meanwhile.
+func cellsOf(members []string) [][]string {
+	sorted := slices.SortedFunc(slices.Values(members), func(a, b string) int {
+		return cmp.Compare(tracker.Rank(a, "cell"), tracker.Rank(b, "cell"))
+	})
+	n := (len(sorted) + cellHosts - 1) / cellHosts
+	cells := make([][]string, n)
+	for i := range cells {
+		cells[i] = sorted[i*len(sorted)/n : (i+1)*len(sorted)/n]
+	}
+	return cells
 }
 
 func (n *Node) paths() *tree {
@@ -60,10 +81,21 @@
 			t.members = append(t.members, r.Host)
 		}
 	}
+	t.cells = cellsOf(t.members)
+	t.own = max(0, slices.IndexFunc(t.cells, func(c []string) bool { return slices.Contains(c, n.opts.Self.Host) }))
 	n.tree = t
+	n.do(PublishCell{Own: t.own, Cells: max(1, len(t.cells))})
 	return t
 }
 
+// cell returns the hosts that this one tells directly; nil if it knows none.
+func (t *tree) cell() []string {
+	if len(t.cells) == 0 {
+		return nil
+	}
+	return t.cells[t.own]
+}
+
 // widest orders hosts by their links, and alike ones by rank.
 func widest(a, b tracker.HostRecord) int {
 	return cmp.Or(cmp.Compare(a.LinkMbps, b.LinkMbps), cmp.Compare(tracker.Rank(a.Host, "relay"), tracker.Rank(b.Host, "relay")))
@@ -116,16 +148,20 @@
 const reportLife = 1500 * time.Millisecond
 
 // reportWork tells the others what this host has under way: all of them while they
-// are few, else those of its availability zone. Other zones hear the sum of a zone's
-// reports from its relay.
-func (n *Node) reportWork(now time.Time, r placer.Report) {
-	t := n.paths()
+// are few, else those of its cell. The others hear sums from relays, which are told
+// in turn only.
+func (n *Node) reportWork(now time.Time, ev WorkReported) {
+	t, r := n.paths(), ev.Report
 	m := &messenger.Message{Report: &r, Renewal: n.renewer.Status(now), Offsets: n.offsets()}
 	if t.small {
 		n.spread("", m)
 		return
 	}
-	n.sendAll(n.reached(now, t.members), "", &messenger.Message{Report: &r, Offsets: m.Offsets})
+	direct := &messenger.Message{Report: &r, Offsets: m.Offsets}
+	n.sendAll(n.reached(now, t.cell()), "", direct)
+	if !ev.Urgent && !slices.Contains(t.cell(), t.relay) {
+		n.sendAll([]string{t.relay}, "", direct)
+	}
 	if t.relaying(n.opts.Self.Host) {
 		n.gather(now, n.opts.Self.Host, r)
 		n.sum(now)
@@ -162,8 +198,8 @@
 	n.zone[host] = zoneReport{at: now, report: r}
 }
 
-// sum sends the sum of the zone's reports to the other relays, and the sum over the
-// other zones to the zone.
+// sum sends the sum of the zone's reports to the other relays, and to each cell the
+// sum over all hosts that are not in it.
 func (n *Node) sum(now time.Time) {
 	if now.Sub(n.lastSum) < sumInterval {
 		return
@@ -171,29 +207,43 @@
 	n.lastSum = now
 	own := n.sums
 	n.sums = &placer.Report{}
-	addRecent(own, now, n.zone)
+	told := placer.Report{Placed: own.Placed, Transfers: own.Transfers} // what the zone's hosts told once
+	addRecent(own, now, n.zone, nil)
 	others := n.others
 	n.others = &placer.Report{}
-	addRecent(others, now, n.zones)
+	addRecent(others, now, n.zones, nil)
 	t := n.paths()
 	n.sendAll(t.relays, "", &messenger.Message{Report: own, Zone: n.opts.Self.AvailabilityZone, Offsets: n.offsets()})
-	n.sendAll(t.members, "", &messenger.Message{Report: others, Zone: otherZones, Offsets: n.offsets()})
+	if len(t.cells) == 1 {
+		n.sendAll(t.members, "", &messenger.Message{Report: others, Zone: outsideCell, Offsets: n.offsets()})
+		return
+	}
+	for _, cell := range t.cells {
+		r := &placer.Report{
+			Placed:    slices.Concat(others.Placed, told.Placed),
+			Transfers: slices.Concat(others.Transfers, told.Transfers),
+		}
+		addRecent(r, now, n.zone, cell)
+		r.Add(*others)
+		n.sendAll(cell, "", &messenger.Message{Report: r, Zone: outsideCell, Offsets: n.offsets()})
+	}
 }
 
-// addRecent adds up the work of reports and forgets old ones.
-func addRecent(total *placer.Report, now time.Time, reports map[string]zoneReport) {
+// addRecent adds up the work of reports but those of some hosts, and forgets old ones.
+func addRecent(total *placer.Report, now time.Time, reports map[string]zoneReport, but []string) {
 	total.Work, total.Stores = make(map[string]placer.Work), make(map[string]placer.Work)
 	for name, z := range reports {
-		if now.Sub(z.at) > reportLife {
+		switch {
+		case now.Sub(z.at) > reportLife:
 			delete(reports, name)
-			continue
+		case !slices.Contains(but, name):
+			total.Add(z.report)
 		}
-		total.Add(z.report)
 	}
 }
 
-// takeReport hands a report to placement: of one host, if it is of this zone or if
-// hosts are few, else of a zone or of all other zones.
+// takeReport hands a report to placement: of one host, if it is of this cell or if
+// hosts are few, else of a zone or of all hosts outside of the cell.
 func (n *Node) takeReport(now time.Time, from string, m *messenger.Message) {
 	r := *m.Report
 	t := n.paths()
@@ -202,9 +252,11 @@
 		if !t.small && t.relaying(n.opts.Self.Host) && r.Work != nil {
 			n.gather(now, from, r)
 		}
-	case otherZones:
+		// A relay is told by the other cells of its zone as well; to placement each of
+		// these hosts counts for itself.
+	case outsideCell:
 		if t.relaying(n.opts.Self.Host) {
-			return // two hosts believe to be the relay; this one hears the zones itself
+			return // two hosts believe to be the relay; this one hears hosts and zones itself
 		}
 		from = "zone/" + m.Zone
 	case n.opts.Self.AvailabilityZone:
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -6,9 +6,8 @@
 import "slices"
 
 // Figures of the choice among many upstreams. Where hosts are many as well, they
-// hear at once what the hosts of their own availability zone begin, and late and as
-// a sum what the others do. Engines of the own zone are all looked at; of the others
-// a few drawn at random, so that hosts do not all choose the one that was idle a
+// hear at once what the hosts of their own cell begin, and late and as a sum what the
+// others do. Engines that belong to the cell are all looked at; of the others a few drawn at random, so that hosts do not all choose the one that was idle a
 // moment ago.
 const (
 	fewUpstreams = 32 // fewUpstreams is the number up to which all are looked at.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,7 +37,9 @@
 	rng       *rand.Rand
 	targets   map[string]*target   // targets are all known upstreams by ID.
 	pools     map[string][]*target // pools has those of each service that take new work.
-	near      map[string][]*target // near has those of pools in this host's zone.
+	near      map[string][]*target // near has those of pools that belong to this host's cell.
+	cell      int                  // cell is this host's among the cells of its zone.
+	cells     int
 	peers     map[string]peerWork
 	stores    map[string]*store // stores of kept context by address.
 	clock     clock             // clock is the newest reading of the upstreams' clock.
@@ -73,7 +75,7 @@
 	defer p.mu.Unlock()
 	before := p.targets
 	p.targets = make(map[string]*target, len(view.Upstreams))
-	p.pools, p.near = make(map[string][]*target), make(map[string][]*target)
+	p.pools = make(map[string][]*target)
 	p.named = view.Named
 	for _, u := range view.Upstreams {
 		t := before[u.ID]
@@ -89,15 +91,35 @@
 		p.targets[u.ID] = t
 		if u.Standing == follower.StandingReady {
 			p.pools[u.Service] = append(p.pools[u.Service], t)
-			if t.near {
-				p.near[u.Service] = append(p.near[u.Service], t)
-			}
 		}
 	}
+	p.divide()
 	p.sumPeers()
 	p.updateStores(view)
 }
 
+// SetCell tells which of the cells of its zone this host is in. Engines of the zone
+// are divided among the cells, so that those who use one tell each other at once.
+func (p *Placer) SetCell(own, cells int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cell, p.cells = own, cells
+	p.divide()
+}
+
+// divide works out which upstreams belong to this host's cell; p.mu is held.
+func (p *Placer) divide() {
+	p.near = make(map[string][]*target)
+	for service, pool := range p.pools {
+		for _, t := range pool {
+			t.ours = t.near && t.hash%uint64(max(p.cells, 1)) == uint64(p.cell)
+			if t.ours {
+				p.near[service] = append(p.near[service], t)
+			}
+		}
+	}
+}
+
 // Busy returns the number of requests under way at an upstream.
 func (p *Placer) Busy(id string) int {
 	p.mu.Lock()
--- a/placer/target.go
+++ b/placer/target.go
@@ -35,6 +35,7 @@
 	engine   *matcher.Engine // engine is nil for plain services.
 	hash     uint64
 	near     bool
+	ours     bool // ours tells that it belongs to this host's cell.
 
 	own     Work
 	peers   Work
