Let the soak's requests be refused and offered again

Cause: with one server a request, taking out the rule that what must run at most once is not sent again went unseen by the soak.

--- a/soaker/system_test.go
+++ b/soaker/system_test.go
@@ -155,9 +155,9 @@
 
 // document is a configuration; its routes differ in what may be repeated.
 const document = `{"version": %d, "routes": [%s
- {"name": "once", "host": "h", "path_prefix": "/once/", "kind": "non_idempotent", "service": "plain", "timeout_ms": 3000, "target_latency_ms": 100, "max_attempts": 1},
+ {"name": "once", "host": "h", "path_prefix": "/once/", "kind": "non_idempotent", "service": "plain", "timeout_ms": 3000, "target_latency_ms": 100, "max_attempts": 3},
  {"name": "again", "host": "h", "path_prefix": "/again/", "kind": "idempotent", "service": "plain", "timeout_ms": 3000, "target_latency_ms": 100, "max_attempts": 2},
- {"name": "stream", "host": "h", "path_prefix": "/stream/", "kind": "streaming", "service": "engines", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 1, "sticky": true},
+ {"name": "stream", "host": "h", "path_prefix": "/stream/", "kind": "streaming", "service": "engines", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 3, "sticky": true},
  {"name": "resume", "host": "h", "path_prefix": "/resume/", "kind": "streaming", "service": "engines", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 2, "sticky": true, "resumable": true}],
  "services": [{"name": "plain", "max_connections": 200}, {"name": "engines", "max_connections": 200, "engine": {"slots": 8, "kv_capacity_tokens": 60000, "kv_token_bytes": 100, "link_mbps": 1000, "models": [{"name": "m"}]}}],
  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
