--- a/placer/cost.go
+++ b/placer/cost.go
@@ -11,7 +11,7 @@
 	readPerMilli   = 42.0                   // readPerMilli are prompt tokens read in a millisecond, between the sheets' 36.7 and 48.2.
 	memoryWait     = 400 * time.Millisecond // memoryWait is the time in which an engine's running requests end.
 	farPenalty     = 4 * time.Millisecond   // farPenalty weighs bytes between availability zones.
-	blindPenalty   = 60 * time.Millisecond  // blindPenalty stands for what hosts of other cells have begun there unheard: a third of the engines read a long prompt of 100 to 300 ms.
+	blindPenalty   = 60 * time.Millisecond  // blindPenalty stands for what hosts of other cells have begun there unheard: without it one short request in three met a long prompt of 100 to 300 ms.
 	affinityBonus  = 30 * time.Millisecond  // affinityBonus makes hosts that know nothing guess alike.
 	failPenalty    = 300 * time.Millisecond // failPenalty weighs the recent share of failures.
 	transferFixed  = 3 * time.Millisecond   // transferFixed is what any transfer costs besides its bytes.
