Give no test port twice

Cause: a soak of 40 hosts did not start: two hosts had one port, since ports of hosts that do not listen yet were given again (200 of 20,000 ports).

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -13,6 +13,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // Ports are drawn from below the range that Linux gives to outgoing connections
@@ -26,29 +29,45 @@
 // tries bounds the draws for one address.
 const tries = 200
 
-// Addresses returns n different addresses on which nobody listens.
+// given has the ports that were returned, so that none is returned twice before
+// somebody listens there.
+var (
+	mu    sync.Mutex
+	given = make(map[int]bool)
+)
+
+// Addresses returns n addresses on which nobody listens and which no earlier call has
+// returned.
 func Addresses(n int) ([]string, error) {
+	mu.Lock()
+	defer mu.Unlock()
 	var out []string
 	for range n {
-		address, hold, err := free()
+		address, err := free()
 		if err != nil {
 			return nil, err
 		}
-		defer hold() // so that the next draws find it taken
 		out = append(out, address)
 	}
 	return out, nil
 }
 
-func free() (string, func(), error) {
-	var failed error
+// free draws one address; mu is held.
+func free() (string, error) {
+	failed := errors.New("all drawn ports were given before")
 	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest))
+		port := lowest + rand.IntN(highest-lowest)
+		if given[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp4", address)
-		if err == nil {
-			return address, func() { _ = l.Close() }, nil
+		if err != nil {
+			failed = err
+			continue
 		}
-		failed = err
+		given[port] = true
+		return address, l.Close()
 	}
-	return "", nil, fmt.Errorf("freeport: no port is free: %w", failed)
+	return "", errors.Wrap(failed, "freeport: no port is free")
 }
