--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -41,7 +41,7 @@
 	First     float64 // First is in milliseconds.
 	Took      float64 // Took is in milliseconds.
 	Attempts  []Attempt
-	Attempt          // Attempt is the choice of an upstream, or names the one that a line is about.
+	Attempt   // Attempt is the choice of an upstream, or names the one that a line is about.
 	Result    string
 	Feed      string
 	Key       string
