Take serving of replaced weights out again

Transfers made engines with old weights look as good as renewed ones, and work stayed with them.

Conclusion: reverted. The test of the wait before stores free stays, for what holds now, and fails without the time of a fetch in it.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -57,7 +57,8 @@
 	c := chained{weights: weights, salt: ask.SaltOf(weights)}
 	c.keys = keysOf(c.salt, ask.Prompt.Parts)
 	c.source = p.source(ask, weights, c.keys)
-	if p.storesServe(ask.now, ask.Prompt.Model, weights) {
+	if weights >= p.named[ask.Prompt.Model].Version && ask.now.Sub(p.current) < StoreTrust && p.clock.millis > 0 {
+		// What stores hold for replaced weights is about to be freed.
 		c.stored = p.stored(c.salt, ask.Prompt.Parts)
 	}
 	ask.chains = append(ask.chains, c)
--- a/placer/store.go
+++ b/placer/store.go
@@ -209,28 +209,11 @@
 	return p.clock.millis + now.Sub(p.clock.at).Milliseconds() + fetchTime.Milliseconds()
 }
 
-// replacedServe is how long stores serve what was made with replaced weights. Engines
-// are renewed a few at a time over 6 s and more; without what stores hold, those that
-// still have the old weights read every shared part again: 2.1 of 2.5 million tokens
-// read again on a day with one new version.
-const replacedServe = 4 * time.Second
-
-// storesServe tells whether prompts on a weight version may fetch from stores now. A
-// host that hears nothing new cannot know what is in force; one that heard of a new
-// version late counts from when the old one was surely in force.
-func (p *Placer) storesServe(now time.Time, model string, weights uint64) bool {
-	if now.Sub(p.current) >= StoreTrust || p.clock.millis == 0 {
-		return false
-	}
-	named := p.named[model]
-	return weights >= named.Version || now.Sub(named.InForceUntil(weights)) < replacedServe
-}
-
 // FreeAfter is how long after a weight version was named, what stores hold for
-// the one before may be freed: hosts that know the new version fetch it no longer
-// than replacedServe, hosts that know nothing new for StoreTrust fetch nothing, and
-// what they ordered before has ended.
-const FreeAfter = max(replacedServe, StoreTrust) + fetchTime + freeMargin
+// the one before may be freed: hosts that know the new version do not fetch it
+// any more, hosts that know nothing new for StoreTrust fetch nothing, and what
+// they ordered before has ended.
+const FreeAfter = StoreTrust + fetchTime + freeMargin
 
 // freeMargin covers delays between hosts and the reading of clocks.
 const freeMargin = 500 * time.Millisecond
