Account from logs for what was late, and check beliefs

Change: a choice logs what it expects to take (other prompts before it, reading, fetching, replaced weights) and an end logs how long it waited at the host; 'amaranthgate account' counts by route and span of time what was late, failed or refused, and why, and sums up beliefs of kept context.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -38,6 +38,7 @@
 	Route     string
 	Late      bool
 	Events    int
+	Waited    float64 // Waited is in milliseconds.
 	First     float64 // First is in milliseconds.
 	Took      float64 // Took is in milliseconds.
 	Attempts  []Attempt
@@ -58,7 +59,12 @@
 	Pending  int
 	Memory   int
 	Missing  int
+	Alone    int
 	Moved    int
+	Behind   float64 // Behind, Reading and Fetching are in milliseconds.
+	Reading  float64
+	Fetching float64
+	Replaced bool
 	Weights  uint64
 	PeersAge float64 // PeersAge is in milliseconds.
 }
@@ -175,19 +181,45 @@
 	switch {
 	case l.Status >= 500:
 		return fmt.Sprintf("the upstream itself answered %d, at %d attempts", l.Status, len(l.Attempts))
-	case l.Late && len(l.Attempts) > 1:
-		return "answered late, after an attempt elsewhere had failed"
-	case l.Late && l.waited():
-		return "answered late: the upstream had much to read, or was slow to fetch"
 	case l.Late:
-		return "answered late although the upstream looked idle: other hosts or the upstream itself were busier than was known"
+		return l.lateCause()
 	}
 	return "answered in time"
 }
 
-// waited tells that the choice itself expected a wait of half the time or more.
-func (l *Line) waited() bool {
-	return len(l.Attempts) > 0 && l.Attempts[len(l.Attempts)-1].Estimate > l.First/2
+// Causes of answers that were late.
+const (
+	causeWaited    = "late: it waited at the host until an upstream could begin it"
+	causeElsewhere = "late: an attempt elsewhere had failed before"
+	causeBehind    = "late as expected: the upstream had other prompts to read first"
+	causeReading   = "late as expected: its own prompt took long to read"
+	causeFetching  = "late as expected: its kept context took long to fetch"
+	causeTransfer  = "late unexpectedly: a transfer took longer, or what was to be fetched was not there"
+	causeUpstream  = "late unexpectedly: the upstream was slower, silent or busier than was known, or read what it was believed to keep"
+)
+
+// lateCause says what took the most time before the first byte.
+func (l *Line) lateCause() string {
+	if l.Waited > l.First/2 {
+		return causeWaited
+	}
+	if len(l.Attempts) != 1 {
+		return causeElsewhere
+	}
+	a := l.Attempts[0]
+	longest := max(a.Behind, a.Reading, a.Fetching)
+	expected := a.Behind+a.Reading+a.Fetching > (l.First-l.Waited)/2
+	switch {
+	case !expected && a.Fetching > 0:
+		return causeTransfer
+	case !expected:
+		return causeUpstream
+	case longest == a.Behind:
+		return causeBehind
+	case longest == a.Fetching:
+		return causeFetching
+	}
+	return causeReading
 }
 
 // failed tells that a request's end was not a whole answer in time.
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -22,7 +23,7 @@
 		"unknown": {"may have run", "last failure: EOF"},
 		"cut":     {"broke off after part of it"},
 		"lost":    {"sent to u1, no end", "the host was killed"},
-		"late":    {"had much to read", "30000 tokens waited"},
+		"late":    {"had other prompts to read first", "30000 tokens waited"},
 	} {
 		story, ok := Explain(lines, id)
 		assert.Assert(t, ok, id)
@@ -48,3 +49,31 @@
 	assert.Equal(t, len(s.Causes), 5)
 	assert.Assert(t, strings.Contains(s.String(), "the host was killed or lost power"), s.String())
 }
+
+// TestTally counts by route and span, and sums up beliefs.
+func TestTally(t *testing.T) {
+	f, err := os.Open("testdata/account.txt")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	lines, err := Read(f, "")
+	assert.NilError(t, err)
+	a := Tally(lines, 2*time.Second)
+	assert.Equal(t, len(a.Spans), 3)
+	first := a.Spans[1]
+	assert.Equal(t, first.Ended, 7)
+	assert.Equal(t, first.Late, 6)
+	texts := make(map[string]int)
+	for _, c := range first.Causes {
+		texts[c.Text] = c.Count
+	}
+	assert.DeepEqual(t, texts, map[string]int{
+		causeWaited: 1, causeBehind: 1, causeReading: 1, causeFetching: 1, causeTransfer: 1, causeUpstream: 1,
+	})
+	assert.Equal(t, a.Spans[2].Refused, 1)
+	assert.Equal(t, a.Spans[2].Failed, 2)
+	assert.DeepEqual(t, a.Belief, Belief{
+		Choices: 2, Missing: 5000, Shared: 1500, Moved: 8000, Replaced: 1,
+		Answers: 6, Expected: 1850500 * time.Microsecond, Took: 5600 * time.Millisecond,
+	})
+	assert.Assert(t, strings.Contains(a.String(), "2 choices for prompts: 5000 tokens to be read, 1500 of them shared"), a.String())
+}
--- a/explainer/summary.go
+++ b/explainer/summary.go
@@ -68,12 +68,7 @@
 	for _, c := range counts {
 		s.Causes = append(s.Causes, *c)
 	}
-	slices.SortFunc(s.Causes, func(a, b Cause) int {
-		if a.Count != b.Count {
-			return b.Count - a.Count
-		}
-		return strings.Compare(a.Text, b.Text)
-	})
+	slices.SortFunc(s.Causes, compareCauses)
 	return s
 }
 
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -61,6 +61,7 @@
 			e.publishCommand(),
 			e.dumpCommand(),
 			e.explainCommand(),
+			e.accountCommand(),
 			e.emulateCommand(),
 			e.experimentCommand(),
 			e.versionCommand(),
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -26,13 +27,9 @@
 			&cli.StringFlag{Name: "request", Usage: "`ID` of the request"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			var lines []explainer.Line
-			for _, path := range c.Args().Slice() {
-				got, err := readLog(path)
-				if err != nil {
-					return err
-				}
-				lines = append(lines, got...)
+			lines, err := readLogs(c.Args().Slice())
+			if err != nil {
+				return err
 			}
 			if c.String("request") == "" {
 				fmt.Fprint(e.out, explainer.Summarize(lines))
@@ -48,6 +45,43 @@
 	}
 }
 
+func (e *env) accountCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "account",
+		Usage:     "tell from logs when which requests were late, failed or refused, and why",
+		ArgsUsage: "LOG...",
+		Description: "Reads the logs of one or more hosts. For each route and span of time it counts how\n" +
+			"requests ended and the causes of what was late, failed or refused; at the end it sums\n" +
+			"up what was believed of kept context. Spans in which all went well are left out.",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "span", Value: 2 * time.Second, Usage: "length of a span of `TIME`"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Duration("span") <= 0 {
+				return withCode(ExitUsage, errors.New("--span must be more than 0"))
+			}
+			lines, err := readLogs(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(e.out, explainer.Tally(lines, c.Duration("span")))
+			return nil
+		},
+	}
+}
+
+func readLogs(paths []string) ([]explainer.Line, error) {
+	var lines []explainer.Line
+	for _, path := range paths {
+		got, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, got...)
+	}
+	return lines, nil
+}
+
 func readLog(path string) ([]explainer.Line, error) {
 	f, err := os.Open(path)
 	if err != nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -186,6 +186,10 @@
 	Missing  int           // Missing are prompt tokens to be read there.
 	Alone    int           // Alone are prompt tokens of the last part, which no other request begins with.
 	Moved    int           // Moved are prompt tokens to be fetched.
+	Behind   time.Duration // Behind is the estimated time to read what waits there before it.
+	Reading  time.Duration // Reading is that of reading what is missing.
+	Fetching time.Duration // Fetching is that of its transfers.
+	Replaced bool          // Replaced tells that a newer weight version than the upstream's was named.
 	Stored   int           // Stored is the number of leading parts that stores hold.
 	Saved    int           // Saved is the number of parts that are to be saved to stores.
 	Shared   PartKey       // Shared names the deepest part that other requests may have; 0 if there is none.
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -79,6 +79,10 @@
 		}
 	}
 	c.Basis.Missing = f.missing
+	c.Basis.Behind = readTime(c.Basis.Work.Pending)
+	c.Basis.Reading = readTime(f.missing)
+	c.Basis.Fetching = f.time
+	c.Basis.Replaced = c.Weights < p.named[ask.Prompt.Model].Version
 	c.Basis.Alone = parts[len(parts)-1].Tokens
 	if len(parts) > 1 {
 		c.Basis.Shared = shared(known.keys)
