Notice silent upstreams from the requests that they have

Cause: an engine that ends without a word keeps its entry for 3.6 s. Its requests stayed until their callers left, also those that may be run again, and it was named as a source of kept context, which costs the asking engine some 0.1 s. Change: an upstream with work that gives no sign for twice the expected time and 0.5 s rests like one that could not be reached, is no source meanwhile, and its repeatable requests go elsewhere within attempts and budget. A host that stood still, or sees more than 60 in 100 silent at once, blames itself.

--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -17,6 +17,7 @@
 
 // report tells other hosts what this one has under way.
 func (h *Host) report(now time.Time) {
+	h.placer.Watch(now)
 	h.reports++
 	if len(*h.hosts.Load()) > fullMesh && h.reports%manyPause != 0 {
 		return
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -7,6 +7,8 @@
 	"context"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/matcher"
@@ -101,11 +103,30 @@
 	if d.stream != nil && d.stream.lastID != "" {
 		dir.LastEvent = d.stream.lastID
 	}
-	r := d.send(ctx, choice, dir)
+	r := d.attempt(ctx, choice, dir)
 	choice.Ticket.Done(d.opts.Timer.Now(), forPlacement(ctx, r))
 	return r
 }
 
+// errSilent ends an attempt whose upstream has fallen silent.
+var errSilent = errors.New("exchanger: the upstream has fallen silent")
+
+// attempt carries out one attempt. One that may be repeated is given up when its upstream
+// falls silent, so that another can take it while there is time.
+func (d *delivery) attempt(ctx context.Context, choice placer.Choice, dir *Directions) dispatcher.Result {
+	if !d.route.Repeatable() {
+		return d.send(ctx, choice, dir)
+	}
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	choice.Ticket.OnSilent(func() { giveUp(errSilent) })
+	r := d.send(ctx, choice, dir)
+	if r.Verdict != dispatcher.Done && context.Cause(ctx) == errSilent {
+		return dispatcher.Failed(&forwarder.Failure{Cause: forwarder.CauseTimeout, Ran: forwarder.RanUnknown, Detail: errSilent.Error()})
+	}
+	return r
+}
+
 // send carries out one attempt and passes its answer on.
 func (d *delivery) send(ctx context.Context, choice placer.Choice, dir *Directions) dispatcher.Result {
 	answer, fail := d.opts.Sender.Send(ctx, d.request, dir)
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -31,6 +31,7 @@
 	for {
 		n, err := answer.Read(buf)
 		if n > 0 {
+			ticket.Sign(d.opts.Timer.Now())
 			pending = append(pending, buf[:n]...)
 			rest, fail := d.events(answer, pending, ticket)
 			if fail != nil {
--- a/exchanger/waiting_test.go
+++ b/exchanger/waiting_test.go
@@ -137,3 +137,47 @@
 		})
 	}
 }
+
+// silentSender lets the first upstream be silent and answers at the second.
+type silentSender struct {
+	sent atomic.Int32
+	told chan struct{}
+}
+
+func (s *silentSender) Send(ctx context.Context, _ *Request, _ *Directions) (Answer, *forwarder.Failure) {
+	if s.sent.Add(1) == 1 {
+		close(s.told)
+		<-ctx.Done()
+		return nil, &forwarder.Failure{Cause: forwarder.CauseCaller, Ran: forwarder.RanUnknown}
+	}
+	return &fakeAnswer{status: 200, body: "whole", end: io.EOF}, nil
+}
+
+// TestSilentUpstream: a request whose upstream gives no sign of life is given to another
+// if it may be repeated, and only then.
+func TestSilentUpstream(t *testing.T) {
+	for kind, want := range map[string]int{"Idempotent": 200, "Once": 504} {
+		t.Run(kind, func(t *testing.T) {
+			view := testView(kind)
+			var beliefs atomic.Pointer[follower.View]
+			beliefs.Store(view)
+			p := placer.New(placer.Options{})
+			p.Update(view)
+			sender := &silentSender{told: make(chan struct{})}
+			budget := retrier.NewShared(retrier.Allowance{Share: 1, Slack: 100})
+			for range 20 {
+				budget.Request("s")
+			}
+			x := New(Options{Beliefs: &beliefs, Placer: p, Sender: sender, Budget: budget, Timer: timer.NewSystem()})
+			ended := make(chan Outcome, 1)
+			go func() {
+				ended <- x.Handle(t.Context(), &Request{ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key"}, &recorder{})
+			}()
+			<-sender.told
+			for at := time.Duration(0); at < 2*time.Second; at += 100 * time.Millisecond {
+				p.Watch(time.Now().Add(at))
+			}
+			assert.Equal(t, (<-ended).Status, want)
+		})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -50,6 +50,7 @@
 	transfers []Transfer        // transfers wait to be told to other hosts.
 	placed    []Placement       // placed waits to be told to other hosts.
 	named     map[string]follower.Named
+	watched   time.Time // watched is when Watch last looked.
 }
 
 // peerWork is what another host said last.
@@ -83,7 +84,7 @@
 	for _, u := range view.Upstreams {
 		t := before[u.ID]
 		if t == nil {
-			t = &target{hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
+			t = &target{tickets: make(map[*Ticket]struct{}), hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
 		}
 		t.upstream = u
 		if view.Table != nil {
@@ -240,7 +241,9 @@
 		c.Weights = best.upstream.Weights[ask.Prompt.Model]
 		p.plan(now, ask, best, &c, tk)
 	}
+	tk.expected = c.Basis.Behind + c.Basis.Reading + c.Basis.Fetching
 	best.own.add(tk.work)
+	best.tickets[tk] = struct{}{}
 	if tk.work.Pending+tk.moved.Pending >= urgentTokens && p.opts.Urgent != nil {
 		p.opts.Urgent()
 	}
@@ -300,19 +303,22 @@
 
 // Ticket is one request under way at an upstream.
 type Ticket struct {
-	placer  *Placer
-	target  *target
-	start   time.Time
-	work    Work // work is what still counts.
-	keys    []PartKey
-	parts   []Part
-	store   *store // store is where the request fetches from, or nil.
-	moved   Work   // moved is what it fetches there.
-	queued  int    // queued are the tokens that go out there up to its own.
-	missing int    // missing are the tokens that it had to read.
-	quiet   bool   // quiet tells that its engine had nothing else to read.
-	first   bool
-	done    bool
+	placer *Placer
+	target *target
+	start  time.Time
+	work   Work // work is what still counts.
+	keys   []PartKey
+	parts  []Part
+	store  *store // store is where the request fetches from, or nil.
+	moved  Work   // moved is what it fetches there.
+	// expected is the time to the first byte that was expected.
+	expected time.Duration
+	onSilent func()
+	queued   int  // queued are the tokens that go out there up to its own.
+	missing  int  // missing are the tokens that it had to read.
+	quiet    bool // quiet tells that its engine had nothing else to read.
+	first    bool
+	done     bool
 }
 
 // First tells that the upstream has read the prompt.
@@ -323,6 +329,7 @@
 		return
 	}
 	tk.first = true
+	tk.target.sign = now
 	if tk.work.Pending >= urgentTokens && tk.placer.opts.Urgent != nil {
 		tk.placer.opts.Urgent()
 	}
@@ -359,6 +366,10 @@
 	tk.done = true
 	tk.arrived()
 	t := tk.target
+	delete(t.tickets, tk)
+	if result == ResultServed || result == ResultRefused {
+		t.sign = now
+	}
 	t.own.sub(tk.work)
 	switch result {
 	case ResultServed:
--- /dev/null
+++ b/placer/silence_test.go
@@ -0,0 +1,76 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+)
+
+type silenceCase struct {
+	Name   string
+	Steps  []string
+	Silent []string
+	Told   int
+}
+
+func TestSilence(t *testing.T) {
+	text, err := os.ReadFile("testdata/silence.jsonc")
+	assert.NilError(t, err)
+	var cases []silenceCase
+	_, faults := strictjson.Decode(text, &cases)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { playSilence(t, c) })
+	}
+}
+
+func playSilence(t *testing.T, c silenceCase) {
+	p := testPlacer(testView(5, 1))
+	engines := []string{"e0", "e1", "e2", "e3", "e4"}
+	sent := make(map[string]*Ticket) // the newest request of each engine
+	told := 0
+	now := start
+	for _, step := range c.Steps {
+		fields := append(strings.Fields(step), "")
+		at, err := time.ParseDuration(fields[0])
+		assert.NilError(t, err)
+		id := fields[2]
+		if fields[1] != "stand" {
+			for ; now.Before(start.Add(at)); now = now.Add(100 * time.Millisecond) {
+				p.Watch(now)
+			}
+		}
+		now = start.Add(at)
+		switch fields[1] {
+		case "send":
+			others := slices.DeleteFunc(slices.Clone(engines), func(e string) bool { return e == id })
+			choice, verdict := p.Choose(now, &Ask{Service: "engines", SaltOf: saltOf(""), Exclude: others, Prompt: &Prompt{Model: "m", Parts: []Part{{"x", 50}, {"y", 80}}}})
+			assert.Equal(t, verdict, Chosen)
+			choice.Ticket.OnSilent(func() { told++ })
+			sent[id] = choice.Ticket
+		case "first":
+			sent[id].First(now)
+		case "sign":
+			sent[id].Sign(now)
+		case "done":
+			sent[id].Done(now, ResultServed)
+		}
+	}
+	silent := []string{}
+	for _, id := range engines {
+		if p.targets[id].suspect(now) {
+			silent = append(silent, id)
+		}
+	}
+	assert.DeepEqual(t, silent, c.Silent)
+	assert.Equal(t, told, c.Told)
+}
--- a/placer/sources.go
+++ b/placer/sources.go
@@ -14,11 +14,12 @@
 // first: the second serves where the first itself is to run it.
 type sources [2]source
 
-// sources finds the engines of a weight version that keep the most of a prompt.
+// sources finds the engines of a weight version that keep the most of a prompt. One that
+// does not answer is none: asking it costs the engine some hundred milliseconds.
 func (p *Placer) sources(ask *Ask, weights uint64, keys []PartKey) sources {
 	var s sources
 	for _, t := range p.pools[ask.Service] {
-		if t.upstream.Weights[ask.Prompt.Model] != weights {
+		if t.upstream.Weights[ask.Prompt.Model] != weights || t.suspect(ask.now) {
 			continue
 		}
 		n, tokens := t.kept.leading(keys, ask.Prompt.Parts)
--- a/placer/target.go
+++ b/placer/target.go
@@ -42,6 +42,8 @@
 	failing float64       // failing is the recent share of requests that failed.
 	hold    time.Duration // hold is how long a request of a plain service takes, smoothed.
 
+	tickets      map[*Ticket]struct{} // tickets are this host's requests under way.
+	sign         time.Time            // sign is the last sign of life.
 	suspectUntil time.Time
 	pause        time.Duration
 	probing      bool
