Let stores serve replaced weights, and send nothing to expired ones

Cause: during a renewal stores served nothing for the old weights, so that engines that still had them read every shared part again: 1.85 M of the tokens read while 18 engines were renewed. Change: stores serve replaced weights as long as work may go to engines that have them; WeightsWithin, a new setting, is the operators' bound for that. Engines past it get nothing while a renewed one is there, also when that one is busy. Messages that come after a silence of their sender say nothing of how current they are.

--- /dev/null
+++ b/conductor/delays_test.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// weightsDecoder reads the number of a weight version.
+type weightsDecoder struct{}
+
+func (weightsDecoder) Decode(_ follower.Feed, r follower.Record) (follower.Change, error) {
+	n, err := strconv.ParseUint(string(r.Value), 10, 64)
+	return follower.Change{Weights: &follower.Weights{Model: "m", Version: n}}, err
+}
+
+// TestBacklogIsNoNews: what arrives at once after a silence was not said at once. A
+// version that is named in it was not in force until then.
+func TestBacklogIsNoNews(t *testing.T) {
+	n := NewNode(NodeOptions{Self: tracker.HostRecord{Host: "a", Incarnation: 1}, Decoder: weightsDecoder{}, Timing: DefaultTiming()})
+	start := time.Unix(5000, 0)
+	next := int64(0)
+	hear := func(at time.Duration, full bool, values ...string) {
+		news := follower.News{Feed: follower.FeedOperator, Full: full, From: next}
+		for _, v := range values {
+			news.Records = append(news.Records, follower.Record{Key: "weights", Value: []byte(v), Offset: next})
+			next++
+		}
+		news.Next = next
+		n.Handle(start.Add(at), PeerMessage{From: "b", Message: &messenger.Message{News: []follower.News{news}}})
+	}
+	hear(0, true, "1")
+	known := time.Duration(0)
+	for at := 200 * time.Millisecond; at <= time.Second; at += 200 * time.Millisecond {
+		hear(at, false)
+		known = at
+	}
+	const woke = 4 * time.Second
+	hear(woke, false)
+	hear(woke+10*time.Millisecond, false, "2")
+	hear(woke+20*time.Millisecond, false)
+	named := n.state.View().Named["m"]
+	assert.Equal(t, named.Version, uint64(2), "what is said holds")
+	assert.Equal(t, named.InForceUntil(1), start.Add(known))
+	hear(woke+500*time.Millisecond, false)
+	assert.Equal(t, n.feeds[follower.FeedOperator].fresh, start.Add(woke+500*time.Millisecond), "later it is current again")
+}
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -118,6 +118,7 @@
 	if asOf.After(f.fresh) {
 		f.fresh = asOf
 		if news.Feed == follower.FeedOperator {
+			n.state.Current(asOf)
 			n.do(Current{At: asOf})
 		}
 	}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -122,7 +122,13 @@
 		eased:   make(chan struct{}, 1),
 		budget:  retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
-	h.placer = placer.New(placer.Options{AvailabilityZone: s.AvailabilityZone, Seed: uint64(opts.Timer.Now().UnixNano()), Urgent: h.hurry, Eased: h.ease})
+	h.placer = placer.New(placer.Options{
+		AvailabilityZone: s.AvailabilityZone,
+		Seed:             uint64(opts.Timer.Now().UnixNano()),
+		WeightsWithin:    s.Platform.WeightsWithin.Std(),
+		Urgent:           h.hurry,
+		Eased:            h.ease,
+	})
 	self := tracker.HostRecord{
 		Host:             s.Host,
 		Incarnation:      uint64(opts.Timer.Now().UnixNano()),
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -63,6 +63,9 @@
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
 	m := ev.Message
 	n.hosts.Heard(now, ev.From)
+	if n.delays.late(now, ev.From) {
+		m = m.WithNews(undated(m.News))
+	}
 	if m.Digest != 0 && !m.Full && !slices.Contains(n.hosts.Neighbours(), ev.From) {
 		// Whoever counts this host among its neighbours must hear from it, or takes
 		// it for silent.
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -116,7 +116,7 @@
 		if replaced[text].IsZero() {
 			replaced[text] = now
 		}
-		return now.Sub(replaced[text]) < placer.FreeAfter
+		return now.Sub(replaced[text]) < h.placer.FreeAfter()
 	})
 	for _, f := range unused {
 		ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -201,6 +201,7 @@
 	lastTick   time.Time
 	lastBeat   time.Time
 	lastFull   map[string]time.Time
+	delays     delays
 	tree       *tree // tree is nil when it must be worked out anew.
 	zone       map[string]zoneReport
 	zones      map[string]zoneReport // zones has the newest sums of the other zones' relays.
@@ -229,6 +230,7 @@
 		renewer:  renewer.New(opts.Renewer),
 		view:     &follower.View{},
 		lastFull: make(map[string]time.Time),
+		delays:   make(delays),
 		zone:     make(map[string]zoneReport),
 		zones:    make(map[string]zoneReport),
 		others:   &placer.Report{},
--- a/follower/state.go
+++ b/follower/state.go
@@ -20,6 +20,7 @@
 type State struct {
 	table     *matcher.Table
 	named     map[string]Named
+	current   time.Time // current is up to when the operators' feed is known.
 	upstreams map[string]*entry
 	listed    bool      // listed tells that a whole listing of the upstreams was taken in.
 	away      bool      // away tells that the store's last answer was a failure.
@@ -64,7 +65,7 @@
 		if s.named[c.Weights.Model].Version >= c.Weights.Version {
 			return false
 		}
-		s.named[c.Weights.Model] = s.named[c.Weights.Model].then(c.Weights.Version, now)
+		s.named[c.Weights.Model] = s.named[c.Weights.Model].then(Named{Version: c.Weights.Version, Since: now, Earliest: s.current})
 		return true
 	case c.Upstream != nil:
 		return s.put(*c.Upstream, offset)
@@ -93,6 +94,13 @@
 	return !same
 }
 
+// Current tells up to when the operators' feed is known. It never goes back.
+func (s *State) Current(at time.Time) {
+	if at.After(s.current) {
+		s.current = at
+	}
+}
+
 // Renewed tells that an upstream has a weight version, before its entry says so.
 func (s *State) Renewed(id, model string, version uint64) bool {
 	e := s.upstreams[id]
--- a/follower/state_test.go
+++ b/follower/state_test.go
@@ -125,3 +125,26 @@
 	assert.Equal(t, named.Replaced(2), at(20))
 	assert.Equal(t, named.Replaced(4), at(20))
 }
+
+// TestInForceUntil: a host that heard of a new version late, or that has just
+// started, does not take the old one for in force until then.
+func TestInForceUntil(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New()
+	name := func(at time.Time, version uint64) {
+		s.Apply(at, Change{Weights: &Weights{Model: "m", Version: version}}, 0)
+	}
+	name(now, 3)
+	named := s.View().Named["m"]
+	assert.Assert(t, named.InForceUntil(2).IsZero(), "nothing is known of versions before the start")
+	s.Current(now)
+	name(now.Add(9*time.Second), 4) // the host was cut off meanwhile
+	named = s.View().Named["m"]
+	assert.Equal(t, named.InForceUntil(3), now)
+	assert.Equal(t, named.Replaced(3), now.Add(9*time.Second))
+	s.Current(now.Add(9 * time.Second))
+	name(now.Add(10*time.Second), 5)
+	named = s.View().Named["m"]
+	assert.Equal(t, named.InForceUntil(3), now)
+	assert.Equal(t, named.InForceUntil(4), now.Add(9*time.Second))
+}
--- a/follower/types.go
+++ b/follower/types.go
@@ -77,9 +77,10 @@
 
 // Named is a weight version with the time at which this host heard of it.
 type Named struct {
-	Version uint64
-	Since   time.Time
-	before  []Named // before are earlier ones, oldest first.
+	Version  uint64
+	Since    time.Time
+	Earliest time.Time // Earliest is a moment at which it was not named yet; zero if none is known.
+	before   []Named   // before are earlier ones, oldest first.
 }
 
 // keptNamings bounds how many earlier versions are remembered. Engines are
@@ -87,25 +88,33 @@
 const keptNamings = 8
 
 // then returns the version that is named after n.
-func (n Named) then(version uint64, now time.Time) Named {
-	next := Named{Version: version, Since: now}
+func (n Named) then(next Named) Named {
 	if n.Version == 0 {
 		return next
 	}
-	next.before = append(slices.Clone(n.before), Named{Version: n.Version, Since: n.Since})
+	earlier := n
+	earlier.before = nil
+	next.before = append(slices.Clone(n.before), earlier)
 	if len(next.before) > keptNamings {
 		next.before = next.before[1:]
 	}
 	return next
 }
 
-// Replaced returns when a version was replaced: since the first later one was
-// named, however many were named after that.
-func (n Named) Replaced(version uint64) time.Time {
+// after returns the first naming later than a version.
+func (n Named) after(version uint64) Named {
 	for _, b := range n.before {
 		if b.Version > version {
-			return b.Since
+			return b
 		}
 	}
-	return n.Since
+	return n
 }
+
+// Replaced returns when this host heard that a version was replaced: since the first
+// later one was named, however many were named after that.
+func (n Named) Replaced(version uint64) time.Time { return n.after(version).Since }
+
+// InForceUntil returns a moment until which a version surely had not been replaced;
+// zero if none is known. Unlike Replaced it holds also for hosts that heard late.
+func (n Named) InForceUntil(version uint64) time.Time { return n.after(version).Earliest }
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -45,15 +45,17 @@
 
 // Platform says how to use the users' platform.
 type Platform struct {
-	Store       string            // Store is the IP:port of the platform's store.
-	LinkMbps    float64           // LinkMbps is the width of this host's own link; the widest relay for others.
-	Ready       Endpoint          // Ready is where the platform asks whether this host takes callers.
-	Directory   Endpoint          // Directory is where callers ask for addresses.
-	RetryShare  float64           // RetryShare is the share of requests to a service that all hosts may send once more.
-	RetrySlack  float64           // RetrySlack is the number of such retries beyond the share, in one window of the platform.
-	Lease       duration.Duration // Lease is the time within which orders of two hosts to one upstream clash.
-	LoadsAtOnce int               // LoadsAtOnce is the least number of engines that load weights at the same time.
-	LoadsShare  float64           // LoadsShare is the part of all engines that may do so, where that is more.
+	Store      string            // Store is the IP:port of the platform's store.
+	LinkMbps   float64           // LinkMbps is the width of this host's own link; the widest relay for others.
+	Ready      Endpoint          // Ready is where the platform asks whether this host takes callers.
+	Directory  Endpoint          // Directory is where callers ask for addresses.
+	RetryShare float64           // RetryShare is the share of requests to a service that all hosts may send once more.
+	RetrySlack float64           // RetrySlack is the number of such retries beyond the share, in one window of the platform.
+	Lease      duration.Duration // Lease is the time within which orders of two hosts to one upstream clash.
+	// WeightsWithin is the time after which no request may begin on replaced weights.
+	WeightsWithin duration.Duration
+	LoadsAtOnce   int     // LoadsAtOnce is the least number of engines that load weights at the same time.
+	LoadsShare    float64 // LoadsShare is the part of all engines that may do so, where that is more.
 }
 
 // Endpoint is a listening address and the one that others are told.
@@ -204,6 +206,7 @@
 	v.endpoint("/Platform/Directory", p.Directory)
 	v.check(p.RetryShare >= 0 && p.RetryShare <= 1, "/Platform/RetryShare", "want 0 to 1")
 	v.check(p.RetrySlack >= 0, "/Platform/RetrySlack", "want at least 0")
+	v.check(p.WeightsWithin >= 0, "/Platform/WeightsWithin", "must not be negative")
 	v.check(p.LoadsShare >= 0 && p.LoadsShare <= 1, "/Platform/LoadsShare", "want 0 to 1")
 	v.check(p.LoadsAtOnce > 0, "/Platform/LoadsAtOnce", "want more than 0")
 	v.check(p.Lease > 0, "/Platform/Lease", "want more than 0")
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -47,6 +47,13 @@
 	News      []follower.News          `cbor:"20,keyasint,omitempty"` // News are pages of the platform's feeds that the sender has read.
 }
 
+// WithNews returns a copy of m with other pages.
+func (m *Message) WithNews(pages []follower.News) *Message {
+	c := *m
+	c.News = pages
+	return &c
+}
+
 // Relay says to whom a message is to be passed on.
 type Relay string
 
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -18,27 +18,6 @@
 	loadPenalty    = 600 * time.Millisecond // loadPenalty is what a load takes, for requests that would wait for it.
 )
 
-// Penalties for weights that have been replaced. Answers on them are worth less
-// and less, so that a longer wait elsewhere is the better choice, and in the end
-// they are worth nothing.
-const (
-	oldFree      = time.Second            // oldFree is how long replaced weights cost nothing.
-	oldPenalty   = 250 * time.Millisecond // oldPenalty weighs a fifth of a request's worth against its objective.
-	oldWorthless = 7 * time.Second        // oldWorthless is when the penalty becomes prohibitive, below the shortest bound of 10 s.
-	oldBarred    = 10 * time.Second       // oldBarred is that penalty.
-)
-
-// oldWeights returns the penalty of a version that was replaced some time ago.
-func oldWeights(age time.Duration) time.Duration {
-	switch {
-	case age < oldFree:
-		return 0
-	case age < oldWorthless:
-		return oldPenalty
-	}
-	return oldBarred
-}
-
 // under returns the prompt as it is known under a weight version.
 func (p *Placer) under(ask *Ask, weights uint64) *chained {
 	for i := range ask.chains {
@@ -49,8 +28,7 @@
 	c := chained{weights: weights, salt: ask.SaltOf(weights)}
 	c.keys = keysOf(c.salt, ask.Prompt.Parts)
 	c.sources = p.sources(ask, weights, c.keys)
-	if weights >= p.named[ask.Prompt.Model].Version && ask.now.Sub(p.current) < StoreTrust && p.clock.millis > 0 {
-		// What stores hold for replaced weights is about to be freed.
+	if p.storesServe(ask.now, ask.Prompt.Model, weights) {
 		c.stored = p.stored(c.salt, ask.Prompt.Parts)
 	}
 	ask.chains = append(ask.chains, c)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,7 +17,10 @@
 // Options set up a Placer.
 type Options struct {
 	AvailabilityZone string // AvailabilityZone is this host's.
-	Seed             uint64 // Seed begins the draws among many upstreams; hosts must differ in it.
+	// WeightsWithin is the time in which the operators want no request to begin on
+	// replaced weights any more; 10 s if it is not set.
+	WeightsWithin time.Duration
+	Seed          uint64 // Seed begins the draws among many upstreams; hosts must differ in it.
 	// Eased is called, if set, when an upstream has more room than before. It must not
 	// block.
 	Eased func()
@@ -259,7 +262,7 @@
 	if !p.anyBegins(pool, ask) {
 		return nil, 0, Busy
 	}
-	var best, spare *target
+	var best, spare, old *target
 	var least time.Duration
 	busy := false
 	all := p.candidates(ask)
@@ -274,6 +277,10 @@
 			}
 			continue
 		}
+		if p.expired(now, t, ask) {
+			old = t
+			continue
+		}
 		if !t.begins(ask) {
 			busy = true
 			continue
@@ -288,6 +295,10 @@
 		return best, least, Chosen
 	case busy:
 		return nil, 0, Busy
+	case old != nil && old.begins(ask):
+		return old, 0, Chosen
+	case old != nil:
+		return nil, 0, Busy
 	case spare != nil:
 		return spare, 0, Chosen
 	}
--- a/placer/store.go
+++ b/placer/store.go
@@ -209,15 +209,6 @@
 	return p.clock.millis + now.Sub(p.clock.at).Milliseconds() + fetchTime.Milliseconds()
 }
 
-// FreeAfter is how long after a weight version was named, what stores hold for
-// the one before may be freed: hosts that know the new version do not fetch it
-// any more, hosts that know nothing new for StoreTrust fetch nothing, and what
-// they ordered before has ended.
-const FreeAfter = StoreTrust + fetchTime + freeMargin
-
-// freeMargin covers delays between hosts and the reading of clocks.
-const freeMargin = 500 * time.Millisecond
-
 // StoreTrust is how old the operators' feed may be for a host to fetch from
 // stores.
 const StoreTrust = 1500 * time.Millisecond
