Fetch from a roomy engine where a store takes longer than reading

Change: where the store takes longer than reading the part, an engine that keeps it and has half of its memory free is asked, since a miss there costs the reading.

--- a/placer/plan.go
+++ b/placer/plan.go
@@ -46,22 +46,42 @@
 }
 
 // supplier returns who best sends a part to an engine, and the time that it takes: a
-// store, which tells what it holds, before an engine, which may have dropped the part.
-// It reports false if nobody has it, or reading takes less.
+// store, which tells what it holds, before an engine, which may have dropped the part;
+// but not if the store takes longer than reading the part, which is the worst that comes
+// of asking the engine. It reports false if nobody has it, or reading takes less.
 func (c *chained) supplier(ask *Ask, t *target, part, tokens int) (supplier, time.Duration, bool) {
+	other := c.sources.but(t)
 	if part < len(c.stored) {
 		st := c.stored[part]
-		if took := st.fetchTime(ask.now, t, tokens); worthFetching(took, tokens, ask.Objective) {
+		took := st.fetchTime(ask.now, t, tokens)
+		if part < other.parts && took > readTime(tokens) && other.target.roomy() {
+			return supplier{engine: other.target}, engineFetchTime(t, tokens), true
+		}
+		if worthFetching(took, tokens, ask.Objective) {
 			return supplier{store: st}, took, true
 		}
 	}
-	if other := c.sources.but(t); part < other.parts {
-		took := transferFixed + transferTime(tokens, t.engine.BytesPerToken, t.engine.LinkMbps)
-		return supplier{engine: other.target}, took, true
+	if part < other.parts {
+		return supplier{engine: other.target}, engineFetchTime(t, tokens), true
 	}
 	return supplier{}, 0, false
 }
 
+// roomyShare is the share of an engine's memory up to which requests may take it for the
+// engine to keep what it is believed to keep. One that is nearly full drops parts while
+// those that asked for them are on their way.
+const roomyShare = 0.5
+
+// roomy tells that an engine drops little of what it keeps.
+func (t *target) roomy() bool {
+	return float64(t.work().Memory) < roomyShare*float64(t.engine.CapacityTokens)
+}
+
+// engineFetchTime is the time of a transfer between two engines.
+func engineFetchTime(t *target, tokens int) time.Duration {
+	return transferFixed + transferTime(tokens, t.engine.BytesPerToken, t.engine.LinkMbps)
+}
+
 // plan says from where the chosen engine gets what it does not keep, where it
 // saves what it reads, and what the request will weigh there.
 func (p *Placer) plan(now time.Time, ask *Ask, t *target, c *Choice, tk *Ticket) {
