Name only hosts to callers that have spoken since this one started

Cause: after a loss of all hosts the first one back named all that had once announced themselves; those start up to 0.5 s later, and a caller that tries one without power loses up to a second. Change: a host's directory leaves out neighbours that have not spoken to it.

--- a/conductor/delays_test.go
+++ b/conductor/delays_test.go
@@ -12,6 +12,7 @@
 
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -54,3 +55,26 @@
 	hear(woke+500*time.Millisecond, false)
 	assert.Equal(t, n.feeds[follower.FeedOperator].fresh, start.Add(woke+500*time.Millisecond), "later it is current again")
 }
+
+// TestUnheardHostsAreNotNamed: hosts that are known from their announcements only may not
+// be there; callers hear of them once they have spoken.
+func TestUnheardHostsAreNotNamed(t *testing.T) {
+	record := func(host string) tracker.HostRecord {
+		return tracker.HostRecord{Host: host, Incarnation: 1, State: tracker.HostLive, Peers: host, Callers: host}
+	}
+	n := NewNode(NodeOptions{
+		Self: record("a"), Decoder: weightsDecoder{}, Timing: DefaultTiming(),
+		Kept: func() []placer.Placement { return nil }, Stores: func() []placer.StoreReport { return nil },
+	})
+	unheard := func(ev Event) map[string]bool {
+		for _, a := range n.Handle(time.Unix(5000, 0), ev) {
+			if p, ok := a.(PublishHosts); ok {
+				return p.Unheard
+			}
+		}
+		return nil
+	}
+	assert.DeepEqual(t, unheard(HostsFound{Hosts: []tracker.HostRecord{record("b"), record("c")}}), map[string]bool{"b": true, "c": true})
+	assert.DeepEqual(t, unheard(PeerUp{Host: "b"}), map[string]bool{"c": true})
+	assert.DeepEqual(t, unheard(PeerMessage{From: "c", Message: &messenger.Message{}}), map[string]bool{})
+}
--- a/conductor/directory.go
+++ b/conductor/directory.go
@@ -25,11 +25,14 @@
 const nearEnough = 2
 
 // Addresses returns where callers of an availability zone may connect, and how
-// long they may keep the answer.
+// long they may keep the answer. Hosts that have not spoken since this one started are
+// left out: after a loss of all hosts they may start later, and a caller that tries one
+// without power loses up to a second.
 func (h *Host) Addresses(availabilityZone string) ([]string, time.Duration) {
 	var near, all []string
+	unheard := *h.unheard.Load()
 	for _, r := range *h.hosts.Load() {
-		if r.State != tracker.HostLive || r.Callers == "" {
+		if r.State != tracker.HostLive || r.Callers == "" || unheard[r.Host] {
 			continue
 		}
 		all = append(all, r.Callers)
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -91,9 +91,10 @@
 
 	view    atomic.Pointer[follower.View]
 	hosts   atomic.Pointer[[]tracker.HostRecord]
-	reports int           // reports counts the ticks of reports.
-	urgent  chan struct{} // urgent asks for a report at once.
-	eased   chan struct{} // eased asks to look whether upstreams can begin requests that wait.
+	unheard atomic.Pointer[map[string]bool] // unheard are hosts that may not be there.
+	reports int                             // reports counts the ticks of reports.
+	urgent  chan struct{}                   // urgent asks for a report at once.
+	eased   chan struct{}                   // eased asks to look whether upstreams can begin requests that wait.
 	leaving atomic.Bool
 	keeper  atomic.Bool // keeper tells that this host is first in rank to free kept context.
 	open    atomic.Int64
@@ -157,6 +158,7 @@
 	})
 	h.view.Store(&follower.View{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
+	h.unheard.Store(&map[string]bool{})
 	h.exchanger = exchanger.New(exchanger.Options{
 		Beliefs: &h.view,
 		Placer:  h.placer,
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -62,7 +62,7 @@
 
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
 	m := ev.Message
-	n.hosts.Heard(now, ev.From)
+	n.hostsDirty = n.hosts.Heard(now, ev.From) || n.hostsDirty
 	if n.delays.late(now, ev.From) {
 		m = m.WithNews(undated(m.News))
 	}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -117,6 +117,7 @@
 	case PublishHosts:
 		h.keeper.Store(tracker.Place(live(a.Hosts), h.opts.Settings.Host, "keeper") == 0)
 		h.hosts.Store(&a.Hosts)
+		h.unheard.Store(&a.Unheard)
 		h.budget.SetHosts(len(a.Hosts))
 		h.watchStores(h.view.Load())
 		h.bound(h.view.Load())
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -112,7 +112,10 @@
 type PublishView struct{ View *follower.View }
 
 // PublishHosts gives the directory a new list.
-type PublishHosts struct{ Hosts []tracker.HostRecord }
+type PublishHosts struct {
+	Hosts   []tracker.HostRecord
+	Unheard map[string]bool // Unheard are those that may not be there: only their announcements are known.
+}
 
 // TakeReport hands a report to placement, of another host or summed up.
 type TakeReport struct {
@@ -249,7 +252,7 @@
 	case PeerMessage:
 		n.peerMessage(now, ev)
 	case PeerUp:
-		n.hosts.Heard(now, ev.Host)
+		n.hostsDirty = n.hosts.Heard(now, ev.Host) || n.hostsDirty
 		n.greet(now, ev.Host)
 	case HostsFound:
 		n.mergeHosts(now, "", ev.Hosts)
@@ -304,6 +307,6 @@
 	if n.hostsDirty {
 		n.hostsDirty = false
 		n.tree = nil
-		n.do(PublishHosts{Hosts: n.hosts.All()})
+		n.do(PublishHosts{Hosts: n.hosts.All(), Unheard: n.hosts.Unheard()})
 	}
 }
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -79,6 +79,7 @@
 	record  HostRecord
 	changed time.Time
 	heard   time.Time // heard is when it last spoke to this host directly.
+	spoke   bool      // spoke tells that it has spoken to this host since this one started.
 	doubted time.Time // doubted is when this host last suspected it.
 }
 
@@ -156,11 +157,28 @@
 	return []HostRecord{h.self}
 }
 
-// Heard notes that a host spoke to this one directly.
-func (h *Hosts) Heard(now time.Time, host string) {
-	if e := h.records[host]; e != nil {
-		e.heard = now
+// Heard notes that a host spoke to this one directly. It reports whether that was the
+// first time.
+func (h *Hosts) Heard(now time.Time, host string) bool {
+	e := h.records[host]
+	if e == nil {
+		return false
+	}
+	first := !e.spoke
+	e.heard, e.spoke = now, true
+	return first
+}
+
+// Unheard returns the neighbours that have not spoken since this host started. They are
+// known from what was announced once, and may not be there.
+func (h *Hosts) Unheard() map[string]bool {
+	out := make(map[string]bool)
+	for _, name := range h.Neighbours() {
+		if !h.records[name].spoke {
+			out[name] = true
+		}
 	}
+	return out
 }
 
 // Listed takes the platform's host list.
