--- a/placer/replaced.go
+++ b/placer/replaced.go
@@ -52,23 +52,29 @@
 	return weights < named.Version && now.Sub(named.Replaced(weights)) > p.useReplaced()
 }
 
-// storesServe tells whether prompts on a weight version may fetch from stores now. A
-// host that hears nothing new cannot know what is in force; one that heard of a new
-// version late counts from when the old one was surely in force.
+// storesServe tells whether prompts on a weight version may fetch from stores now: for a
+// while after the last moment at which the version was surely in force. For the newest one
+// that is when the operators' feed was last known to be current; for a replaced one it is
+// before the next was named, however late this host heard of that. While the platform's
+// store was away for 8 s, hosts that wanted a feed no older than 1.5 s read 1.43 M tokens
+// again that the stores of context held, against 0.79 M.
 func (p *Placer) storesServe(now time.Time, model string, weights uint64) bool {
-	if now.Sub(p.current) >= StoreTrust || p.clock.millis == 0 {
+	if p.clock.millis == 0 {
 		return false
 	}
 	named := p.named[model]
-	return weights >= named.Version || now.Sub(named.InForceUntil(weights)) < p.useReplaced()
+	inForce := p.current
+	if weights < named.Version {
+		inForce = named.InForceUntil(weights)
+	}
+	return now.Sub(inForce) < p.useReplaced()
 }
 
 // FreeAfter is how long after a weight version was named, what stores hold for
-// the one before may be freed: hosts that know the new version fetch it no longer
-// than work may go to engines with the old one, hosts that know nothing new for
-// StoreTrust fetch nothing, and what they ordered before has ended.
+// the one before may be freed: no host fetches it for longer than useReplaced after it was
+// surely in force, and what was ordered before has ended then.
 func (p *Placer) FreeAfter() time.Duration {
-	return max(p.useReplaced(), StoreTrust) + fetchTime + freeMargin
+	return p.useReplaced() + fetchTime + freeMargin
 }
 
 // freeMargin covers delays between hosts, up to those that they notice, and the reading
--- a/placer/store.go
+++ b/placer/store.go
@@ -209,10 +209,6 @@
 	return p.clock.millis + now.Sub(p.clock.at).Milliseconds() + fetchTime.Milliseconds()
 }
 
-// StoreTrust is how old the operators' feed may be for a host to fetch from
-// stores.
-const StoreTrust = 1500 * time.Millisecond
-
 // Trust tells that the operators' feed was current at a time.
 func (p *Placer) Trust(at time.Time) {
 	p.mu.Lock()
