--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -125,8 +125,8 @@
 		h.placer.Heard(h.opts.Timer.Now(), a.From, a.Report)
 	case Renew:
 		h.goDo(func() { h.renew(a.Command) })
-	case PublishAvoid:
-		h.placer.Avoid(a.IDs)
+	case PublishPhases:
+		h.placer.Renewing(a.Engines)
 	case PublishCell:
 		h.placer.SetCell(a.Own, a.Cells)
 	case Note:
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -132,8 +132,8 @@
 // PublishCell says which cell of its zone this host is in, and how many there are.
 type PublishCell struct{ Own, Cells int }
 
-// PublishAvoid names engines that load or will soon.
-type PublishAvoid struct{ IDs map[string]bool }
+// PublishPhases names engines that load weights or will soon.
+type PublishPhases struct{ Engines map[string]renewer.Phase }
 
 // Note asks for a log line about a belief.
 type Note struct {
@@ -168,7 +168,7 @@
 func (TakeReport) action()   {}
 func (Renew) action()        {}
 func (Current) action()      {}
-func (PublishAvoid) action() {}
+func (PublishPhases) action() {}
 func (PublishCell) action()  {}
 func (Note) action()         {}
 
@@ -198,7 +198,7 @@
 
 	renewer    *renewer.Renewer
 	view       *follower.View // view is the one published last.
-	avoid      map[string]bool
+	phases     map[string]renewer.Phase // phases are those published last.
 	viewDirty  bool
 	hostsDirty bool
 	lastTick   time.Time
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -3,7 +3,11 @@
 
 package placer
 
-import "time"
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/renewer"
+)
 
 // Figures of the estimate. Rates are assumed to be alike for all engines of a
 // service; only the order of the estimates counts.
@@ -61,7 +65,7 @@
 	if !t.ours && len(p.pools[ask.Service]) > fewUpstreams && len(p.near[ask.Service]) >= enoughNear {
 		cost += blindPenalty
 	}
-	if t.renewing {
+	if t.phase == renewer.PhaseNext {
 		cost += loadPenalty
 	}
 	weights := t.upstream.Weights[ask.Prompt.Model]
--- a/placer/dump.go
+++ b/placer/dump.go
@@ -3,7 +3,11 @@
 
 package placer
 
-import "time"
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/renewer"
+)
 
 // Dump is what placement knows.
 type Dump struct {
@@ -17,7 +21,7 @@
 	Others     Work
 	Failing    float64 // Failing is the recent share of requests that failed.
 	Suspect    bool
-	Renewing   bool
+	Renewing   renewer.Phase // Renewing is empty for engines that are not about to load weights.
 	KeptParts  int
 	KeptTokens int
 }
@@ -40,7 +44,7 @@
 	d := Dump{Upstreams: make(map[string]UpstreamDump), Stores: make(map[string]StoreDump)}
 	for id, t := range p.targets {
 		d.Upstreams[id] = UpstreamDump{
-			Own: t.own, Others: t.peers, Failing: t.failing, Suspect: t.suspect(now), Renewing: t.renewing,
+			Own: t.own, Others: t.peers, Failing: t.failing, Suspect: t.suspect(now), Renewing: t.phase,
 			KeptParts: len(t.kept.parts), KeptTokens: t.kept.tokens,
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/renewer"
 )
 
 // Options set up a Placer.
@@ -138,13 +139,14 @@
 	return 0
 }
 
-// Avoid names the engines that load weights now or will soon.
-func (p *Placer) Avoid(ids map[string]bool) {
+// Renewing names the engines that load weights now or will soon.
+func (p *Placer) Renewing(phases map[string]renewer.Phase) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, t := range p.targets {
-		t.renewing = ids[id]
+		t.phase = phases[id]
 	}
+	p.eased()
 }
 
 // Result says how a request ended at an upstream.
@@ -262,7 +264,7 @@
 	if !p.anyBegins(pool, ask) {
 		return nil, 0, Busy
 	}
-	var best, spare, old *target
+	var best, spare, last *target
 	var least time.Duration
 	busy := false
 	all := p.candidates(ask)
@@ -277,8 +279,8 @@
 			}
 			continue
 		}
-		if p.expired(now, t, ask) {
-			old = t
+		if t.phase == renewer.PhaseLoading || p.expired(now, t, ask) {
+			last = t
 			continue
 		}
 		if !t.begins(ask) {
@@ -295,9 +297,9 @@
 		return best, least, Chosen
 	case busy:
 		return nil, 0, Busy
-	case old != nil && old.begins(ask):
-		return old, 0, Chosen
-	case old != nil:
+	case last != nil && last.begins(ask):
+		return last, 0, Chosen
+	case last != nil:
 		return nil, 0, Busy
 	case spare != nil:
 		return spare, 0, Chosen
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -13,6 +13,7 @@
 
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/renewer"
 )
 
 var start = time.Unix(1000, 0)
@@ -162,7 +163,7 @@
 	ask := askFor("x", "own")
 	c, _ := p.Choose(start, ask)
 	assert.Equal(t, c.Upstream.ID, "e1")
-	p.Avoid(map[string]bool{"e1": true})
+	p.Renewing(map[string]renewer.Phase{"e1": renewer.PhaseNext})
 	p.targets["e1"].own = Work{}
 	c, _ = p.Choose(start, ask)
 	assert.Assert(t, c.Upstream.ID != "e1")
--- a/placer/replaced_test.go
+++ b/placer/replaced_test.go
@@ -4,12 +4,14 @@
 package placer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/renewer"
 )
 
 // TestNothingIsFetchedWhenFreed: stores serve replaced weights for a while, and free
@@ -99,3 +101,30 @@
 		})
 	}
 }
+
+// TestLoadingEngines: an engine that loads weights refuses what it is sent, so it gets
+// nothing while another is there, also when that one is busy. One that is next helps out.
+func TestLoadingEngines(t *testing.T) {
+	for _, c := range []struct {
+		phase renewer.Phase
+		busy  bool
+		want  Verdict
+	}{
+		{renewer.PhaseLoading, false, Chosen},
+		{renewer.PhaseLoading, true, Busy},
+		{renewer.PhaseNext, true, Chosen},
+	} {
+		t.Run(fmt.Sprint(c.phase, " busy ", c.busy), func(t *testing.T) {
+			p := testPlacer(testView(2, 1))
+			p.Renewing(map[string]renewer.Phase{"e0": c.phase})
+			if c.busy {
+				p.targets["e1"].peers = Work{Requests: 4, Memory: 59000}
+			}
+			got, verdict := p.Choose(start, askFor("x", "own"))
+			assert.Equal(t, verdict, c.want)
+			if !c.busy {
+				assert.Equal(t, got.Upstream.ID, "e1")
+			}
+		})
+	}
+}
--- a/placer/target.go
+++ b/placer/target.go
@@ -8,6 +8,7 @@
 
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/renewer"
 )
 
 // Work is what hosts have under way at an upstream.
@@ -47,7 +48,7 @@
 	suspectUntil time.Time
 	pause        time.Duration
 	probing      bool
-	renewing     bool // renewing tells that the upstream is about to change its weights.
+	phase        renewer.Phase // phase tells that the engine loads weights or is about to.
 	kept         keptSet
 }
 
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -30,7 +30,7 @@
 	orderAgain  = 2500 * time.Millisecond // orderAgain is after an order of which nothing was heard. It may yet be carried out, which does no harm.
 	refuseAgain = 300 * time.Millisecond  // refuseAgain is after an order that was refused.
 	holderLife  = 600 * time.Millisecond  // holderLife is the silence of a holder after which others look at the lease; it speaks every 100 ms.
-	statusLife  = time.Second             // statusLife is how long another host's word on engines to be avoided counts.
+	statusLife  = time.Second             // statusLife is how long the holder's word on engines that load or are next counts.
 )
 
 // Command is something that the host is to do.
@@ -79,7 +79,8 @@
 	Stopped bool                     `cbor:"3,keyasint,omitempty"` // Stopped tells that Lease is the host's own and that it gives no more orders under it.
 	Ordered map[string]time.Duration `cbor:"4,keyasint,omitempty"` // Ordered is how long ago engines were ordered last.
 	Wait    time.Duration            `cbor:"7,keyasint,omitempty"` // Wait is how long the host itself still had to wait before its first order.
-	Avoid   []string                 `cbor:"5,keyasint,omitempty"` // Avoid are engines that load or are next.
+	Loading []string                 `cbor:"5,keyasint,omitempty"` // Loading are engines that were ordered to load.
+	Next    []string                 `cbor:"8,keyasint,omitempty"` // Next are those that will be ordered next.
 	Renewed []Renewed                `cbor:"6,keyasint,omitempty"`
 }
 
@@ -116,7 +117,8 @@
 	told      []Renewed
 	wasHeld   bool
 	holder    time.Time            // holder is when another host last said that it holds the lease.
-	avoid     map[string]time.Time // avoid is until when other hosts' word counts.
+	loading   map[string]time.Time // loading is until when the holder's word on engines that load counts.
+	soon      map[string]time.Time // soon is the same for those that are next.
 }
 
 // New returns a Renewer that knows nothing of the lease.
@@ -128,7 +130,8 @@
 		foreign: make(map[string]time.Time),
 		given:   make(map[string]time.Time),
 		jobs:    make(map[string]*job),
-		avoid:   make(map[string]time.Time),
+		loading: make(map[string]time.Time),
+		soon:    make(map[string]time.Time),
 	}
 }
 
--- a/renewer/status.go
+++ b/renewer/status.go
@@ -18,10 +18,10 @@
 		s.Wait = max(0, r.notBefore.Sub(now))
 		for id, j := range r.jobs {
 			if j.loading {
-				s.Avoid = append(s.Avoid, id)
+				s.Loading = append(s.Loading, id)
 			}
 		}
-		s.Avoid = append(s.Avoid, r.next...)
+		s.Next = append(s.Next, r.next...)
 	}
 	if !holding && r.wasHeld {
 		// The hold has ended and nothing is sent under it any more: another host
@@ -67,8 +67,9 @@
 			r.foreign[id] = at
 		}
 	}
-	for _, id := range s.Avoid {
-		r.avoid[id] = now.Add(statusLife)
+	if s.Holding || s.Stopped {
+		noteAll(r.loading, s.Loading, now.Add(statusLife))
+		noteAll(r.soon, s.Next, now.Add(statusLife))
 	}
 	switch {
 	case !s.Stopped:
@@ -81,23 +82,44 @@
 	}
 }
 
-// Avoid returns the engines that load now or will soon.
-func (r *Renewer) Avoid(now time.Time) map[string]bool {
-	out := make(map[string]bool)
-	for id, until := range r.avoid {
-		if now.After(until) {
-			delete(r.avoid, id)
-			continue
+// noteAll replaces what is noted by ids.
+func noteAll(noted map[string]time.Time, ids []string, until time.Time) {
+	clear(noted)
+	for _, id := range ids {
+		noted[id] = until
+	}
+}
+
+// Phase says how near an engine is to loading weights.
+type Phase string
+
+const (
+	// PhaseLoading says that an engine was ordered to load: until it has, it refuses what
+	// it is sent.
+	PhaseLoading Phase = "Loading"
+	// PhaseNext says that an engine will be ordered soon: what it is sent holds that up.
+	PhaseNext Phase = "Next"
+)
+
+// Phases returns the engines that load now or will soon.
+func (r *Renewer) Phases(now time.Time) map[string]Phase {
+	out := make(map[string]Phase)
+	add := func(noted map[string]time.Time, phase Phase) {
+		for id, until := range noted {
+			if now.Before(until) {
+				out[id] = phase
+			}
 		}
-		out[id] = true
 	}
+	add(r.soon, PhaseNext)
+	for _, id := range r.next {
+		out[id] = PhaseNext
+	}
+	add(r.loading, PhaseLoading)
 	for id, j := range r.jobs {
 		if j.loading {
-			out[id] = true
+			out[id] = PhaseLoading
 		}
 	}
-	for _, id := range r.next {
-		out[id] = true
-	}
 	return out
 }
--- /dev/null
+++ b/renewer/status_test.go
@@ -0,0 +1,26 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package renewer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPhases: the holder's newest word on what loads replaces the one before, so that a
+// renewed engine gets work at once, and counts for a while only.
+func TestPhases(t *testing.T) {
+	r := New(Options{Host: "a"})
+	now := time.Unix(1000, 0)
+	r.Heard(now, &Status{Holding: true, Loading: []string{"e1", "e2"}, Next: []string{"e3"}})
+	assert.DeepEqual(t, r.Phases(now), map[string]Phase{"e1": PhaseLoading, "e2": PhaseLoading, "e3": PhaseNext})
+	now = now.Add(100 * time.Millisecond)
+	r.Heard(now, &Status{Holding: true, Loading: []string{"e2", "e3"}})
+	assert.DeepEqual(t, r.Phases(now), map[string]Phase{"e2": PhaseLoading, "e3": PhaseLoading})
+	r.Heard(now, &Status{Loading: []string{"e4"}}) // of a host that gives no orders
+	assert.Equal(t, len(r.Phases(now)), 2)
+	assert.Equal(t, len(r.Phases(now.Add(2*statusLife))), 0)
+}
