Hand namings of weights over to hosts that start

Change: who greets a host tells when which versions were named. follower.TestRecalledNamings failed before (there was nothing to recall).

--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -56,7 +56,7 @@
 	n.lastFull[host] = now
 	n.send(host, &messenger.Message{Full: true, Digest: n.hosts.Digest(), Hosts: n.hosts.All()})
 	if tracker.Place(n.hosts.Live(), n.opts.Self.Host, "teller/"+host) == 0 {
-		n.send(host, &messenger.Message{Report: &placer.Report{Placed: n.opts.Kept()}, Stores: n.opts.Stores()})
+		n.send(host, &messenger.Message{Report: &placer.Report{Placed: n.opts.Kept()}, Stores: n.opts.Stores(), Namings: n.state.Namings(now)})
 	}
 }
 
@@ -75,6 +75,9 @@
 	n.tellSuspect(ev.From)
 	n.answerWants(now, ev.From, m.Wants)
 	n.hear(now, m.News)
+	if len(m.Namings) > 0 {
+		n.viewDirty = n.state.Recall(now, m.Namings) || n.viewDirty
+	}
 	n.compare(now, ev.From, m.Offsets)
 	if m.Renewal != nil {
 		n.renewer.Heard(now, m.Renewal)
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -159,18 +159,18 @@
 	NoteListingApplied NoteKind = logger.ListingApplied
 )
 
-func (Send) action()         {}
-func (Spread) action()       {}
-func (TakeStore) action()    {}
-func (Read) action()         {}
-func (PublishView) action()  {}
-func (PublishHosts) action() {}
-func (TakeReport) action()   {}
-func (Renew) action()        {}
-func (Current) action()      {}
+func (Send) action()          {}
+func (Spread) action()        {}
+func (TakeStore) action()     {}
+func (Read) action()          {}
+func (PublishView) action()   {}
+func (PublishHosts) action()  {}
+func (TakeReport) action()    {}
+func (Renew) action()         {}
+func (Current) action()       {}
 func (PublishPhases) action() {}
-func (PublishCell) action()  {}
-func (Note) action()         {}
+func (PublishCell) action()   {}
+func (Note) action()          {}
 
 // Decoder reads what a record says.
 type Decoder interface {
@@ -197,7 +197,7 @@
 	actions []Action
 
 	renewer    *renewer.Renewer
-	view       *follower.View // view is the one published last.
+	view       *follower.View           // view is the one published last.
 	phases     map[string]renewer.Phase // phases are those published last.
 	viewDirty  bool
 	hostsDirty bool
--- a/follower/state.go
+++ b/follower/state.go
@@ -20,7 +20,8 @@
 type State struct {
 	table     *matcher.Table
 	named     map[string]Named
-	current   time.Time // current is up to when the operators' feed is known.
+	recalled  map[string][]Named // recalled are namings that other hosts remember, by model.
+	current   time.Time          // current is up to when the operators' feed is known.
 	upstreams map[string]*entry
 	listed    bool      // listed tells that a whole listing of the upstreams was taken in.
 	away      bool      // away tells that the store's last answer was a failure.
@@ -36,7 +37,7 @@
 
 // New returns a state that knows nothing.
 func New() *State {
-	return &State{named: make(map[string]Named), upstreams: make(map[string]*entry)}
+	return &State{named: make(map[string]Named), recalled: make(map[string][]Named), upstreams: make(map[string]*entry)}
 }
 
 // Answered tells that the store has answered this host or another.
@@ -65,7 +66,8 @@
 		if s.named[c.Weights.Model].Version >= c.Weights.Version {
 			return false
 		}
-		s.named[c.Weights.Model] = s.named[c.Weights.Model].then(Named{Version: c.Weights.Version, Since: now, Earliest: s.current})
+		next := s.named[c.Weights.Model].then(Named{Version: c.Weights.Version, Since: now, Earliest: s.current})
+		s.named[c.Weights.Model] = next.recalling(s.recalled[c.Weights.Model])
 		return true
 	case c.Upstream != nil:
 		return s.put(*c.Upstream, offset)
@@ -94,6 +96,37 @@
 	return !same
 }
 
+// Namings returns what this host remembers of namings, the earlier ones too.
+func (s *State) Namings(now time.Time) []Naming {
+	var out []Naming
+	for model, n := range s.named {
+		for _, b := range append(slices.Clone(n.before), n) {
+			out = append(out, Naming{Model: model, Version: b.Version, Age: now.Sub(b.Since)})
+		}
+	}
+	return out
+}
+
+// Recall takes in what another host remembers of namings. A host that has just started
+// would else take an engine for freshly replaced whose weights were replaced long before.
+// It reports whether that changes the view.
+func (s *State) Recall(now time.Time, told []Naming) bool {
+	for _, t := range told {
+		s.recalled[t.Model] = append(s.recalled[t.Model], Named{Version: t.Version, Since: now.Add(-t.Age)})
+	}
+	for _, t := range told {
+		if n, ok := s.named[t.Model]; ok {
+			s.named[t.Model] = n.recalling(s.recalled[t.Model])
+		}
+	}
+	for model, n := range s.named {
+		if n.Version > 0 {
+			delete(s.recalled, model) // it is part of what is known now
+		}
+	}
+	return len(told) > 0
+}
+
 // Current tells up to when the operators' feed is known. It never goes back.
 func (s *State) Current(at time.Time) {
 	if at.After(s.current) {
--- a/follower/state_test.go
+++ b/follower/state_test.go
@@ -148,3 +148,30 @@
 	assert.Equal(t, named.InForceUntil(3), now)
 	assert.Equal(t, named.InForceUntil(4), now.Add(9*time.Second))
 }
+
+// TestRecalledNamings: a host that starts anew learns from others since when weights are
+// replaced, before or after it has read the newest version itself.
+func TestRecalledNamings(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	other := New()
+	for i, v := range []uint64{2, 3, 4} {
+		other.Apply(ago(time.Duration(20-9*i)*time.Second), Change{Weights: &Weights{Model: "m", Version: v}}, int64(i))
+	}
+	told := other.Namings(now)
+	newest := Change{Weights: &Weights{Model: "m", Version: 4}}
+	for name, learn := range map[string]func(s *State){
+		"told first": func(s *State) { s.Recall(now, told); s.Apply(now, newest, 2) },
+		"read first": func(s *State) { s.Apply(now, newest, 2); s.Recall(now, told) },
+		"told twice": func(s *State) { s.Recall(now, told); s.Apply(now, newest, 2); s.Recall(now, told) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			learn(s)
+			named := s.View().Named["m"]
+			assert.Equal(t, named.Version, uint64(4))
+			assert.Equal(t, named.Replaced(2), ago(11*time.Second))
+			assert.Equal(t, named.Replaced(3), ago(2*time.Second))
+		})
+	}
+}
--- a/follower/types.go
+++ b/follower/types.go
@@ -4,6 +4,7 @@
 package follower
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -101,6 +102,42 @@
 	return next
 }
 
+// recalling returns n with what another host remembers of earlier namings: that host may
+// have heard sooner, or of versions that were replaced before this one started.
+func (n Named) recalling(told []Named) Named {
+	all := append(slices.Clone(n.before), Named{Version: n.Version, Since: n.Since, Earliest: n.Earliest})
+	for _, t := range told {
+		i := slices.IndexFunc(all, func(o Named) bool { return o.Version == t.Version })
+		switch {
+		case i >= 0:
+			all[i].Since = earlier(all[i].Since, t.Since)
+		case t.Version < n.Version:
+			all = append(all, Named{Version: t.Version, Since: t.Since})
+		}
+	}
+	slices.SortFunc(all, func(a, b Named) int { return cmp.Compare(a.Version, b.Version) })
+	last := all[len(all)-1]
+	last.before = all[:len(all)-1]
+	if over := len(last.before) - keptNamings; over > 0 {
+		last.before = last.before[over:]
+	}
+	return last
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Naming is what one host remembers of a naming, for another.
+type Naming struct {
+	Model   string        `cbor:"1,keyasint"`
+	Version uint64        `cbor:"2,keyasint"`
+	Age     time.Duration `cbor:"3,keyasint"` // Age is how long ago the host heard of it.
+}
+
 // after returns the first naming later than a version.
 func (n Named) after(version uint64) Named {
 	for _, b := range n.before {
