Let hosts take turns at the room of an engine

Change: hosts tell how many requests wait with them. Where an engine has no room for one request of each of them, they use it one after another, in the order of their ranks for that engine, 6 ms apart. placer.TestTurns counts 4 instead of 1 without.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -124,6 +124,8 @@
 		budget:  retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
 	h.placer = placer.New(placer.Options{
+		Host:             s.Host,
+		Waiting:          func() int { return h.exchanger.Waiting() },
 		AvailabilityZone: s.AvailabilityZone,
 		Seed:             uint64(opts.Timer.Now().UnixNano()),
 		WeightsWithin:    s.Platform.WeightsWithin.Std(),
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -31,10 +31,13 @@
 		return true
 	}
 	work := t.work()
+	memory, backlog := t.engine.CapacityTokens, backlogTokens
+	if !p.myTurn(t, ask, memory-work.Memory) {
+		return false
+	}
 	if work.Requests == 0 {
 		return true // also for what is larger than it can hold: it says so itself
 	}
-	memory, backlog := t.engine.CapacityTokens, backlogTokens
 	if p.blind(t) {
 		memory = int(blindShare * float64(memory))
 		backlog = int(blindShare * float64(backlog))
@@ -42,6 +45,28 @@
 	return work.Memory+ask.size <= memory && work.Pending <= backlog && work.Requests < t.engine.Slots
 }
 
+// turnStep is the time in which one host after another may use the room of an engine for
+// which several have requests waiting: a host's word on a long prompt is with the others
+// within 5 ms. All hear of new room at the same moment; without turns six hosts gave an
+// engine with room for 20,000 tokens 84,000 within 1.2 ms, and it took 3.5 s to begin them.
+const turnStep = 6 * time.Millisecond
+
+// myTurn tells whether this host may use an engine's room now: at once if there is enough
+// for all that have requests waiting, else in the order of their ranks for the engine.
+func (p *Placer) myTurn(t *target, ask *Ask, room int) bool {
+	if room >= ask.size*(len(p.contend)+1) {
+		return true
+	}
+	own := rendezvous(PartKey(p.host), t.hash)
+	place := 0
+	for _, h := range p.contend {
+		if rendezvous(PartKey(h), t.hash) > own {
+			place++
+		}
+	}
+	return ask.now.Sub(t.eased) >= time.Duration(place)*turnStep
+}
+
 // blind tells that others send to an engine what this host hears of late and as a sum.
 func (p *Placer) blind(t *target) bool {
 	service := t.upstream.Service
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -64,3 +64,52 @@
 	last.Ticket.Done(start.Add(2*time.Second), ResultServed)
 	assert.Equal(t, eased, before+2)
 }
+
+// TestTurns: where several hosts have requests waiting for the room of one engine, one
+// after another takes it, each after the word of the one before; without anybody waiting
+// elsewhere nobody holds back.
+func TestTurns(t *testing.T) {
+	hosts := []string{"a", "b", "c", "d"}
+	placers := make(map[string]*Placer)
+	for _, h := range hosts {
+		p := New(Options{Host: h, Waiting: func() int { return 1 }})
+		p.Update(testView(1, 1))
+		placers[h] = p
+	}
+	full := map[string]Work{"e0": {Requests: 4, Memory: 59000}}
+	room := map[string]Work{"e0": {Requests: 2, Memory: 30000}} // for one more request
+	for _, p := range placers {
+		for _, h := range hosts {
+			if p.opts.Host != h {
+				p.Heard(start, h, Report{Work: map[string]Work{}, Waiting: 1})
+			}
+		}
+		p.Heard(start, "x", Report{Work: full})
+		p.Heard(start.Add(time.Second), "x", Report{Work: room})
+	}
+	chosen := 0
+	for at := time.Duration(0); at < 50*time.Millisecond; at += turnStep {
+		now := start.Add(time.Second + at)
+		for _, p := range placers {
+			if _, verdict := p.Choose(now, askFor("x", "own")); verdict == Chosen {
+				chosen++
+			}
+		}
+		for _, h := range hosts { // each has heard of the others before the next turn
+			r := placers[h].Report()
+			for _, p := range placers {
+				if p.opts.Host != h {
+					p.Heard(now, h, r)
+				}
+			}
+		}
+	}
+	assert.Equal(t, chosen, 1)
+
+	alone := New(Options{Host: "d"})
+	alone.Update(testView(1, 1))
+	alone.Heard(start, "x", Report{Work: full})
+	alone.Heard(start.Add(time.Second), "x", Report{Work: room})
+	_, verdict := alone.Choose(start.Add(time.Second), askFor("x", "own"))
+	assert.Equal(t, verdict, Chosen)
+}
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -3,7 +3,11 @@
 
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Bounds of what hosts tell each other.
 const (
@@ -31,6 +35,7 @@
 	Stores map[string]Work `cbor:"3,keyasint,omitempty"`
 	// Transfers were timed since the last report.
 	Transfers []Transfer `cbor:"4,keyasint,omitempty"`
+	Waiting   int        `cbor:"5,keyasint,omitempty"` // Waiting are requests that wait at the host.
 }
 
 // Add adds the work of another report.
@@ -59,6 +64,9 @@
 	defer p.mu.Unlock()
 	r := Report{Work: make(map[string]Work), Stores: make(map[string]Work), Placed: p.placed, Transfers: p.transfers}
 	p.placed, p.transfers = nil, nil
+	if p.opts.Waiting != nil {
+		r.Waiting = p.opts.Waiting()
+	}
 	for address, st := range p.stores {
 		if st.own.Requests > 0 {
 			r.Stores[address] = st.own
@@ -91,8 +99,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r.Work != nil { // a report of what is kept only says nothing of work
-		p.peers[host] = peerWork{at: now, work: r.Work, stores: r.Stores}
-		p.sumPeers()
+		p.peers[host] = peerWork{at: now, waiting: r.Waiting, work: r.Work, stores: r.Stores}
+		p.heard = now
+		p.sumPeers(now)
 		p.eased()
 	}
 	for _, tr := range r.Transfers {
@@ -116,7 +125,7 @@
 			delete(p.peers, host)
 		}
 	}
-	p.sumPeers()
+	p.sumPeers(now)
 }
 
 // peersAge is the age of the oldest word that counts.
@@ -128,14 +137,19 @@
 	return oldest
 }
 
-func (p *Placer) sumPeers() {
+// sumPeers adds up what other hosts have said.
+func (p *Placer) sumPeers(now time.Time) {
 	for _, t := range p.targets {
-		t.peers = Work{}
+		t.before, t.peers = t.peers, Work{}
 	}
 	for _, st := range p.stores {
 		st.peers = Work{}
 	}
-	for _, w := range p.peers {
+	p.contend = p.contend[:0]
+	for host, w := range p.peers {
+		if w.waiting > 0 {
+			p.contend = append(p.contend, xxhash.Sum64String(host))
+		}
 		for address, work := range w.stores {
 			if st := p.stores[address]; st != nil {
 				st.peers.add(work)
@@ -147,4 +161,9 @@
 			}
 		}
 	}
+	for _, t := range p.targets {
+		if t.peers.Memory < t.before.Memory || t.peers.Pending < t.before.Pending {
+			t.eased = now
+		}
+	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -16,6 +16,9 @@
 
 // Options set up a Placer.
 type Options struct {
+	Host string // Host is this host's name.
+	// Waiting returns how many requests wait here for an upstream; nil counts as none.
+	Waiting          func() int
 	AvailabilityZone string // AvailabilityZone is this host's.
 	// WeightsWithin is the time in which the operators want no request to begin on
 	// replaced weights any more; 10 s if it is not set.
@@ -54,20 +57,25 @@
 	transfers []Transfer        // transfers wait to be told to other hosts.
 	placed    []Placement       // placed waits to be told to other hosts.
 	named     map[string]follower.Named
+	host      uint64    // host is a hash of this host's name.
+	contend   []uint64  // contend has a hash of each other host at which requests wait.
+	heard     time.Time // heard is when another host was heard last.
 	watched   time.Time // watched is when Watch last looked.
 }
 
 // peerWork is what another host said last.
 type peerWork struct {
-	at     time.Time
-	work   map[string]Work
-	stores map[string]Work
+	at      time.Time
+	waiting int
+	work    map[string]Work
+	stores  map[string]Work
 }
 
 // New returns a placer that knows no upstream.
 func New(opts Options) *Placer {
 	return &Placer{
 		opts:    opts,
+		host:    xxhash.Sum64String(opts.Host),
 		rng:     rand.New(rand.NewPCG(opts.Seed, 1)),
 		targets: make(map[string]*target),
 		pools:   make(map[string][]*target),
@@ -88,7 +96,7 @@
 	for _, u := range view.Upstreams {
 		t := before[u.ID]
 		if t == nil {
-			t = &target{tickets: make(map[*Ticket]struct{}), hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
+			t = &target{eased: p.heard, tickets: make(map[*Ticket]struct{}), hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
 		}
 		t.upstream = u
 		if view.Table != nil {
@@ -102,7 +110,7 @@
 		}
 	}
 	p.divide()
-	p.sumPeers()
+	p.sumPeers(p.heard)
 	p.updateStores(view)
 	p.eased()
 }
--- a/placer/target.go
+++ b/placer/target.go
@@ -40,10 +40,12 @@
 
 	own     Work
 	peers   Work
+	before  Work          // before is what peers was before the last word of another host.
 	failing float64       // failing is the recent share of requests that failed.
 	hold    time.Duration // hold is how long a request of a plain service takes, smoothed.
 
 	tickets      map[*Ticket]struct{} // tickets are this host's requests under way.
+	eased        time.Time            // eased is when it last had more room than before.
 	sign         time.Time            // sign is the last sign of life.
 	suspectUntil time.Time
 	pause        time.Duration
--- a/placer/ticket.go
+++ b/placer/ticket.go
@@ -49,6 +49,7 @@
 	if tk.work.Pending >= urgentTokens && tk.placer.opts.Urgent != nil {
 		tk.placer.opts.Urgent()
 	}
+	tk.target.eased = now
 	tk.target.own.Pending -= tk.work.Pending
 	tk.work.Pending = 0
 	tk.placer.timed(now, tk)
@@ -87,6 +88,7 @@
 		t.sign = now
 	}
 	t.own.sub(tk.work)
+	t.eased = now
 	switch result {
 	case ResultServed:
 		t.succeeded(now.Sub(tk.start))
