Refuse prompts that no engine can hold at once

Cause: a prompt larger than any engine's memory waited until its time was over while engines were busy. A workspace's own rank changed the weight of its whole route in the queue.

--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -27,8 +27,8 @@
 	tried  []string
 	held   *held  // held is an answer that is passed on if no better one comes.
 	stream *relay // stream is what the caller has of a stream.
-	// overloaded tells that no upstream could begin the request in its time.
-	overloaded bool
+	// unplaced says why no upstream was chosen; ReasonNone if the endings of attempts do.
+	unplaced Reason
 }
 
 // dispatch makes attempts and gives the final answer if none of them did.
@@ -56,6 +56,10 @@
 	if ask.Prompt != nil {
 		ask.SaltOf = d.salt
 	}
+	if ask.Prompt != nil && !d.opts.Placer.Fits(d.service, ask.Prompt) {
+		d.unplaced = ReasonTooLarge
+		return placer.Choice{}, false
+	}
 	var choice placer.Choice
 	verdict := placer.Busy
 	item := d.item(ask)
@@ -69,7 +73,7 @@
 	case scheduler.Granted:
 		d.gate.Started()
 	case scheduler.TooLate:
-		d.overloaded = true
+		d.unplaced = ReasonOverloaded
 	}
 	return choice, verdict == placer.Chosen
 }
@@ -170,8 +174,10 @@
 	case ending == dispatcher.CallerGone:
 		d.outcome.Reason = ReasonCallerGone
 		d.responder.Abort()
-	case tries.Ran() == forwarder.RanNo && d.overloaded:
-		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retryFull})
+	case tries.Ran() == forwarder.RanNo && d.unplaced == ReasonTooLarge:
+		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.unplaced}) // it would be no smaller later
+	case tries.Ran() == forwarder.RanNo && d.unplaced != ReasonNone:
+		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.unplaced, RetryAfter: retryFull})
 	case tries.Ran() == forwarder.RanNo:
 		d.refuse(notRun(ending, tries))
 	case ending == dispatcher.Deadline:
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -41,6 +41,7 @@
 	ReasonNoUpstream  Reason = "NoUpstream"  // ReasonNoUpstream says that no upstream takes new work.
 	ReasonFull        Reason = "Full"        // ReasonFull says that the upstreams refused.
 	ReasonOverloaded  Reason = "Overloaded"  // ReasonOverloaded says that no upstream could begin the request in its time.
+	ReasonTooLarge    Reason = "TooLarge"    // ReasonTooLarge says that the prompt is larger than any engine's memory.
 	ReasonUnreached   Reason = "Unreached"   // ReasonUnreached says that no upstream could be reached.
 	ReasonUnknown     Reason = "Unknown"     // ReasonUnknown says that the request may have run without an answer.
 	ReasonDeadline    Reason = "Deadline"    // ReasonDeadline says that the caller's or the route's time is over.
--- a/exchanger/waiting.go
+++ b/exchanger/waiting.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"amaranthgate.example/amaranthgate/placer"
@@ -19,7 +20,7 @@
 // item is the request as it waits.
 func (e *exchange) item(ask *placer.Ask) *scheduler.Item {
 	it := &scheduler.Item{
-		Class:           e.route.Name,
+		Class:           strconv.Itoa(e.rank()) + "/" + e.route.Name, // a workspace's rank goes before the route's
 		ClassWeight:     math.Pow(rankFactor, -float64(e.rank())),
 		Rank:            e.rank(),
 		WorkspaceWeight: 1,
--- a/exchanger/waiting_test.go
+++ b/exchanger/waiting_test.go
@@ -139,6 +139,22 @@
 	}
 }
 
+// TestTooLarge: a prompt that no engine could ever hold is refused at once, with no time to
+// come back.
+func TestTooLarge(t *testing.T) {
+	h := newWaitingHost(t, 0)
+	caller := &recorder{}
+	o := h.Handle(t.Context(), &Request{
+		ID: "2", Start: time.Now(), Host: "h", Path: "/r/x", Key: "key",
+		Prompt: &placer.Prompt{Model: "m", Parts: []placer.Part{{ID: "a", Tokens: 900}, {ID: "b", Tokens: 200}}},
+	}, caller)
+	assert.Equal(t, o.Reason, ReasonTooLarge)
+	assert.Equal(t, caller.status, 503)
+	assert.Equal(t, caller.retry, time.Duration(0))
+	h.leave()
+	close(h.sender.let)
+}
+
 // silentSender lets the first upstreams be silent and answers at the next.
 type silentSender struct {
 	sent   atomic.Int32
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -104,6 +104,7 @@
 	"NoKey":       "no workspace holds the key that was sent",
 	"NoUpstream":  "no upstream of the service took new work; the request has not run",
 	"Overloaded":  "no upstream could begin the request in its time; it waited at the host and has not run",
+	"TooLarge":    "the prompt is larger than the memory of any engine; the request has not run",
 	"Full":        "every upstream that was asked refused; the request has not run",
 	"Unreached":   "no connection to an upstream stood; the request has not run",
 	"Unknown":     "an upstream may have run the request, and gave no whole answer",
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	if work.Requests == 0 {
-		return true // also for what is larger than it can hold: it says so itself
+		return true // also for one whose output may not fit
 	}
 	if p.blind(t) {
 		memory = int(blindShare * float64(memory))
@@ -83,6 +83,20 @@
 	return len(pool) == 0
 }
 
+// Fits tells whether some engine of a service could hold a prompt. Without engines
+// nothing is known, and it does.
+func (p *Placer) Fits(service string, prompt *Prompt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.pools[service]
+	for _, t := range pool {
+		if t.engine == nil || prompt.Tokens() <= t.engine.CapacityTokens {
+			return true
+		}
+	}
+	return len(pool) == 0
+}
+
 // LeastTime is what a prompt takes to its first token at an idle engine that keeps all
 // of it that others may begin with.
 func LeastTime(prompt *Prompt) time.Duration {
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -18,6 +18,7 @@
 type admissionCase struct {
 	Name    string
 	Engines [][3]int // Engines has for each the requests, the tokens to be read and the memory.
+	Tokens  int      // Tokens is the length of the prompt; 0 for 16,800.
 	Resting bool     // Resting tells that the engines could not be reached lately.
 	Want    Verdict
 }
@@ -39,13 +40,23 @@
 				}
 			}
 			ask := askFor("x", "own")
-			ask.Prompt.Output = 20
+			if c.Tokens > 0 {
+				ask.Prompt.Parts[0].Tokens = c.Tokens - ask.Prompt.Parts[1].Tokens
+			}
 			_, verdict := p.Choose(start, ask)
 			assert.Equal(t, verdict, c.Want)
 		})
 	}
 }
 
+// TestFits: a prompt is too large if it is larger than every engine's memory.
+func TestFits(t *testing.T) {
+	p := testPlacer(testView(2, 1))
+	assert.Assert(t, p.Fits("engines", &Prompt{Parts: []Part{{"x", 50000}, {"y", 10000}}}))
+	assert.Assert(t, !p.Fits("engines", &Prompt{Parts: []Part{{"x", 50000}, {"y", 10001}}}))
+	assert.Assert(t, p.Fits("nobody", &Prompt{Parts: []Part{{"x", 99999}}}))
+}
+
 // TestEndsGiveRoom: each end of a request tells that there is room again.
 func TestEndsGiveRoom(t *testing.T) {
 	eased := 0
