--- a/follower/types.go
+++ b/follower/types.go
@@ -110,7 +110,7 @@
 		i := slices.IndexFunc(all, func(o Named) bool { return o.Version == t.Version })
 		switch {
 		case i >= 0:
-			all[i].Since = earlier(all[i].Since, t.Since)
+			all[i].Since = sooner(all[i].Since, t.Since)
 		case t.Version < n.Version:
 			all = append(all, Named{Version: t.Version, Since: t.Since})
 		}
@@ -124,7 +124,8 @@
 	return last
 }
 
-func earlier(a, b time.Time) time.Time {
+// sooner returns the first of two times.
+func sooner(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
 	}
--- a/placer/silence.go
+++ b/placer/silence.go
@@ -17,8 +17,8 @@
 	silenceGrace  = 500 * time.Millisecond
 	// silenceFetching is added where the upstream has to fetch first: a transfer behind
 	// others takes longer than estimated just when all is busy, and giving up requests
-	// then makes it worse. With 90 engines and a quarter of them gone, 36 in 1,000 short
-	// requests were given up at engines that were at work.
+	// then makes it worse. With 90 engines and a quarter of them gone, 176 of 17,455 short
+	// requests ended without an answer since their last engine was given up as silent.
 	silenceFetching = fetchTime / 2
 	// streamGap is expected at most between two signs of an upstream that streams.
 	streamGap = 200 * time.Millisecond
