Let few hosts of a large fleet serve, and the rest stand by

Those few can tell each other exactly what they have under way; the others need only configuration, upstreams and hosts to be ready.

Change: activator selects the active hosts of each availability zone from the live hosts and what the zone uses, a pure function that every host works out alike. The directory names active hosts, reports and news of stores go between them, duties and store reads are ranked among them. Standbys beat once a second. Entries of upstreams that say nothing new are passed on every 5 s. Membership caches what it works out.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -13,6 +13,7 @@
 	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/renewer"
+	"amaranthgate.example/amaranthgate/tracker"
 )
 
 // counters are the metrics of one host. Label values are from closed lists, so
@@ -26,7 +27,8 @@
 	c.set.NewGauge("amaranthgate_requests_open", func() float64 { return float64(h.open.Load()) })
 	c.set.NewGauge("amaranthgate_requests_waiting", func() float64 { return float64(h.exchanger.Waiting()) })
 	c.set.NewGauge("amaranthgate_ready", func() float64 { return boolean(h.Ready()) })
-	c.set.NewGauge("amaranthgate_hosts_live", func() float64 { return float64(len(live(*h.hosts.Load()))) })
+	c.set.NewGauge("amaranthgate_hosts_live", func() float64 { return float64(live(*h.hosts.Load())) })
+	c.set.NewGauge("amaranthgate_hosts_serving", func() float64 { return float64(len(h.serving.Load().Hosts())) })
 	c.set.NewGauge("amaranthgate_configuration_version", func() float64 {
 		if t := h.view.Load().Table; t != nil {
 			return float64(t.Version())
@@ -95,3 +97,14 @@
 	c.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// live counts the hosts that are there and not leaving.
+func live(hosts []tracker.HostRecord) int {
+	n := 0
+	for _, r := range hosts {
+		if r.State == tracker.HostLive {
+			n++
+		}
+	}
+	return n
+}
--- a/conductor/directory.go
+++ b/conductor/directory.go
@@ -9,33 +9,27 @@
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
-// live returns the names of the hosts that serve.
-func live(hosts []tracker.HostRecord) []string {
-	var out []string
-	for _, r := range hosts {
-		if r.State == tracker.HostLive {
-			out = append(out, r.Host)
-		}
-	}
-	return out
-}
-
 // nearEnough is the number of hosts in a caller's availability zone from which
 // only these are named: two, so that one may be lost between two questions.
 const nearEnough = 2
 
 // Addresses returns where callers of an availability zone may connect, and how
-// long they may keep the answer. Hosts that have not spoken since this one started are
+// long they may keep the answer. In a large fleet only hosts that serve are named, and
+// hosts that stand by where none of them is known to be there. Hosts that have not spoken since this one started are
 // left out: after a loss of all hosts they may start later, and a caller that tries one
 // without power loses up to a second.
 func (h *Host) Addresses(availabilityZone string) ([]string, time.Duration) {
-	var near, all []string
-	unheard := *h.unheard.Load()
+	var near, serving, all []string
+	unheard, selected := *h.unheard.Load(), h.serving.Load()
 	for _, r := range *h.hosts.Load() {
 		if r.State != tracker.HostLive || r.Callers == "" || unheard[r.Host] {
 			continue
 		}
 		all = append(all, r.Callers)
+		if !selected.All && !selected.Active[r.Host] {
+			continue
+		}
+		serving = append(serving, r.Callers)
 		if r.AvailabilityZone == availabilityZone {
 			near = append(near, r.Callers)
 		}
@@ -44,6 +38,8 @@
 	switch {
 	case len(near) >= nearEnough:
 		return near, ttl
+	case len(serving) > 0:
+		return serving, ttl
 	case len(all) == 0 && !h.leaving.Load():
 		return []string{advertised(h.opts.Settings.Callers)}, ttl
 	}
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -24,13 +24,21 @@
 	asked   time.Time // asked is when another host was asked last.
 	behind  time.Time // behind is since when another host knows more.
 	newest  map[string]follower.Record
+	told    map[string]time.Time // told is when the record of a key was last passed on.
 }
 
-func newFeed() *feed { return &feed{newest: make(map[string]follower.Record)} }
+// tellAgain is the time after which an upstream's entry that says nothing new is passed
+// on all the same. Upstreams write theirs every second or so: 165 upstreams made 137
+// records a second for every host to read.
+const tellAgain = 5 * time.Second
+
+func newFeed() *feed {
+	return &feed{newest: make(map[string]follower.Record), told: make(map[string]time.Time)}
+}
 
 // readFeed asks the store for more of a feed if that is this host's turn.
 func (n *Node) readFeed(now time.Time, name follower.Feed, f *feed) {
-	if f.reading || now.Before(f.again) {
+	if f.reading || now.Before(f.again) || !f.known && n.othersTell(now) {
 		return
 	}
 	r := Read{Feed: name, Full: !f.known, From: f.next}
@@ -48,13 +56,45 @@
 // reads all the time, the others when it has been silent for longer than a
 // question may wait.
 func (n *Node) turn(name follower.Feed) time.Duration {
-	place := max(0, tracker.Place(n.hosts.Live(), n.opts.Self.Host, "reader/"+string(name)))
+	t := n.paths()
+	if !t.ours {
+		return n.opts.Timing.Fresh + lastReader*n.opts.Timing.Step + t.spread()
+	}
+	place := max(0, tracker.Place(t.active, n.opts.Self.Host, "reader/"+string(name)))
 	if place == 0 {
 		return 0
 	}
-	return n.opts.Timing.Fresh + time.Duration(min(place, 6))*n.opts.Timing.Step
+	return n.opts.Timing.Fresh + time.Duration(min(place, lastReader))*n.opts.Timing.Step
+}
+
+const (
+	// lastReader is the rank from which all read a feed at the same age of what they
+	// know.
+	lastReader = 6
+	// standbySpread is the time over which hosts that stand by follow them, so that a
+	// fleet that is cut off does not ask all at once.
+	standbySpread = 400 * time.Millisecond
+	spreadPlaces  = 64
+)
+
+// spread is a part of standbySpread that differs between hosts.
+func (t *tree) spread() time.Duration {
+	return standbySpread * time.Duration(t.standby%spreadPlaces) / spreadPlaces
 }
 
+// othersTell tells that a host that has just started can expect to hear from others
+// what the store has: 295 hosts that start at once would ask for it 590 times.
+func (n *Node) othersTell(now time.Time) bool {
+	if n.found.IsZero() {
+		return now.Sub(n.first) < findTime
+	}
+	t := n.paths()
+	return !t.ours && now.Sub(n.found) < n.opts.Timing.StandbyStart+t.spread()
+}
+
+// findTime is how long a host that starts waits for the list of the others.
+const findTime = 100 * time.Millisecond
+
 func (n *Node) feedRead(now time.Time, ev FeedRead) {
 	f := n.feeds[ev.News.Feed]
 	f.reading = false
@@ -68,15 +108,23 @@
 	f.failing = false
 	n.state.Answered(now)
 	asOf := covered(now, ev)
-	n.take(now, ev.News, asOf)
-	f.again = now.Add(n.opts.Timing.Gather)
+	told := n.take(now, ev.News, asOf)
+	f.again = now.Add(n.gatherTime())
 	if !ev.News.Full {
 		news := ev.News
 		news.Age = now.Sub(asOf)
+		news.Records = told
 		n.broadcast(&messenger.Message{News: []follower.News{news}})
 	}
 }
 
+func (n *Node) gatherTime() time.Duration {
+	if n.paths().small {
+		return n.opts.Timing.Gather
+	}
+	return n.opts.Timing.GatherMany
+}
+
 // covered is the time up to which an answer says all. An answer that came after
 // the whole wait says that there was no record until the store gave up waiting.
 func covered(now time.Time, ev FeedRead) time.Time {
@@ -96,18 +144,31 @@
 		n.do(Note{What: NoteStoreLost, Feed: ev.News.Feed, Age: now.Sub(f.fresh), Err: ev.Err})
 	}
 	f.failing = true
-	f.again = now.Add(n.opts.Timing.Again)
+	f.again = now.Add(n.againTime())
 	n.state.Failed()
 }
 
+// standbyAgain is how many times longer a host that stands by waits before it asks a
+// store that failed once more: whichever host is answered first tells all.
+const standbyAgain = 8
+
+func (n *Node) againTime() time.Duration {
+	if n.paths().ours {
+		return n.opts.Timing.Again
+	}
+	return standbyAgain * n.opts.Timing.Again
+}
+
 // take applies a page and remembers the newest record of each key.
-func (n *Node) take(now time.Time, news follower.News, asOf time.Time) {
+func (n *Node) take(now time.Time, news follower.News, asOf time.Time) (told []follower.Record) {
 	f := n.feeds[news.Feed]
 	if !news.Full && (!f.known || news.From > f.next) {
-		return // a gap lies between what is known and this page
+		return nil // a gap lies between what is known and this page
 	}
 	for _, r := range news.Records {
-		n.apply(now, news.Feed, f, r)
+		if n.apply(now, news.Feed, f, r) {
+			told = append(told, r)
+		}
 	}
 	if news.Full {
 		n.takeListing(now, news, f)
@@ -122,6 +183,7 @@
 			n.do(Current{At: asOf})
 		}
 	}
+	return told
 }
 
 func (n *Node) takeListing(now time.Time, news follower.News, f *feed) {
@@ -142,24 +204,36 @@
 	n.viewDirty = n.state.Replace(now, listed, news.Next) || n.viewDirty
 }
 
-func (n *Node) apply(now time.Time, name follower.Feed, f *feed, r follower.Record) {
+func (n *Node) apply(now time.Time, name follower.Feed, f *feed, r follower.Record) (tell bool) {
 	if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
-		return
+		return false
 	}
 	change, err := n.opts.Decoder.Decode(name, r)
 	if err != nil {
 		n.do(Note{What: NoteUnreadable, Feed: name, Key: r.Key, Offset: r.Offset, Err: err})
-		return
+		return true
 	}
 	if len(r.Value) == 0 {
 		delete(f.newest, r.Key)
+		delete(f.told, r.Key)
 	} else {
 		f.newest[r.Key] = r
 	}
 	if n.state.Apply(now, change, r.Offset) {
 		n.do(Note{What: NoteRecord, Feed: name, Key: r.Key, Offset: r.Offset})
 		n.viewDirty = true
+		if len(r.Value) > 0 {
+			f.told[r.Key] = now
+		}
+		return true
+	}
+	if name == follower.FeedUpstreams && len(r.Value) > 0 && now.Sub(f.told[r.Key]) < tellAgain {
+		return false
 	}
+	if len(r.Value) > 0 {
+		f.told[r.Key] = now
+	}
+	return true
 }
 
 // offsets tells how far this host knows the feeds.
@@ -184,7 +258,8 @@
 		if f.behind.IsZero() {
 			f.behind = now
 		}
-		if now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.opts.Timing.Ask {
+		waits := f.known || n.paths().ours // a host that stands by asks nobody else
+		if waits && now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.opts.Timing.Ask {
 			continue
 		}
 		f.asked = now
@@ -195,8 +270,12 @@
 // wantOf names a feed in a question to another host.
 func wantOf(name follower.Feed) string { return "Feed/" + string(name) }
 
-// wantStores asks for all that a host knows of stores.
-const wantStores = "Stores"
+// wantStores asks for all that a host knows of stores, wantKept for all that it knows of
+// kept context.
+const (
+	wantStores = "Stores"
+	wantKept   = "Kept"
+)
 
 func (n *Node) askStores(now time.Time, host string) {
 	if now.Sub(n.lastStores) < n.opts.Timing.Ask {
@@ -211,6 +290,9 @@
 	if slices.Contains(wants, wantStores) {
 		n.send(to, &messenger.Message{Stores: n.opts.Stores()})
 	}
+	if slices.Contains(wants, wantKept) {
+		n.send(to, n.kept())
+	}
 	for name, f := range n.feeds {
 		if !f.known || !slices.Contains(wants, wantOf(name)) {
 			continue
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"amaranthgate.example/amaranthgate/activator"
 	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/forwarder"
@@ -91,6 +92,8 @@
 
 	view    atomic.Pointer[follower.View]
 	hosts   atomic.Pointer[[]tracker.HostRecord]
+	serving atomic.Pointer[activator.Selection] // serving is which hosts serve callers.
+	use     meter
 	unheard atomic.Pointer[map[string]bool] // unheard are hosts that may not be there.
 	reports int                             // reports counts the ticks of reports.
 	urgent  chan struct{}                   // urgent asks for a report at once.
@@ -138,6 +141,7 @@
 		State:            tracker.HostLive,
 		AvailabilityZone: s.AvailabilityZone,
 		LinkMbps:         s.Platform.LinkMbps,
+		Cores:            s.Platform.Cores,
 		Peers:            advertised(s.Peers),
 		Callers:          advertised(s.Callers),
 	}
@@ -161,6 +165,8 @@
 	h.view.Store(&follower.View{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
 	h.unheard.Store(&map[string]bool{})
+	alone := activator.Select([]tracker.HostRecord{self}, nil)
+	h.serving.Store(&alone)
 	h.exchanger = exchanger.New(exchanger.Options{
 		Beliefs: &h.view,
 		Placer:  h.placer,
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -15,7 +15,9 @@
 // greetInterval is the least time between two whole host lists to one host.
 const greetInterval = time.Second
 
-// beat sends heartbeats and looks for silent hosts.
+// beat sends heartbeats and looks for silent hosts. Hosts that share the work of callers
+// hear each other at short intervals, by heartbeats or by reports of work; all others by
+// heartbeats at longer ones.
 func (n *Node) beat(now time.Time) {
 	if now.Sub(n.lastBeat) < n.opts.Timing.Beat {
 		return
@@ -23,9 +25,43 @@
 	n.lastBeat = now
 	if news := n.hosts.Tick(now); len(news) > 0 {
 		n.noteHosts(news)
-		n.spread("", &messenger.Message{Hosts: news})
+		n.spreadHosts("", news)
+	}
+	prompt, slow := n.byPace()
+	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.offsets()}
+	if now.Sub(n.lastSlow) >= n.opts.Timing.BeatStandby {
+		n.lastSlow = now
+		n.sendAll(prompt, "", m)
+		n.sendAll(slow, "", m)
+	} else if now.Sub(n.lastTold) >= n.opts.Timing.Beat {
+		n.sendAll(prompt, "", m)
+	}
+	if t := n.paths(); !t.small && t.relaying(n.opts.Self.Host) && now.Sub(n.lastPaged) >= relaySilence {
+		n.lastPaged = now
+		n.sendAll(t.members, "", &messenger.Message{Offsets: m.Offsets})
 	}
-	n.spread("", &messenger.Message{Digest: n.hosts.Digest()})
+}
+
+// relaySilence is how long a relay may tell its zone nothing. It is under the silence
+// after which what it passes on would be taken for old.
+const relaySilence = delayGap - 2*delayDoubt/3
+
+// byPace divides the neighbours into those that expect to hear from this host at short
+// intervals and the others.
+func (n *Node) byPace() (prompt, slow []string) {
+	for _, h := range n.hosts.Neighbours() {
+		if n.hosts.Prompt(h) {
+			prompt = append(prompt, h)
+		} else {
+			slow = append(slow, h)
+		}
+	}
+	return prompt, slow
+}
+
+// spreadHosts passes news of hosts on to all neighbours but one.
+func (n *Node) spreadHosts(except string, news []tracker.HostRecord) {
+	n.spread(except, &messenger.Message{Hosts: news})
 }
 
 // spread sends a message to all neighbours but one.
@@ -54,12 +90,18 @@
 // greet sends all that is known of hosts.
 func (n *Node) greet(now time.Time, host string) {
 	n.lastFull[host] = now
-	n.send(host, &messenger.Message{Full: true, Digest: n.hosts.Digest(), Hosts: n.hosts.All()})
-	if tracker.Place(n.hosts.Live(), n.opts.Self.Host, "teller/"+host) == 0 {
-		n.send(host, &messenger.Message{Report: &placer.Report{Placed: n.opts.Kept()}, Stores: n.opts.Stores(), Namings: n.state.Namings(now)})
+	n.send(host, &messenger.Message{Full: true, Digest: n.hosts.Digest(), Hosts: n.hosts.All(), Namings: n.state.Namings(now), Offsets: n.offsets()})
+	t := n.paths()
+	if slices.Contains(t.active, host) && tracker.Place(t.active, n.opts.Self.Host, "teller/"+host) == 0 {
+		n.send(host, n.kept())
 	}
 }
 
+// kept is what this host knows of kept context.
+func (n *Node) kept() *messenger.Message {
+	return &messenger.Message{Report: &placer.Report{Placed: n.opts.Kept()}, Stores: n.opts.Stores()}
+}
+
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
 	m := ev.Message
 	n.hostsDirty = n.hosts.Heard(now, ev.From) || n.hostsDirty
@@ -113,7 +155,7 @@
 	}
 	if len(news) > 0 {
 		n.noteHosts(news)
-		n.spread(from, &messenger.Message{Hosts: news})
+		n.spreadHosts(from, news)
 	}
 }
 
@@ -129,6 +171,6 @@
 	self, changed := n.hosts.Say(func(r *tracker.HostRecord) { r.State = tracker.HostLeaving })
 	if changed {
 		n.noteHosts([]tracker.HostRecord{self})
-		n.spread("", &messenger.Message{Hosts: []tracker.HostRecord{self}})
+		n.spreadHosts("", []tracker.HostRecord{self})
 	}
 }
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -40,9 +40,9 @@
 		return
 	}
 	wanted := make(map[string]bool)
-	names := live(*h.hosts.Load())
+	names := h.serving.Load().Hosts()
 	for _, s := range view.Table.Services() {
-		if s.Store == nil || tracker.Place(names, h.opts.Settings.Host, "store/"+s.Store.Address) > 0 {
+		if s.Store == nil || tracker.Place(names, h.opts.Settings.Host, "store/"+s.Store.Address) != 0 {
 			continue
 		}
 		address := s.Store.Address
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -4,6 +4,7 @@
 package conductor
 
 import (
+	"math"
 	"time"
 
 	"amaranthgate.example/amaranthgate/follower"
@@ -19,11 +20,11 @@
 func (h *Host) report(now time.Time) {
 	h.placer.Watch(now)
 	h.reports++
-	if len(*h.hosts.Load()) > fullMesh && h.reports%manyPause != 0 {
+	if !h.serving.Load().All && h.reports%manyPause != 0 {
 		return
 	}
 	h.placer.Forget(now)
-	h.post(WorkReported{Report: h.placer.Report()})
+	h.post(WorkReported{Report: h.placer.Report(), Use: h.use.cores(now)})
 }
 
 // ease asks to look whether upstreams can begin requests that wait here.
@@ -115,10 +116,11 @@
 		h.placer.Trust(a.At)
 		h.counters.feed(follower.FeedOperator, a.At)
 	case PublishHosts:
-		h.keeper.Store(tracker.Place(live(a.Hosts), h.opts.Settings.Host, "keeper") == 0)
+		h.keeper.Store(tracker.Place(a.Serving.Hosts(), h.opts.Settings.Host, "keeper") == 0)
 		h.hosts.Store(&a.Hosts)
 		h.unheard.Store(&a.Unheard)
-		h.budget.SetHosts(len(a.Hosts))
+		h.serving.Store(&a.Serving)
+		h.budget.SetHosts(h.sharers())
 		h.watchStores(h.view.Load())
 		h.bound(h.view.Load())
 	case TakeReport:
@@ -128,7 +130,7 @@
 	case PublishPhases:
 		h.placer.Renewing(a.Engines)
 	case PublishCell:
-		h.placer.SetCell(a.Own, a.Cells)
+		h.placer.SetCell(a.Own, a.Cells, a.Direct)
 	case Note:
 		h.note(a)
 	}
@@ -151,12 +153,30 @@
 // that a host that starts finds some free.
 const connectionShare = 0.8
 
+// activePart is the part of what hosts share that is for those that serve callers, in a
+// large fleet. The rest is for hosts that stand by: they may be called in before all
+// others know.
+const activePart = 0.75
+
+// sharers returns the number of equal parts of which this host may take one, of the
+// connections of upstreams and of retries.
+func (h *Host) sharers() int {
+	serving, hosts := h.serving.Load(), max(len(*h.hosts.Load()), 1)
+	if serving.All {
+		return hosts
+	}
+	if serving.Active[h.opts.Settings.Host] {
+		return int(math.Ceil(float64(len(serving.Active)) / activePart))
+	}
+	return int(math.Ceil(float64(hosts) / (1 - activePart)))
+}
+
 // bound divides each upstream's connections among the hosts.
 func (h *Host) bound(view *follower.View) {
 	if view.Table == nil {
 		return
 	}
-	hosts := max(len(*h.hosts.Load()), 1)
+	hosts := h.sharers()
 	known := make(map[string]bool, len(view.Upstreams))
 	for _, u := range view.Upstreams {
 		known[u.Address] = true
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"amaranthgate.example/amaranthgate/activator"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/messenger"
@@ -43,7 +44,8 @@
 // WorkReported is what this host has under way, for the others.
 type WorkReported struct {
 	Report placer.Report
-	Urgent bool // Urgent tells that it was made out of turn, for a long prompt.
+	Urgent bool    // Urgent tells that it was made out of turn, for a long prompt.
+	Use    float64 // Use is how many processor cores this host uses.
 }
 
 // RenewalEnd is the end of a renewer's command.
@@ -115,6 +117,7 @@
 type PublishHosts struct {
 	Hosts   []tracker.HostRecord
 	Unheard map[string]bool // Unheard are those that may not be there: only their announcements are known.
+	Serving activator.Selection
 }
 
 // TakeReport hands a report to placement, of another host or summed up.
@@ -129,8 +132,12 @@
 // Current says up to when the operators' feed is known.
 type Current struct{ At time.Time }
 
-// PublishCell says which cell of its zone this host is in, and how many there are.
-type PublishCell struct{ Own, Cells int }
+// PublishCell says which cell of its zone this host is in, how many there are, and
+// whether it hears of the work of all hosts directly.
+type PublishCell struct {
+	Own, Cells int
+	Direct     bool
+}
 
 // PublishPhases names engines that load weights or will soon.
 type PublishPhases struct{ Engines map[string]renewer.Phase }
@@ -201,8 +208,17 @@
 	phases     map[string]renewer.Phase // phases are those published last.
 	viewDirty  bool
 	hostsDirty bool
+	now        time.Time // now is the time of the event that is handled.
 	lastTick   time.Time
 	lastBeat   time.Time
+	lastSlow   time.Time // lastSlow is when hosts that stand by were beaten last.
+	lastTold   time.Time // lastTold is when the active hosts were last told of work.
+	lastPaged  time.Time // lastPaged is when this host last told its zone something as its relay.
+	lastHosts  time.Time // lastHosts is when the hosts were published last.
+	serves     bool      // serves tells that this host was last among the active ones of a large fleet.
+	quiet      bool      // quiet tells that this host's last report had no work.
+	found      time.Time // found is when other hosts were found first.
+	first      time.Time // first is the time of the first event.
 	lastFull   map[string]time.Time
 	delays     delays
 	tree       *tree // tree is nil when it must be worked out anew.
@@ -211,7 +227,9 @@
 	others     *placer.Report        // others gathers what other zones told once, for this zone.
 	sums       *placer.Report        // sums gathers what this zone's hosts told once, for the others.
 	lastSum    time.Time
-	began      time.Time // began is when this host first reported work to its zone.
+	began      time.Time // began is when this host first reported work to others.
+	uses       map[string]hostUse
+	gauge      activator.Gauge
 	lastStores time.Time // lastStores is when another host was asked for what it knows of stores.
 }
 
@@ -221,10 +239,10 @@
 		opts:  opts,
 		state: follower.New(),
 		hosts: tracker.NewHosts(opts.Self, tracker.HostOptions{
-			Suspect: opts.Timing.Suspect,
-			Forget:  opts.Timing.Forget,
-
-			FullMesh: fullMesh,
+			Suspect:        opts.Timing.Suspect,
+			SuspectStandby: opts.Timing.SuspectStandby,
+			Forget:         opts.Timing.Forget,
+			FullMesh:       activator.AllServe,
 		}),
 		feeds: map[follower.Feed]*feed{
 			follower.FeedOperator:  newFeed(),
@@ -238,12 +256,17 @@
 		zones:    make(map[string]zoneReport),
 		others:   &placer.Report{},
 		sums:     &placer.Report{},
+		uses:     make(map[string]hostUse),
 	}
 }
 
 // Handle takes an event in and returns what is to be done.
 func (n *Node) Handle(now time.Time, ev Event) []Action {
 	n.actions = nil
+	n.now = now
+	if n.first.IsZero() {
+		n.first = now
+	}
 	switch ev := ev.(type) {
 	case Tick:
 		n.tick(now)
@@ -255,11 +278,12 @@
 		n.hostsDirty = n.hosts.Heard(now, ev.Host) || n.hostsDirty
 		n.greet(now, ev.Host)
 	case HostsFound:
+		n.found = now
 		n.mergeHosts(now, "", ev.Hosts)
 	case WorkReported:
 		n.reportWork(now, ev)
 	case StoreHeard:
-		n.broadcast(&messenger.Message{Stores: []placer.StoreReport{ev.Report}})
+		n.tellActive(&messenger.Message{Stores: []placer.StoreReport{ev.Report}})
 	case RenewalEnd:
 		n.renewalEnd(now, ev)
 	case StoreGap:
@@ -304,9 +328,37 @@
 		n.view = n.state.View()
 		n.do(PublishView{View: n.view})
 	}
-	if n.hostsDirty {
+	if n.hostsDirty && n.hostsDue() {
 		n.hostsDirty = false
+		n.lastHosts = n.now
 		n.tree = nil
-		n.do(PublishHosts{Hosts: n.hosts.All(), Unheard: n.hosts.Unheard()})
+		t := n.paths()
+		n.calledIn(t)
+		n.do(PublishHosts{Hosts: n.hosts.All(), Unheard: n.hosts.Unheard(), Serving: t.serving})
+	}
+}
+
+// hostsPause is the least time between two lists of hosts in a large fleet. 295 hosts
+// that start tell each other of some hundreds of changes within a second, and each list
+// takes 0.2 ms.
+const hostsPause = 40 * time.Millisecond
+
+func (n *Node) hostsDue() bool {
+	return n.tree == nil || n.tree.small || n.now.Sub(n.lastHosts) >= hostsPause
+}
+
+// calledIn asks another host for what it knows of kept context when this one, which
+// stood by, is to serve.
+func (n *Node) calledIn(t *tree) {
+	was := n.serves
+	n.serves = t.ours && !t.small
+	if was || !n.serves {
+		return
+	}
+	for _, h := range t.active {
+		if h != n.opts.Self.Host {
+			n.send(h, &messenger.Message{Wants: []string{wantKept}})
+			return
+		}
 	}
 }
--- a/conductor/reports.go
+++ b/conductor/reports.go
@@ -37,18 +37,40 @@
 		n.spread("", m)
 		return
 	}
-	direct := &messenger.Message{Report: &r, Offsets: m.Offsets}
-	n.sendAll(n.reached(now, t.cell()), "", direct)
-	if !ev.Urgent && !slices.Contains(t.cell(), t.relay) {
+	if m.Renewal != nil && !ev.Urgent {
+		n.broadcast(&messenger.Message{Renewal: m.Renewal})
+	}
+	if n.silent(r) {
+		return
+	}
+	direct := &messenger.Message{Report: &r, Offsets: m.Offsets, Use: ev.Use}
+	reached := n.reached(now, t.direct())
+	n.sendAll(reached, "", direct)
+	if t.mesh && len(reached) == len(t.active) {
+		n.lastTold = now
+	}
+	if !t.mesh && !ev.Urgent && !slices.Contains(t.cell(), t.relay) {
 		n.sendAll([]string{t.relay}, "", direct)
 	}
 	if t.relaying(n.opts.Self.Host) {
+		n.used(now, n.opts.Self.Host, ev.Use)
+		n.tellUse(now)
+	} else {
+		n.handUseOver(t)
+	}
+	if !t.mesh && t.relaying(n.opts.Self.Host) {
 		n.gather(now, n.opts.Self.Host, r)
 		n.sum(now)
 	}
-	if m.Renewal != nil {
-		n.broadcast(&messenger.Message{Renewal: m.Renewal})
-	}
+}
+
+// silent tells that a report need not be sent: this host stands by, and has said that
+// it has no work.
+func (n *Node) silent(r placer.Report) bool {
+	quiet := len(r.Work) == 0 && len(r.Placed) == 0 && r.Waiting == 0
+	was := n.quiet
+	n.quiet = quiet
+	return quiet && was && !n.paths().ours
 }
 
 // reachStep is the time in which a host that has just started takes up one more host
@@ -130,7 +152,10 @@
 	t := n.paths()
 	switch m.Zone {
 	case "":
-		if !t.small && t.relaying(n.opts.Self.Host) && r.Work != nil {
+		if r.Work != nil {
+			n.used(now, from, m.Use)
+		}
+		if !t.small && !t.mesh && t.relaying(n.opts.Self.Host) && r.Work != nil {
 			n.gather(now, from, r)
 		}
 		// A relay is told by the other cells of its zone as well; to placement each of
--- /dev/null
+++ b/conductor/standby_test.go
@@ -0,0 +1,102 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// TestStandbysAreQuiet: in a fleet without work, a host that stands by sends few
+// messages, and nobody is taken for silent.
+func TestStandbysAreQuiet(t *testing.T) {
+	c := newCluster(120)
+	c.idle = true
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.run(5 * time.Second)
+	c.sent = make(map[string]int)
+	before := c.calls
+	const seconds = 5
+	c.run(seconds * time.Second)
+	active := c.nodes[0].node.paths().serving.Active
+	for _, s := range c.nodes {
+		for _, r := range s.node.hosts.All() {
+			assert.Equal(t, r.State, tracker.HostLive, "%s as %s sees it", r.Host, s.name)
+		}
+		if !active[s.name] {
+			assert.Assert(t, c.sent[s.name] <= 16*seconds, "%s sent %d messages in %d s", s.name, c.sent[s.name], seconds)
+		}
+	}
+	assert.Assert(t, c.calls-before <= 8*seconds, "%d questions to the store in %d s", c.calls-before, seconds)
+}
+
+// TestStandbysAreCalledIn: all active hosts of a zone die at once. Others of the zone
+// are active for every host within 2 s, know the configuration, and hear of the work of
+// all others.
+func TestStandbysAreCalledIn(t *testing.T) {
+	c := newCluster(60)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.run(5 * time.Second)
+	before := c.nodes[0].node.paths().serving
+	for _, name := range before.Zones["zone-1"] {
+		c.act("kill", c.byName[name])
+	}
+	c.run(2 * time.Second)
+	for _, s := range c.nodes {
+		if s.down {
+			continue
+		}
+		after := s.node.paths().serving
+		assert.Assert(t, len(after.Zones["zone-1"]) >= 3, "%s: %v", s.name, after.Zones)
+		for _, name := range after.Zones["zone-1"] {
+			assert.Assert(t, !c.byName[name].down, "%s still counts on %s", s.name, name)
+		}
+		assert.DeepEqual(t, after.Zones["zone-0"], before.Zones["zone-0"])
+	}
+	c.run(time.Second)
+	for _, name := range c.nodes[0].node.paths().serving.Zones["zone-1"] {
+		s := c.byName[name]
+		assert.Equal(t, s.version, uint64(1), name)
+		for _, o := range c.nodes {
+			_, heard := s.reports[o.name]
+			assert.Assert(t, heard || o == s || o.down, "%s has not heard of the work of %s", name, o.name)
+		}
+	}
+}
+
+// TestEntriesAreToldOnce: upstreams write their entries again and again. What says
+// nothing new goes to all hosts only now and then, and a change at once.
+func TestEntriesAreToldOnce(t *testing.T) {
+	c := newCluster(20)
+	c.idle = true
+	c.write(follower.FeedOperator, "config", "version 1")
+	told := 0
+	c.seen = func(ev PeerMessage) {
+		for _, news := range ev.Message.News {
+			if news.Feed == follower.FeedUpstreams && !news.Full {
+				told += len(news.Records)
+			}
+		}
+	}
+	const upstreams, seconds = 10, 10
+	for range seconds {
+		for u := range upstreams {
+			c.write(follower.FeedUpstreams, fmt.Sprint("u", u), "ready")
+		}
+		c.run(time.Second)
+	}
+	most := 20 * upstreams * (2 + seconds*int(time.Second)/int(tellAgain))
+	assert.Assert(t, told <= most, "%d records were passed on, at most %d are expected", told, most)
+	c.write(follower.FeedUpstreams, "u3", "leaving")
+	c.run(time.Second)
+	for _, s := range c.nodes {
+		assert.Equal(t, len(s.node.view.ByService["s"]), upstreams-1, s.name)
+	}
+}
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -11,7 +11,13 @@
 	Beat    time.Duration // Beat is the interval between heartbeats.
 	Report  time.Duration // Report is the interval between reports of work under way.
 	Suspect time.Duration // Suspect is the silence after which a host is no longer named to callers.
-	Forget  time.Duration // Forget is how long hosts that are gone are remembered.
+
+	// BeatStandby and SuspectStandby are the same for hosts that stand by in a large
+	// fleet, and towards them.
+	BeatStandby    time.Duration
+	SuspectStandby time.Duration
+
+	Forget time.Duration // Forget is how long hosts that are gone are remembered.
 
 	Admit time.Duration // Admit is the interval between looks at the times of requests that wait.
 
@@ -19,9 +25,14 @@
 	Fresh  time.Duration // Fresh is the age from which the second in rank reads a feed as well.
 	Step   time.Duration // Step is added to Fresh for each further one.
 	Gather time.Duration // Gather is the least time between two questions, in which records come together.
-	Again  time.Duration // Again is the pause after a call to the store that failed.
-	Behind time.Duration // Behind is how long another host may know more before it is asked.
-	Ask    time.Duration // Ask is the interval between questions to other hosts for a page.
+	// GatherMany is Gather in a large fleet, where each page goes to all hosts.
+	GatherMany time.Duration
+	// StandbyStart is how long a host that stands by waits after its start for other
+	// hosts to tell it what they know, before it asks the store.
+	StandbyStart time.Duration
+	Again        time.Duration // Again is the pause after a call to the store that failed.
+	Behind       time.Duration // Behind is how long another host may know more before it is asked.
+	Ask          time.Duration // Ask is the interval between questions to other hosts for a page.
 
 	// Term is how long a hold on the renewals' lease lasts without renewal. When its
 	// holder dies, the next order comes a term, a turn of 3 s and a margin later, and
@@ -40,16 +51,24 @@
 		Beat:    200 * time.Millisecond,
 		Report:  100 * time.Millisecond,
 		Suspect: 800 * time.Millisecond,
-		Forget:  30 * time.Second,
-		Admit:   20 * time.Millisecond,
-		Wait:    700 * time.Millisecond,
-		Fresh:   time.Second,
-		Step:    150 * time.Millisecond,
-		Gather:  100 * time.Millisecond,
-		Again:   250 * time.Millisecond,
-		Behind:  150 * time.Millisecond,
-		Ask:     300 * time.Millisecond,
-		Term:    time.Second,
-		Margin:  200 * time.Millisecond,
+
+		BeatStandby:    time.Second,
+		SuspectStandby: 3500 * time.Millisecond,
+
+		Forget: 30 * time.Second,
+		Admit:  20 * time.Millisecond,
+		Wait:   700 * time.Millisecond,
+		Fresh:  time.Second,
+		Step:   150 * time.Millisecond,
+		Gather: 100 * time.Millisecond,
+
+		GatherMany:   250 * time.Millisecond,
+		StandbyStart: 1200 * time.Millisecond,
+
+		Again:  250 * time.Millisecond,
+		Behind: 150 * time.Millisecond,
+		Ask:    300 * time.Millisecond,
+		Term:   time.Second,
+		Margin: 200 * time.Millisecond,
 	}
 }
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -70,7 +70,7 @@
 // blind tells that others send to an engine what this host hears of late and as a sum.
 func (p *Placer) blind(t *target) bool {
 	service := t.upstream.Service
-	return !t.ours && len(p.pools[service]) > fewUpstreams && len(p.near[service]) >= enoughNear
+	return !p.direct && !t.ours && len(p.pools[service]) > fewUpstreams && len(p.near[service]) >= enoughNear
 }
 
 // anyBegins tells whether it is worth looking for the best upstream.
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -31,7 +31,7 @@
 		add(pool[p.rng.IntN(len(pool))])
 	}
 	p.drawn = out
-	if ask.Prompt == nil || len(p.near[ask.Service]) >= enoughNear {
+	if ask.Prompt == nil || !p.direct && len(p.near[ask.Service]) >= enoughNear {
 		return out
 	}
 	known := p.under(ask, p.named[ask.Prompt.Model].Version)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,7 @@
 	near      map[string][]*target // near has those of pools that belong to this host's cell.
 	cell      int                  // cell is this host's among the cells of its zone.
 	cells     int
+	direct    bool      // direct tells that other hosts' work is heard of at once at all upstreams.
 	drawn     []*target // drawn is the room for the candidates of one choice.
 	peers     map[string]peerWork
 	stores    map[string]*store // stores of kept context by address.
@@ -116,11 +117,12 @@
 }
 
 // SetCell tells which of the cells of its zone this host is in. Engines of the zone
-// are divided among the cells, so that those who use one tell each other at once.
-func (p *Placer) SetCell(own, cells int) {
+// are divided among the cells, so that those who use one tell each other at once. Direct
+// tells that this host hears at once of the work of all others at any engine.
+func (p *Placer) SetCell(own, cells int, direct bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cell, p.cells = own, cells
+	p.cell, p.cells, p.direct = own, cells, direct
 	p.divide()
 }
 
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -4,7 +4,9 @@
 package tracker
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +41,8 @@
 	Operators        string  // Operators is the address of console and state dump.
 	Revision         uint64  // Revision is the configuration revision in force there.
 	LinkMbps         float64 // LinkMbps is the width of the host's own link; 0 if it was not told.
+	Cores            float64 // Cores is how many processor cores the host may use; 0 if it was not told.
+	ZoneUse          float64 // ZoneUse is how many cores the hosts of its availability zone use together, told by one host of the zone; 0 elsewhere.
 	Spare            float64 // Spare is the part of its room that is free.
 }
 
@@ -55,11 +59,14 @@
 
 // HostOptions set the times of membership.
 type HostOptions struct {
-	Suspect    time.Duration // Suspect is the silence after which a neighbour is suspected.
-	Gone       time.Duration // Gone is how long a suspicion stands before the host is gone; default 3 Suspect.
-	Forget     time.Duration // Forget is how long gone hosts are remembered; default 10 min.
-	Neighbours int           // Neighbours is the number of hosts that each host connects to; default 4.
-	FullMesh   int           // FullMesh is the number of hosts up to which everyone is a neighbour; default 9.
+	Suspect time.Duration // Suspect is the silence after which a neighbour is suspected.
+	// SuspectStandby is the silence after which a neighbour is suspected that does not
+	// serve callers, or by a host that does not; default Suspect.
+	SuspectStandby time.Duration
+	Gone           time.Duration // Gone is how long a suspicion stands before the host is gone; default 3 Suspect.
+	Forget         time.Duration // Forget is how long gone hosts are remembered; default 10 min.
+	Neighbours     int           // Neighbours is the number of hosts that each host connects to; default 4.
+	FullMesh       int           // FullMesh is the number of hosts up to which everyone is a neighbour; default 9.
 }
 
 // fullMesh is the default number of hosts up to which everyone is a neighbour.
@@ -72,7 +79,12 @@
 	self    HostRecord
 	records map[string]*hostEntry
 	listed  map[string]connector.ListedHost
-	near    []string // near caches Neighbours; nil when it must be worked out anew.
+	active  map[string]bool // active are the hosts that serve callers; nil if all do.
+
+	near   []string     // near caches Neighbours; nil when it must be worked out anew.
+	all    []HostRecord // all caches All.
+	live   []string     // live caches Live.
+	digest uint64       // digest caches Digest while all is cached.
 }
 
 type hostEntry struct {
@@ -81,6 +93,19 @@
 	heard   time.Time // heard is when it last spoke to this host directly.
 	spoke   bool      // spoke tells that it has spoken to this host since this one started.
 	doubted time.Time // doubted is when this host last suspected it.
+
+	ring uint64 // ring is its distance from this host on the ring.
+	pick uint64 // pick orders hosts as neighbours besides those on the ring, the least first.
+}
+
+func (h *Hosts) entry(now time.Time, r HostRecord) *hostEntry {
+	return &hostEntry{
+		record:  r,
+		changed: now,
+		heard:   now,
+		ring:    xxhash.Sum64String(r.Host) - xxhash.Sum64String(h.self.Host),
+		pick:    ^Rank(r.Host, h.self.Host),
+	}
 }
 
 // NewHosts returns the view of a host that knows only itself.
@@ -88,6 +113,9 @@
 	if opts.Gone == 0 {
 		opts.Gone = 3 * opts.Suspect
 	}
+	if opts.SuspectStandby == 0 {
+		opts.SuspectStandby = opts.Suspect
+	}
 	if opts.Forget == 0 {
 		opts.Forget = 10 * time.Minute
 	}
@@ -113,9 +141,43 @@
 	}
 	next.Version++
 	h.self = next
+	h.changed()
 	return h.self, true
 }
 
+// changed drops what was worked out from the records.
+func (h *Hosts) changed() { h.all, h.live = nil, nil }
+
+// SetActive names the hosts that serve callers while the others stand by; nil if all
+// serve. Those that serve are neighbours of each other, so that one that falls silent is
+// noticed by all that share its work.
+func (h *Hosts) SetActive(now time.Time, active map[string]bool) {
+	if maps.Equal(h.active, active) {
+		return
+	}
+	before := make(map[string]bool, len(h.records))
+	for name := range h.records {
+		before[name] = h.Prompt(name)
+	}
+	h.active = active
+	h.near = nil
+	for name, e := range h.records {
+		if until := now.Add(introduction); !before[name] && h.Prompt(name) && e.heard.Before(until) {
+			e.heard = until
+		}
+	}
+}
+
+// introduction is how long it may take until a host that was called in to serve speaks
+// to all others that do: both must have heard of it, over a few hops.
+const introduction = 1500 * time.Millisecond
+
+// Prompt tells whether a host is expected to speak at short intervals to this one: both
+// serve callers.
+func (h *Hosts) Prompt(host string) bool {
+	return h.active == nil || h.active[host] && h.active[h.self.Host]
+}
+
 // Merge takes a record that a peer passed on. It returns the records that are
 // news to this host and must be passed on in turn.
 func (h *Hosts) Merge(now time.Time, r HostRecord) []HostRecord {
@@ -125,12 +187,14 @@
 	e := h.records[r.Host]
 	if e == nil {
 		h.near = nil
-		h.records[r.Host] = &hostEntry{record: r, changed: now, heard: now}
+		h.changed()
+		h.records[r.Host] = h.entry(now, r)
 		return []HostRecord{r}
 	}
 	if !r.supersedes(e.record) {
 		return nil
 	}
+	h.changed()
 	if r.Incarnation > e.record.Incarnation {
 		e.heard = now
 	}
@@ -149,6 +213,7 @@
 	if !r.supersedes(h.self) {
 		return nil
 	}
+	h.changed()
 	if r.Incarnation > h.self.Incarnation {
 		h.self.Incarnation = r.Incarnation + 1
 		return []HostRecord{h.self}
@@ -193,8 +258,9 @@
 		}
 		if e == nil {
 			h.near = nil
+			h.changed()
 			r := HostRecord{Host: l.Host, State: HostJoining, AvailabilityZone: l.AvailabilityZone, Peers: l.Address}
-			h.records[l.Host] = &hostEntry{record: r, changed: now, heard: now}
+			h.records[l.Host] = h.entry(now, r)
 			continue
 		}
 		if l.State == connector.ListedLeaving && e.record.State == HostLive {
@@ -217,7 +283,7 @@
 	for name, e := range h.records {
 		switch e.record.State {
 		case HostLive, HostLeaving:
-			silent := now.Sub(e.heard) > h.opts.Suspect
+			silent := now.Sub(e.heard) > h.patience(name)
 			again := now.Sub(e.doubted) > h.opts.Gone
 			if near[name] && silent && again {
 				e.doubted = now
@@ -230,11 +296,13 @@
 		case HostGone:
 			if _, still := h.listed[name]; !still && now.Sub(e.changed) > h.opts.Forget {
 				h.near = nil
+				h.changed()
 				delete(h.records, name)
 			}
 		case HostJoining:
 			if _, still := h.listed[name]; !still {
 				h.near = nil
+				h.changed()
 				delete(h.records, name)
 			}
 		}
@@ -242,8 +310,17 @@
 	return news
 }
 
+// patience is the silence after which a neighbour is suspected.
+func (h *Hosts) patience(host string) time.Duration {
+	if h.Prompt(host) {
+		return h.opts.Suspect
+	}
+	return h.opts.SuspectStandby
+}
+
 func (h *Hosts) declare(now time.Time, e *hostEntry, s HostState) HostRecord {
 	h.near = nil
+	h.changed()
 	e.record.State = s
 	e.changed = now
 	return e.record
@@ -260,32 +337,44 @@
 	return HostRecord{}, false
 }
 
-// All returns every record, this host's own included, sorted by name.
+// All returns every record, this host's own included, sorted by name. The caller must
+// not change it.
 func (h *Hosts) All() []HostRecord {
+	if h.all == nil {
+		h.all = h.sorted()
+		h.digest = digest(h.all)
+	}
+	return h.all
+}
+
+func (h *Hosts) sorted() []HostRecord {
 	out := make([]HostRecord, 0, len(h.records)+1)
 	out = append(out, h.self)
 	for _, e := range h.records {
 		out = append(out, e.record)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	slices.SortFunc(out, func(a, b HostRecord) int { return strings.Compare(a.Host, b.Host) })
 	return out
 }
 
 // Live returns the names of the hosts that can take on duties, this one
-// included unless it is leaving, sorted.
+// included unless it is leaving, sorted. The caller must not change it.
 func (h *Hosts) Live() []string {
-	var out []string
+	if h.live != nil {
+		return h.live
+	}
 	for _, r := range h.All() {
 		if r.State == HostLive {
-			out = append(out, r.Host)
+			h.live = append(h.live, r.Host)
 		}
 	}
-	return out
+	return h.live
 }
 
 // Neighbours returns the hosts that this one keeps connections to: all of them
 // in a small system, else its successors on a ring by hash, which keeps the
-// graph connected, and some picks by rendezvous, which keep it shallow.
+// graph connected, and some picks by rendezvous, which keep it shallow. A host that
+// serves callers keeps connections to all others that do as well.
 func (h *Hosts) Neighbours() []string {
 	if h.near == nil {
 		h.near = h.neighbours()
@@ -294,34 +383,49 @@
 }
 
 func (h *Hosts) neighbours() []string {
-	names := []string{}
-	for n, e := range h.records {
+	var there []*hostEntry
+	for _, e := range h.records {
 		if e.record.State != HostGone && e.record.Peers != "" {
-			names = append(names, n)
+			there = append(there, e)
 		}
 	}
-	if len(names) < h.opts.FullMesh {
-		sort.Strings(names)
-		return names
+	if len(there) < h.opts.FullMesh {
+		return names(there)
 	}
-	ring := h.successors(names, h.opts.Neighbours/2)
-	return append(ring, h.picks(names, ring, h.opts.Neighbours-len(ring))...)
+	ring, rest := first(there, h.opts.Neighbours/2, func(e *hostEntry) uint64 { return e.ring })
+	picks, rest := first(rest, h.opts.Neighbours-len(ring), func(e *hostEntry) uint64 { return e.pick })
+	near := append(names(ring), names(picks)...)
+	if !h.active[h.self.Host] {
+		return near
+	}
+	for _, e := range rest {
+		if h.active[e.record.Host] {
+			near = append(near, e.record.Host)
+		}
+	}
+	return near
 }
 
-func (h *Hosts) successors(names []string, n int) []string {
-	own := xxhash.Sum64String(h.self.Host)
-	sort.Slice(names, func(i, j int) bool {
-		return xxhash.Sum64String(names[i])-own < xxhash.Sum64String(names[j])-own
-	})
-	return append([]string(nil), names[:min(n, len(names))]...)
+// first divides entries into the n with the least keys, in order, and the others.
+func first(entries []*hostEntry, n int, key func(*hostEntry) uint64) (chosen, rest []*hostEntry) {
+	n = min(n, len(entries))
+	for i := range n {
+		for j := i + 1; j < len(entries); j++ {
+			if key(entries[j]) < key(entries[i]) {
+				entries[i], entries[j] = entries[j], entries[i]
+			}
+		}
+	}
+	return entries[:n], entries[n:]
 }
 
-func (h *Hosts) picks(names, taken []string, n int) []string {
-	rest := names[len(taken):]
-	sort.Slice(rest, func(i, j int) bool {
-		return Rank(rest[i], h.self.Host) > Rank(rest[j], h.self.Host)
-	})
-	return rest[:min(n, len(rest))]
+func names(entries []*hostEntry) []string {
+	out := make([]string, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, e.record.Host)
+	}
+	slices.Sort(out)
+	return out
 }
 
 // Rank returns the rendezvous weight of a host for a key; the host with the
@@ -358,8 +462,13 @@
 // Digest returns a hash over the versions of all records. Hosts whose digests
 // differ exchange their records.
 func (h *Hosts) Digest() uint64 {
+	h.All()
+	return h.digest
+}
+
+func digest(records []HostRecord) uint64 {
 	var sum uint64
-	for _, r := range h.All() {
+	for _, r := range records {
 		if r.State == HostJoining {
 			continue
 		}
