Take a host's own record from another host as read back

Cause: records of the configuration are passed on between hosts. A host whose own record came back that way first never saw it in a page of the log, and its queue of appends waited for it for good: the change stayed 'not known yet', and no later change from that host was appended. TestConsole showed it, 1 of 8 and 1 of 12 runs beside other tests, on this code and on the code before today alike; the console's page said 'not known yet' for all of 30 s.

Ruled out: load (the page never changed again after the load had gone), the new membership (the same on the code without it).

Change: records that other hosts tell go to the queue as well. Test: TestOwnRecordIsToldByPeer fails without the line.

--- a/controller/membership.go
+++ b/controller/membership.go
@@ -371,7 +371,10 @@
 	if s == nil || isClaims(r.Stream) || r.Record.Offset != s.fold.Next() || !s.fold.Ready() {
 		return
 	}
-	n.feed(now, s, r.Stream, folder.Page{Next: r.Record.Offset + 1, Records: []folder.Raw{r.Record}})
+	applied := n.feed(now, s, r.Stream, folder.Page{Next: r.Record.Offset + 1, Records: []folder.Raw{r.Record}})
+	// It may be this host's own record, which its next read of the log leaves out then:
+	// without this line the queue waited for it for good, and took no further change.
+	s.queue.Read(time.Time{}, false, applied)
 }
 
 // adopt takes a peer's snapshot of a stream that cannot be read.
