Split what a host reads from what it hands over, and test active hosts as neighbours

Nothing else moves, but for hosts that become neighbours by becoming active, which are given time to speak (TestSilentActiveHostIsNoticedSooner failed first), and for standbys, which do not go on reading for themselves alone.

--- /dev/null
+++ b/conductor/events.go
@@ -0,0 +1,180 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/activator"
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/logger"
+	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/renewer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// Event is something that happened to a host.
+type Event interface{ event() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// FeedRead is the end of a Read.
+type FeedRead struct {
+	News  follower.News
+	Asked time.Time     // Asked is when the question was sent.
+	Wait  time.Duration // Wait is how long the store could wait for a record.
+	Err   error
+}
+
+// PeerMessage is a message of another host.
+type PeerMessage struct {
+	From    string
+	Message *messenger.Message
+}
+
+// PeerUp says that a connection to another host was opened.
+type PeerUp struct{ Host string }
+
+// HostsFound names hosts that may be there: from settings or from the store.
+type HostsFound struct{ Hosts []tracker.HostRecord }
+
+// WorkReported is what this host has under way, for the others.
+type WorkReported struct {
+	Report placer.Report
+	Urgent bool    // Urgent tells that it was made out of turn, for a long prompt.
+	Use    float64 // Use is how many processor cores this host uses.
+}
+
+// RenewalEnd is the end of a renewer's command.
+type RenewalEnd struct {
+	Command  renewer.Command
+	Lease    renewer.Lease       // Lease is the answer to ReadLease.
+	Conflict bool                // Conflict says that WriteLease found another record.
+	Result   renewer.OrderResult // Result is the answer to Order.
+	Busy     bool                // Busy and Version are the answer to Ask.
+	Version  uint64
+	Err      error
+}
+
+// StoreHeard is news of a store of kept context that this host has asked.
+type StoreHeard struct{ Report placer.StoreReport }
+
+// StoreGap says that a host has told changes of a store after others that this
+// host lacks.
+type StoreGap struct{ From string }
+
+// DrainBegun says that this host is to end.
+type DrainBegun struct{}
+
+func (Tick) event()         {}
+func (FeedRead) event()     {}
+func (PeerMessage) event()  {}
+func (PeerUp) event()       {}
+func (HostsFound) event()   {}
+func (WorkReported) event() {}
+func (RenewalEnd) event()   {}
+func (StoreHeard) event()   {}
+func (StoreGap) event()     {}
+func (DrainBegun) event()   {}
+
+// Action is something that a host is to do.
+type Action interface{ action() }
+
+// Send sends a message to another host.
+type Send struct {
+	To      string
+	Address string
+	Message *messenger.Message
+}
+
+// Spread sends a message to several hosts.
+type Spread struct {
+	To      []messenger.Target
+	Message *messenger.Message
+}
+
+// TakeStore hands another host's news of a store to placement.
+type TakeStore struct {
+	From   string
+	Report placer.StoreReport
+}
+
+// Read asks the store for a page of a feed: the newest of each key if Full.
+type Read struct {
+	Feed follower.Feed
+	Full bool
+	From int64
+	Wait time.Duration // Wait is how long the store may wait for a record.
+}
+
+// PublishView gives traffic a new view.
+type PublishView struct{ View *follower.View }
+
+// PublishHosts gives the directory a new list.
+type PublishHosts struct {
+	Hosts   []tracker.HostRecord
+	Unheard map[string]bool // Unheard are those that may not be there: only their announcements are known.
+	Serving activator.Selection
+}
+
+// TakeReport hands a report to placement, of another host or summed up.
+type TakeReport struct {
+	From   string
+	Report placer.Report
+}
+
+// Renew carries out a command of the renewer.
+type Renew struct{ Command renewer.Command }
+
+// Current says up to when the operators' feed is known.
+type Current struct{ At time.Time }
+
+// PublishCell says which cell of its zone this host is in, how many there are, and
+// whether it hears of the work of all hosts directly.
+type PublishCell struct {
+	Own, Cells int
+	Direct     bool
+}
+
+// PublishPhases names engines that load weights or will soon.
+type PublishPhases struct{ Engines map[string]renewer.Phase }
+
+// Note asks for a log line about a belief.
+type Note struct {
+	What   NoteKind
+	Feed   follower.Feed
+	Host   string
+	Key    string
+	Offset int64
+	Age    time.Duration
+	Err    error
+}
+
+// NoteKind says what a Note is about.
+type NoteKind string
+
+const (
+	NoteStoreLost      NoteKind = logger.StoreLost
+	NoteStoreBack      NoteKind = logger.StoreBack
+	NoteUnreadable     NoteKind = logger.RecordUnreadable
+	NoteRecord         NoteKind = logger.RecordApplied
+	NoteHostChanged    NoteKind = logger.HostChanged
+	NoteLapsesCounted  NoteKind = logger.LapsedEntriesRemoved
+	NoteListingApplied NoteKind = logger.ListingApplied
+)
+
+func (Send) action()          {}
+func (Spread) action()        {}
+func (TakeStore) action()     {}
+func (Read) action()          {}
+func (PublishView) action()   {}
+func (PublishHosts) action()  {}
+func (TakeReport) action()    {}
+func (Renew) action()         {}
+func (Current) action()       {}
+func (PublishPhases) action() {}
+func (PublishCell) action()   {}
+func (Note) action()          {}
--- /dev/null
+++ b/conductor/readers.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// turn is the age from which this host reads a feed itself. The first in rank
+// reads all the time, the others when it has been silent for longer than a
+// question may wait.
+func (n *Node) turn(name follower.Feed) time.Duration {
+	t := n.paths()
+	if !t.ours {
+		return n.opts.Timing.Fresh + lastReader*n.opts.Timing.Step + t.spread()
+	}
+	place := max(0, tracker.Place(t.active, n.opts.Self.Host, "reader/"+string(name)))
+	if place == 0 {
+		return 0
+	}
+	return n.opts.Timing.Fresh + time.Duration(min(place, lastReader))*n.opts.Timing.Step
+}
+
+// goesOn tells that this host, which read last, is to go on although others rank before
+// it: these have told nothing since. Else a feed whose first reader the store turns away
+// is read once in 1.2 s or more. A host that stands by and is cut off from the others
+// need not ask that often for itself alone.
+func (f *feed) goesOn(now time.Time) bool {
+	return f.alone && !f.heard && !f.failing && now.Sub(f.fresh) < aloneTime
+}
+
+// aloneTime is the age from which what this host has read says nothing of who reads.
+const aloneTime = 2 * time.Second
+
+const (
+	// lastReader is the rank from which all read a feed at the same age of what they
+	// know.
+	lastReader = 6
+	// standbySpread is the time over which hosts that stand by follow them, so that a
+	// fleet that is cut off does not ask all at once.
+	standbySpread = 400 * time.Millisecond
+	spreadPlaces  = 64
+)
+
+// spread is a part of standbySpread that differs between hosts.
+func (t *tree) spread() time.Duration {
+	return standbySpread * time.Duration(t.standby%spreadPlaces) / spreadPlaces
+}
+
+// othersTell tells that a host that has just started can expect to hear from others
+// what the store has: 295 hosts that start at once would ask for it 590 times.
+func (n *Node) othersTell(now time.Time) bool {
+	if n.found.IsZero() {
+		return now.Sub(n.first) < findTime
+	}
+	t := n.paths()
+	return !t.ours && now.Sub(n.found) < n.opts.Timing.StandbyStart+t.spread()
+}
+
+// findTime is how long a host that starts waits for the list of the others.
+const findTime = 100 * time.Millisecond
+
+// gatherTime is the least time between two questions, in which records come together.
+func (n *Node) gatherTime() time.Duration {
+	if n.paths().small {
+		return n.opts.Timing.Gather
+	}
+	return n.opts.Timing.GatherMany
+}
+
+// standbyAgain is how many times longer a host that stands by waits before it asks a
+// store that failed once more: whichever host is answered first tells all.
+const standbyAgain = 8
+
+// againTime is the pause after a question that failed.
+func (n *Node) againTime() time.Duration {
+	if n.paths().ours {
+		return n.opts.Timing.Again
+	}
+	return standbyAgain * n.opts.Timing.Again
+}
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -155,19 +155,28 @@
 	if maps.Equal(h.active, active) {
 		return
 	}
-	before := make(map[string]bool, len(h.records))
-	for name := range h.records {
-		before[name] = h.Prompt(name)
-	}
+	before := h.expected()
 	h.active = active
 	h.near = nil
-	for name, e := range h.records {
-		if until := now.Add(introduction); !before[name] && h.Prompt(name) && e.heard.Before(until) {
+	until := now.Add(introduction)
+	for name := range h.expected() {
+		if e := h.records[name]; !before[name] && e.heard.Before(until) {
 			e.heard = until
 		}
 	}
 }
 
+// expected returns the neighbours that are to speak at short intervals.
+func (h *Hosts) expected() map[string]bool {
+	out := make(map[string]bool)
+	for _, name := range h.Neighbours() {
+		if h.Prompt(name) {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // introduction is how long it may take until a host that was called in to serve speaks
 // to all others that do: both must have heard of it, over a few hops.
 const introduction = 1500 * time.Millisecond
