Let hosts that all start for the first time find each other before they read

Change: the platform says when a fleet starts for the first time (new setting FirstStart); hosts wait 0.7 s then before they read. One page of announcements is read, the largest hosts' first, and more only if nobody on it speaks.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -154,9 +154,11 @@
 		Self:    self,
 		Decoder: opts.Store,
 		Timing:  opts.Timing,
-		Busy:    h.placer.Busy,
-		Kept:    h.placer.Kept,
-		Stores:  h.placer.StoreReports,
+
+		FirstStart: s.Platform.FirstStart,
+		Busy:       h.placer.Busy,
+		Kept:       h.placer.Kept,
+		Stores:     h.placer.StoreReports,
 		Renewer: renewer.Options{
 			Host:   s.Host,
 			Term:   opts.Timing.Term,
--- a/conductor/meet.go
+++ b/conductor/meet.go
@@ -17,20 +17,16 @@
 // host to speak, before it reads more of them.
 const introduceTime = 1500 * time.Millisecond
 
-// meet announces this host and finds others. Hosts tell each other of all, so that two
-// pages of announcements are enough where any of the hosts on them is there: the first,
-// with the largest hosts, which serve callers, and that behind this host's own name,
-// which is another one for other hosts. With pages of 50, 295 hosts that start together
-// read 590 pages instead of 1,770.
+// meet announces this host and finds others. Hosts tell each other of all, so that one
+// page of announcements is enough where any of the hosts on it is there. The first has
+// the largest hosts, which serve callers. With pages of 50, 295 hosts that start together
+// read 295 pages instead of 1,770.
 func (h *Host) meet() {
 	h.announce()
-	next := h.findAfter("")
-	if next == "" {
-		return
-	}
-	h.findAfter(h.announced())
-	for pause(h.ctx, introduceTime); next != "" && !h.met.Load() && h.ctx.Err() == nil; pause(h.ctx, introduceTime) {
-		next = h.findAfter(next)
+	for next := h.findAfter(""); next != ""; next = h.findAfter(next) {
+		if pause(h.ctx, introduceTime); h.met.Load() || h.ctx.Err() != nil {
+			return
+		}
 	}
 }
 
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -24,10 +24,12 @@
 	Self    tracker.HostRecord
 	Decoder Decoder
 	Timing  Timing
-	Renewer renewer.Options
-	Busy    func(upstream string) int   // Busy is the work under way at an upstream.
-	Kept    func() []placer.Placement   // Kept is what engines are believed to keep, for hosts that start.
-	Stores  func() []placer.StoreReport // Stores is what is known of stores, for hosts that start.
+	// FirstStart tells that all hosts start for the first time.
+	FirstStart bool
+	Renewer    renewer.Options
+	Busy       func(upstream string) int   // Busy is the work under way at an upstream.
+	Kept       func() []placer.Placement   // Kept is what engines are believed to keep, for hosts that start.
+	Stores     func() []placer.StoreReport // Stores is what is known of stores, for hosts that start.
 }
 
 // Node is the control plane of one host. It is not safe for concurrent use.
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -78,17 +78,18 @@
 
 // cluster is several nodes and a store in simulated time.
 type cluster struct {
-	now    time.Time
-	nodes  []*simNode
-	byName map[string]*simNode
-	logs   map[follower.Feed][]follower.Record
-	first  map[follower.Feed]int64 // first is the first offset that is still there.
-	faults []string
-	calls  int               // calls counts questions to the store.
-	use    float64           // use is how many cores each host uses.
-	idle   bool              // idle tells that no host has work.
-	seen   func(PeerMessage) // seen, if set, is called with each message that arrives.
-	sent   map[string]int    // sent counts messages by sender.
+	now        time.Time
+	nodes      []*simNode
+	byName     map[string]*simNode
+	logs       map[follower.Feed][]follower.Record
+	first      map[follower.Feed]int64 // first is the first offset that is still there.
+	faults     []string
+	calls      int               // calls counts questions to the store.
+	use        float64           // use is how many cores each host uses.
+	firstStart bool              // firstStart tells hosts so.
+	idle       bool              // idle tells that no host has work.
+	seen       func(PeerMessage) // seen, if set, is called with each message that arrives.
+	sent       map[string]int    // sent counts messages by sender.
 }
 
 const (
@@ -96,8 +97,11 @@
 	reportMilli = 100
 )
 
-func newCluster(n int) *cluster {
-	c := &cluster{now: time.Unix(5000, 0), byName: make(map[string]*simNode), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64), sent: make(map[string]int)}
+func newCluster(n int) *cluster { return startCluster(n, false) }
+
+// startCluster starts hosts that have run before, or that start for the first time.
+func startCluster(n int, firstStart bool) *cluster {
+	c := &cluster{firstStart: firstStart, now: time.Unix(5000, 0), byName: make(map[string]*simNode), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64), sent: make(map[string]int)}
 	for i := range n {
 		s := &simNode{name: fmt.Sprintf("host-%d", i+1), zone: fmt.Sprintf("zone-%d", i%3), access: accessOK}
 		c.nodes = append(c.nodes, s)
@@ -113,7 +117,7 @@
 	s.changed, s.reports = c.now, make(map[string]placer.Report)
 	self := tracker.HostRecord{Host: s.name, AvailabilityZone: s.zone, Incarnation: s.starts, State: tracker.HostLive, Peers: s.name}
 	s.node = NewNode(NodeOptions{
-		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(),
+		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(), FirstStart: c.firstStart,
 		Renewer: renewer.Options{Host: s.name, Term: 2 * time.Second, Turn: 3 * time.Second, Margin: 250 * time.Millisecond, AtOnce: 3},
 		Busy:    func(string) int { return 0 },
 		Kept:    func() []placer.Placement { return nil },
--- a/conductor/readers.go
+++ b/conductor/readers.go
@@ -52,8 +52,12 @@
 }
 
 // othersTell tells that a host that has just started can expect to hear from others
-// what the store has: 295 hosts that start at once would ask for it 590 times.
+// what the store has. 295 hosts that start at once would ask for it 590 times, and for
+// five pages or more each time.
 func (n *Node) othersTell(now time.Time) bool {
+	if n.opts.FirstStart && now.Sub(n.first) < acquaintTime {
+		return true
+	}
 	if n.found.IsZero() {
 		return now.Sub(n.first) < findTime
 	}
@@ -61,6 +65,10 @@
 	return !t.ours && now.Sub(n.found) < n.opts.Timing.StandbyStart+t.spread()
 }
 
+// acquaintTime is how long hosts that all start for the first time wait to know how many
+// they are. The first of them find no announcements yet.
+const acquaintTime = 700 * time.Millisecond
+
 // findTime is how long a host that starts waits for the list of the others.
 const findTime = 100 * time.Millisecond
 
--- a/conductor/standby_test.go
+++ b/conductor/standby_test.go
@@ -100,3 +100,19 @@
 		assert.Equal(t, len(s.node.view.ByService["s"]), upstreams-1, s.name)
 	}
 }
+
+// TestFirstStartAsksFew: hosts that all start for the first time find each other before
+// they ask, so that only active ones ask the store for all that it has.
+func TestFirstStartAsksFew(t *testing.T) {
+	c := startCluster(60, true)
+	c.idle = true
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.write(follower.FeedUpstreams, "u", "ready")
+	c.run(4 * time.Second)
+	for _, s := range c.nodes {
+		assert.Assert(t, s.node.view.Ready(), s.name)
+	}
+	active := len(c.nodes[0].node.paths().active)
+	most := 2*active + 2*4*int(time.Second/DefaultTiming().GatherMany)
+	assert.Assert(t, c.calls <= most, "%d questions, at most %d are expected", c.calls, most)
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -48,6 +48,7 @@
 	Store      string            // Store is the IP:port of the platform's store.
 	LinkMbps   float64           // LinkMbps is the width of this host's own link; the widest relay for others.
 	Cores      float64           // Cores is how many processor cores this host may use, 0.4 for two fifths of one; 0 if that is not known.
+	FirstStart bool              // FirstStart tells that all hosts start for the first time; they find each other before they ask the store for more.
 	Ready      Endpoint          // Ready is where the platform asks whether this host takes callers.
 	Directory  Endpoint          // Directory is where callers ask for addresses.
 	RetryShare float64           // RetryShare is the share of requests to a service that all hosts may send once more.
