Ask a store that turns all hosts away less often

Change: active hosts beyond the second in rank ask once a second, standbys every 4 s. Whoever is answered first tells all. TestStoreAwayFromLargeFleet: over 70 questions a second before with 60 hosts, under it since; a change is known to all 1.5 s after the store's return. Small fleets ask as before.

--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -100,7 +100,7 @@
 		n.do(Note{What: NoteStoreLost, Feed: ev.News.Feed, Age: now.Sub(f.fresh), Err: ev.Err})
 	}
 	f.failing = true
-	f.again = now.Add(n.againTime())
+	f.again = now.Add(n.againTime(ev.News.Feed))
 	n.state.Failed()
 }
 
--- a/conductor/readers.go
+++ b/conductor/readers.go
@@ -18,7 +18,7 @@
 	if !t.ours {
 		return n.opts.Timing.Fresh + lastReader*n.opts.Timing.Step + t.spread()
 	}
-	place := max(0, tracker.Place(t.active, n.opts.Self.Host, "reader/"+string(name)))
+	place := max(0, tracker.Place(t.active, n.opts.Self.Host, readerOf(name)))
 	if place == 0 {
 		return 0
 	}
@@ -80,14 +80,28 @@
 	return n.opts.Timing.GatherMany
 }
 
-// standbyAgain is how many times longer a host that stands by waits before it asks a
-// store that failed once more: whichever host is answered first tells all.
-const standbyAgain = 8
+// Hosts of a large fleet that need not be the first to notice that a store is back wait
+// longer before they ask it once more: whoever is answered first tells all. While a store
+// turned 295 hosts away for 8 s they asked it some 4,000 times.
+const (
+	soonAgain    = 2  // soonAgain is the number of active hosts, by rank, that do not wait longer.
+	activeAgain  = 4  // activeAgain is how many times longer other active hosts wait.
+	standbyAgain = 16 // standbyAgain is how many times longer hosts that stand by wait.
+)
 
 // againTime is the pause after a question that failed.
-func (n *Node) againTime() time.Duration {
-	if n.paths().ours {
-		return n.opts.Timing.Again
+func (n *Node) againTime(name follower.Feed) time.Duration {
+	t, again := n.paths(), n.opts.Timing.Again
+	switch {
+	case t.small:
+		return again
+	case !t.ours:
+		return standbyAgain*again + t.spread()
+	case tracker.Place(t.active, n.opts.Self.Host, readerOf(name)) >= soonAgain:
+		return activeAgain * again
 	}
-	return standbyAgain * n.opts.Timing.Again
+	return again
 }
+
+// readerOf is the key by which hosts are ranked as readers of a feed.
+func readerOf(name follower.Feed) string { return "reader/" + string(name) }
--- a/conductor/standby_test.go
+++ b/conductor/standby_test.go
@@ -116,3 +116,28 @@
 	most := 2*active + 2*4*int(time.Second/DefaultTiming().GatherMany)
 	assert.Assert(t, c.calls <= most, "%d questions, at most %d are expected", c.calls, most)
 }
+
+// TestStoreAwayFromLargeFleet: the store turns all hosts away for a while. They ask few
+// questions meanwhile, and a change is known to all within 1.5 s of its return.
+func TestStoreAwayFromLargeFleet(t *testing.T) {
+	c := newCluster(60)
+	c.idle = true
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.run(4 * time.Second)
+	for _, s := range c.nodes {
+		c.set(s, accessRefuse)
+	}
+	c.run(2 * time.Second)
+	before := c.calls
+	const seconds = 8
+	c.run(seconds * time.Second)
+	assert.Assert(t, c.calls-before < 70*seconds, "%d questions in %d s", c.calls-before, seconds)
+	for _, s := range c.nodes {
+		c.set(s, accessOK)
+	}
+	c.write(follower.FeedOperator, "config", "version 2")
+	c.run(1500 * time.Millisecond)
+	for _, s := range c.nodes {
+		assert.Equal(t, s.version, uint64(2), s.name)
+	}
+}
