Say every word about orders, and let active hosts give them first

Cause: in a large fleet the renewer's status was taken for each report of work, but sent with those in turn only. And the host that gives orders could be a standby, which does not know which engines are busy.

Change: a status is taken only when it is sent, at most every 150 ms; active hosts rank first. TestRenewedIsToldToAll failed before.

--- a/conductor/renewal.go
+++ b/conductor/renewal.go
@@ -14,14 +14,26 @@
 
 // renew lets the renewer take its next step.
 func (n *Node) renew(now time.Time) {
-	place := max(0, tracker.Place(n.hosts.Live(), n.opts.Self.Host, "renewer"))
-	n.carry(now, n.renewer.Step(now, renewer.Input{View: n.view, Place: place, Busy: n.opts.Busy}))
+	n.carry(now, n.renewer.Step(now, renewer.Input{View: n.view, Place: n.renewerPlace(), Busy: n.opts.Busy}))
 	if phases := n.renewer.Phases(now); !maps.Equal(phases, n.phases) {
 		n.phases = phases
 		n.do(PublishPhases{Engines: phases})
 	}
 }
 
+// standbyPlaces bounds the place of hosts that stand by among those that may give
+// orders. Active hosts go first: only they know which engines are busy.
+const standbyPlaces = 8
+
+// renewerPlace is this host's place among those that may give orders.
+func (n *Node) renewerPlace() int {
+	t := n.paths()
+	if !t.ours {
+		return min(len(t.active), standbyPlaces) + t.standby%standbyPlaces
+	}
+	return max(0, tracker.Place(t.active, n.opts.Self.Host, "renewer"))
+}
+
 func (n *Node) carry(now time.Time, commands []renewer.Command) {
 	ordered := false
 	for _, c := range commands {
--- /dev/null
+++ b/conductor/renewal_test.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/renewer"
+)
+
+// TestRenewedIsToldToAll: the word that an engine has new weights is said once. It
+// reaches all hosts, whichever kind of report comes next, in a small fleet and a large one.
+func TestRenewedIsToldToAll(t *testing.T) {
+	for _, hosts := range []int{5, 40} {
+		for _, urgent := range []bool{false, true} {
+			c := newCluster(hosts)
+			c.write(follower.FeedOperator, "config", "version 1")
+			c.run(3 * time.Second)
+			s := c.byName[c.nodes[0].node.paths().active[0]]
+			for _, o := range c.nodes {
+				o.inbox = nil
+			}
+			engine := follower.Upstream{ID: "e", Service: "s", Standing: follower.StandingReady, Weights: map[string]uint64{"m": 1}}
+			view := &follower.View{Upstreams: []follower.Upstream{engine}, Named: map[string]follower.Named{"m": {Version: 2}}}
+			s.node.renewer.Step(c.now, renewer.Input{View: view})
+			s.node.renewer.Told(c.now, renewer.Ask{Upstream: engine, Model: "m"}, false, 2, nil)
+			ev := c.workOf(s)
+			ev.Urgent = urgent
+			c.carry(s, s.node.Handle(c.now, ev))
+			heard := 0
+			c.seen = func(ev PeerMessage) {
+				if r := ev.Message.Renewal; r != nil && len(r.Renewed) > 0 {
+					heard++
+				}
+			}
+			c.run(500 * time.Millisecond)
+			assert.Assert(t, heard >= hosts-1, "%d of %d hosts heard, urgent %v", heard, hosts, urgent)
+		}
+	}
+}
--- a/conductor/reports.go
+++ b/conductor/reports.go
@@ -32,20 +32,17 @@
 // in turn only.
 func (n *Node) reportWork(now time.Time, ev WorkReported) {
 	t, r := n.paths(), ev.Report
-	m := &messenger.Message{Report: &r, Renewal: n.renewer.Status(now), Offsets: n.offsets()}
 	if t.small {
-		n.spread("", m)
+		n.spread("", &messenger.Message{Report: &r, Renewal: n.renewer.Status(now), Offsets: n.offsets()})
 		return
 	}
-	if m.Renewal != nil && !ev.Urgent {
-		n.broadcast(&messenger.Message{Renewal: m.Renewal})
-	}
+	n.tellRenewal(now)
 	if n.silent(r) {
 		return
 	}
 	direct := &messenger.Message{Report: &r, Use: ev.Use}
 	if !ev.Urgent {
-		direct.Offsets = m.Offsets
+		direct.Offsets = n.offsets()
 	}
 	reached := n.reached(now, t.direct())
 	n.sendAll(reached, "", direct)
@@ -64,6 +61,22 @@
 	}
 }
 
+// statusPause is the least time between two words about orders to all hosts of a large
+// fleet. After 0.6 s without one they look for a successor of the host that gives them.
+const statusPause = 150 * time.Millisecond
+
+// tellRenewal tells all hosts what there is to say of orders. A status is taken from the
+// renewer only to be sent: it says some things once.
+func (n *Node) tellRenewal(now time.Time) {
+	if now.Sub(n.lastStatus) < statusPause {
+		return
+	}
+	if s := n.renewer.Status(now); s != nil {
+		n.lastStatus = now
+		n.broadcast(&messenger.Message{Renewal: s})
+	}
+}
+
 // silent tells that a report need not be sent: this host stands by, and has said that
 // it has no work.
 func (n *Node) silent(r placer.Report) bool {
