--- a/conductor/node.go
+++ b/conductor/node.go
@@ -50,7 +50,7 @@
 	lastBeat   time.Time
 	lastSlow   time.Time            // lastSlow is when hosts that stand by were beaten last.
 	lastTold   time.Time            // lastTold is when the active hosts were last told of work.
-	lastStatus time.Time // lastStatus is when all hosts were last told of orders.
+	lastStatus time.Time            // lastStatus is when all hosts were last told of orders.
 	lastPaged  time.Time            // lastPaged is when this host last told its zone something as its relay.
 	lastHosts  time.Time            // lastHosts is when the hosts were published last.
 	serves     bool                 // serves tells that this host was last among the active ones of a large fleet.
