--- /dev/null
+++ b/tracker/digest.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package tracker
+
+import "github.com/cespare/xxhash/v2"
+
+// Digest returns a hash over the versions of all records. Hosts whose digests
+// differ exchange their records.
+func (h *Hosts) Digest() uint64 {
+	h.All()
+	return h.digest
+}
+
+func digest(records []HostRecord) uint64 {
+	var sum uint64
+	for _, r := range records {
+		sum += r.digest()
+	}
+	return sum
+}
+
+func (r HostRecord) digest() uint64 {
+	if r.State == HostJoining {
+		return 0
+	}
+	x := xxhash.Sum64String(r.Host) ^ r.Incarnation*31 ^ r.Version*17 ^ uint64(severity[r.State])
+	return x * 0x9e3779b97f4a7c15
+}
+
+// buckets is the number of parts into which the records of all hosts are divided by
+// name, so that hosts that differ in a few exchange these only.
+const buckets = 64
+
+func (r HostRecord) bucket() int { return int(xxhash.Sum64String(r.Host) % buckets) }
+
+// Buckets returns a digest for each part of the records.
+func (h *Hosts) Buckets() []uint64 {
+	out := make([]uint64, buckets)
+	for _, r := range h.All() {
+		out[r.bucket()] += r.digest()
+	}
+	return out
+}
+
+// Differing returns the records of the parts for which another host has another digest.
+func (h *Hosts) Differing(theirs []uint64) []HostRecord {
+	ours := h.Buckets()
+	if len(theirs) != len(ours) {
+		return h.All() // of another version
+	}
+	var out []HostRecord
+	for _, r := range h.All() {
+		if b := r.bucket(); ours[b] != theirs[b] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -4,7 +4,6 @@
 package tracker
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -148,45 +147,6 @@
 // changed drops what was worked out from the records.
 func (h *Hosts) changed() { h.all, h.live = nil, nil }
 
-// SetActive names the hosts that serve callers while the others stand by; nil if all
-// serve. Those that serve are neighbours of each other, so that one that falls silent is
-// noticed by all that share its work.
-func (h *Hosts) SetActive(now time.Time, active map[string]bool) {
-	if maps.Equal(h.active, active) {
-		return
-	}
-	before := h.expected()
-	h.active = active
-	h.near = nil
-	until := now.Add(introduction)
-	for name := range h.expected() {
-		if e := h.records[name]; !before[name] && e.heard.Before(until) {
-			e.heard = until
-		}
-	}
-}
-
-// expected returns the neighbours that are to speak at short intervals.
-func (h *Hosts) expected() map[string]bool {
-	out := make(map[string]bool)
-	for _, name := range h.Neighbours() {
-		if h.Prompt(name) {
-			out[name] = true
-		}
-	}
-	return out
-}
-
-// introduction is how long it may take until a host that was called in to serve speaks
-// to all others that do: both must have heard of it, over a few hops.
-const introduction = 1500 * time.Millisecond
-
-// Prompt tells whether a host is expected to speak at short intervals to this one: both
-// serve callers.
-func (h *Hosts) Prompt(host string) bool {
-	return h.active == nil || h.active[host] && h.active[h.self.Host]
-}
-
 // Merge takes a record that a peer passed on. It returns the records that are
 // news to this host and must be passed on in turn.
 func (h *Hosts) Merge(now time.Time, r HostRecord) []HostRecord {
@@ -436,87 +396,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// Rank returns the rendezvous weight of a host for a key; the host with the
-// highest weight comes first.
-func Rank(host, key string) uint64 {
-	x := xxhash.Sum64String(host) ^ xxhash.Sum64String(key)*0x9e3779b97f4a7c15
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// Place returns the place of a host among others for a key, from 0; -1 if it
-// is not among them.
-func Place(hosts []string, host, key string) int {
-	place, found := 0, false
-	own := Rank(host, key)
-	for _, o := range hosts {
-		if o == host {
-			found = true
-			continue
-		}
-		if Rank(o, key) > own {
-			place++
-		}
-	}
-	if !found {
-		return -1
-	}
-	return place
-}
-
-// Digest returns a hash over the versions of all records. Hosts whose digests
-// differ exchange their records.
-func (h *Hosts) Digest() uint64 {
-	h.All()
-	return h.digest
-}
-
-func digest(records []HostRecord) uint64 {
-	var sum uint64
-	for _, r := range records {
-		sum += r.digest()
-	}
-	return sum
-}
-
-func (r HostRecord) digest() uint64 {
-	if r.State == HostJoining {
-		return 0
-	}
-	x := xxhash.Sum64String(r.Host) ^ r.Incarnation*31 ^ r.Version*17 ^ uint64(severity[r.State])
-	return x * 0x9e3779b97f4a7c15
-}
-
-// buckets is the number of parts into which the records of all hosts are divided by
-// name, so that hosts that differ in a few exchange these only.
-const buckets = 64
-
-func (r HostRecord) bucket() int { return int(xxhash.Sum64String(r.Host) % buckets) }
-
-// Buckets returns a digest for each part of the records.
-func (h *Hosts) Buckets() []uint64 {
-	out := make([]uint64, buckets)
-	for _, r := range h.All() {
-		out[r.bucket()] += r.digest()
-	}
-	return out
-}
-
-// Differing returns the records of the parts for which another host has another digest.
-func (h *Hosts) Differing(theirs []uint64) []HostRecord {
-	ours := h.Buckets()
-	if len(theirs) != len(ours) {
-		return h.All() // of another version
-	}
-	var out []HostRecord
-	for _, r := range h.All() {
-		if b := r.bucket(); ours[b] != theirs[b] {
-			out = append(out, r)
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/tracker/rank.go
@@ -0,0 +1,37 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package tracker
+
+import "github.com/cespare/xxhash/v2"
+
+// Rank returns the rendezvous weight of a host for a key; the host with the
+// highest weight comes first.
+func Rank(host, key string) uint64 {
+	x := xxhash.Sum64String(host) ^ xxhash.Sum64String(key)*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Place returns the place of a host among others for a key, from 0; -1 if it
+// is not among them.
+func Place(hosts []string, host, key string) int {
+	place, found := 0, false
+	own := Rank(host, key)
+	for _, o := range hosts {
+		if o == host {
+			found = true
+			continue
+		}
+		if Rank(o, key) > own {
+			place++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return place
+}
