Empty availability zones on the operators' word, and know engines by their start

An evacuation is a belief of the follower: read from the operators' feed, handed over with it, taken back by a listing that does not name it. A start of an upstream is its ID with its time of birth: placement, reports between hosts and renewals count by starts, and requests at a former start are given up. Records before what a host has read are left out: an old page could bring back a removed upstream.

The three came in one commit since they change the same few functions.

--- a/conductor/events.go
+++ b/conductor/events.go
@@ -161,6 +161,8 @@
 	NoteStoreBack      NoteKind = logger.StoreBack
 	NoteUnreadable     NoteKind = logger.RecordUnreadable
 	NoteRecord         NoteKind = logger.RecordApplied
+	NoteEvacuated      NoteKind = logger.ZoneEvacuated
+	NoteTakenBack      NoteKind = logger.ZoneTakenBack
 	NoteHostChanged    NoteKind = logger.HostChanged
 	NoteLapsesCounted  NoteKind = logger.LapsedEntriesRemoved
 	NoteListingApplied NoteKind = logger.ListingApplied
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -111,6 +111,9 @@
 		return nil // a gap lies between what is known and this page
 	}
 	for _, r := range news.Records {
+		if !news.Full && r.Offset < f.next {
+			continue // it was taken in before, and perhaps what came after it
+		}
 		if n.apply(now, news.Feed, f, r) {
 			told = append(told, r)
 		}
@@ -133,13 +136,14 @@
 
 func (n *Node) takeListing(now time.Time, news follower.News, f *feed) {
 	f.known = true
-	if news.Feed != follower.FeedUpstreams {
-		return // what operators have said stays in force until they say otherwise
-	}
 	listed := make(map[string]bool, len(news.Records))
 	for _, r := range news.Records {
 		listed[r.Key] = true
 	}
+	if news.Feed != follower.FeedUpstreams {
+		n.takeBack(now, news, f, listed)
+		return // what else operators have said stays in force until they say otherwise
+	}
 	for key, r := range f.newest {
 		if !listed[key] && r.Offset < news.Next {
 			delete(f.newest, key)
@@ -149,14 +153,61 @@
 	n.viewDirty = n.state.Replace(now, listed, news.Next) || n.viewDirty
 }
 
+// unreadable leaves a record out and reports whether others are to hear of it. An upstream
+// whose newest entry says nothing is not used, whatever an older one said. Whoever writes
+// such entries may do so all the time: each name gets a line every unreadableAgain.
+func (n *Node) unreadable(now time.Time, name follower.Feed, f *feed, r follower.Record, err error) (tell bool) {
+	dropped := false
+	if name == follower.FeedUpstreams {
+		delete(f.newest, r.Key)
+		dropped = n.state.Drop(r.Key, r.Offset)
+		n.viewDirty = n.viewDirty || dropped
+	}
+	if !dropped && now.Sub(f.told[r.Key]) < unreadableAgain {
+		return false
+	}
+	f.told[r.Key] = now
+	n.do(Note{What: NoteUnreadable, Feed: name, Key: r.Key, Offset: r.Offset, Err: err})
+	return true
+}
+
+// unreadableAgain is the least time between two lines about records of one name that
+// cannot be read.
+const unreadableAgain = 10 * time.Second
+
+// noteOf returns the log line of a record that changed what is believed.
+func noteOf(name follower.Feed, r follower.Record, change follower.Change) Note {
+	note := Note{What: NoteRecord, Feed: name, Key: r.Key, Offset: r.Offset}
+	if e := change.Evacuation; e != nil {
+		note.What, note.Key = NoteEvacuated, e.AvailabilityZone
+		if e.Over {
+			note.What = NoteTakenBack
+		}
+	}
+	return note
+}
+
+// takeBack takes back the evacuations that a listing of the operators' feed does not name
+// any more: their records were dropped while this host did not read the feed.
+func (n *Node) takeBack(now time.Time, news follower.News, f *feed, listed map[string]bool) {
+	for key, known := range f.newest {
+		dropped := follower.Record{Key: key, Offset: news.Next - 1}
+		if listed[key] || known.Offset >= dropped.Offset {
+			continue
+		}
+		if change, err := n.opts.Decoder.Decode(news.Feed, dropped); err == nil && change.Evacuation != nil {
+			n.apply(now, news.Feed, f, dropped)
+		}
+	}
+}
+
 func (n *Node) apply(now time.Time, name follower.Feed, f *feed, r follower.Record) (tell bool) {
 	if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
 		return false
 	}
 	change, err := n.opts.Decoder.Decode(name, r)
 	if err != nil {
-		n.do(Note{What: NoteUnreadable, Feed: name, Key: r.Key, Offset: r.Offset, Err: err})
-		return true
+		return n.unreadable(now, name, f, r, err)
 	}
 	if len(r.Value) == 0 {
 		delete(f.newest, r.Key)
@@ -165,7 +216,7 @@
 		f.newest[r.Key] = r
 	}
 	if n.state.Apply(now, change, r.Offset) {
-		n.do(Note{What: NoteRecord, Feed: name, Key: r.Key, Offset: r.Offset})
+		n.do(noteOf(name, r, change))
 		n.viewDirty = true
 		if len(r.Value) > 0 {
 			f.told[r.Key] = now
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -21,8 +21,8 @@
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
-// simDecoder reads "version N" as a configuration and "ready" or "leaving" as an
-// upstream's entry.
+// simDecoder reads "version N" as a configuration, the key "evacuate/ZONE" as an
+// evacuation, and "ready" or "leaving" as an upstream's entry.
 type simDecoder struct{}
 
 func (simDecoder) Decode(f follower.Feed, r follower.Record) (follower.Change, error) {
@@ -31,12 +31,18 @@
 		if text == "" {
 			return follower.Change{Removed: r.Key}, nil
 		}
-		up := &follower.Upstream{ID: r.Key, Service: "s", Standing: follower.StandingReady}
+		if text == "rubbish" {
+			return follower.Change{}, errors.New("unreadable")
+		}
+		up := &follower.Upstream{ID: r.Key, Service: "s", AvailabilityZone: zoneOf(r.Key), Standing: follower.StandingReady}
 		if text == "leaving" {
 			up.Standing = follower.StandingLeaving
 		}
 		return follower.Change{Upstream: up}, nil
 	}
+	if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
+		return follower.Change{Evacuation: &follower.Evacuation{AvailabilityZone: zone, Over: text == ""}}, nil
+	}
 	number, ok := strings.CutPrefix(text, "version ")
 	n, err := strconv.ParseUint(number, 10, 64)
 	if !ok || err != nil {
@@ -45,6 +51,12 @@
 	return follower.Change{Table: matcher.New(matcher.Parts{Version: n})}, nil
 }
 
+// zoneOf returns the availability zone of an upstream that is named "a@zone", else "".
+func zoneOf(key string) string {
+	_, zone, _ := strings.Cut(key, "@")
+	return zone
+}
+
 // access is how the store treats a host.
 type access string
 
@@ -55,18 +67,19 @@
 )
 
 type simNode struct {
-	name    string
-	zone    string
-	node    *Node
-	access  access
-	changed time.Time // changed is when access or the process changed last.
-	down    bool
-	paused  bool
-	waiting []*simRead
-	inbox   []Event
-	starts  uint64
-	version uint64                   // version is what was published last.
-	reports map[string]placer.Report // reports has the newest work of others, by who told of it.
+	name       string
+	zone       string
+	node       *Node
+	access     access
+	changed    time.Time // changed is when access or the process changed last.
+	down       bool
+	paused     bool
+	waiting    []*simRead
+	inbox      []Event
+	starts     uint64
+	unreadable int                      // unreadable counts the lines about records that cannot be read.
+	version    uint64                   // version is what was published last.
+	reports    map[string]placer.Report // reports has the newest work of others, by who told of it.
 }
 
 type simRead struct {
@@ -245,6 +258,10 @@
 				}
 				s.version = t.Version()
 			}
+		case Note:
+			if a.What == NoteUnreadable {
+				s.unreadable++
+			}
 		case TakeReport:
 			if a.Report.Work != nil {
 				s.reports[a.From] = a.Report
@@ -439,6 +456,34 @@
 	assert.Equal(t, c.nodes[1].version, uint64(5))
 }
 
+// TestForeignEntries: entries of another writer, under names of their own or under that of
+// an upstream, name nobody; the others hold, and so does the upstream once it has written
+// again. They are no reason for a line each.
+func TestForeignEntries(t *testing.T) {
+	for _, hosts := range []int{1, 4, 20} {
+		c := newCluster(hosts)
+		c.write(follower.FeedOperator, "config", "version 1")
+		c.write(follower.FeedUpstreams, "a", "ready")
+		c.write(follower.FeedUpstreams, "b", "ready")
+		c.run(3 * time.Second)
+		for range 50 {
+			c.write(follower.FeedUpstreams, "x", "rubbish")
+			c.write(follower.FeedUpstreams, "b", "rubbish")
+			c.run(50 * time.Millisecond)
+		}
+		c.run(time.Second)
+		for _, s := range c.nodes {
+			assert.DeepEqual(t, s.node.view.ByService["s"], []string{"a"})
+			assert.Assert(t, s.unreadable > 0 && s.unreadable <= 4, "%s wrote %d lines", s.name, s.unreadable)
+		}
+		c.write(follower.FeedUpstreams, "b", "ready")
+		c.run(2 * time.Second)
+		for _, s := range c.nodes {
+			assert.DeepEqual(t, s.node.view.ByService["s"], []string{"a", "b"})
+		}
+	}
+}
+
 var clusterActions = []string{"write", "write", "write", "silent", "refuse", "ok", "ok", "kill", "start", "pause", "resume", "forget", "upstream"}
 
 // TestRandomFaults: whatever happens, versions never go back on a host, and two
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -21,6 +21,7 @@
 	Open      int64
 	Version   uint64 // Version is that of the configuration in force; 0 if none is.
 	Named     map[string]follower.Named
+	Evacuated map[string]bool // Evacuated are availability zones whose upstreams get nothing new.
 	Hosts     []tracker.HostRecord
 	Upstreams []follower.Upstream
 	Placement placer.Dump
@@ -35,6 +36,7 @@
 		Leaving:   h.Leaving(),
 		Open:      h.open.Load(),
 		Named:     view.Named,
+		Evacuated: view.Evacuated,
 		Hosts:     *h.hosts.Load(),
 		Upstreams: view.Upstreams,
 		Placement: h.placer.Dump(h.opts.Timer.Now()),
--- a/conductor/renewal.go
+++ b/conductor/renewal.go
@@ -53,7 +53,7 @@
 }
 
 func (n *Node) renewed(done renewer.Renewed) {
-	n.viewDirty = n.state.Renewed(done.ID, done.Model, done.Version) || n.viewDirty
+	n.viewDirty = n.state.Renewed(done.ID, done.Born, done.Model, done.Version) || n.viewDirty
 }
 
 func (n *Node) renewalEnd(now time.Time, ev RenewalEnd) {
--- a/follower/state.go
+++ b/follower/state.go
@@ -22,6 +22,7 @@
 	named     map[string]Named
 	recalled  map[string][]Named // recalled are namings that other hosts remember, by model.
 	current   time.Time          // current is up to when the operators' feed is known.
+	emptied   evacuations
 	upstreams map[string]*entry
 	listed    bool      // listed tells that a whole listing of the upstreams was taken in.
 	away      bool      // away tells that the store's last answer was a failure.
@@ -37,7 +38,12 @@
 
 // New returns a state that knows nothing.
 func New() *State {
-	return &State{named: make(map[string]Named), recalled: make(map[string][]Named), upstreams: make(map[string]*entry)}
+	return &State{
+		named:     make(map[string]Named),
+		recalled:  make(map[string][]Named),
+		emptied:   make(evacuations),
+		upstreams: make(map[string]*entry),
+	}
 }
 
 // Answered tells that the store has answered this host or another.
@@ -69,6 +75,8 @@
 		next := s.named[c.Weights.Model].then(Named{Version: c.Weights.Version, Since: now, Earliest: s.current})
 		s.named[c.Weights.Model] = next.recalling(s.recalled[c.Weights.Model])
 		return true
+	case c.Evacuation != nil:
+		return s.emptied.put(now, *c.Evacuation, offset)
 	case c.Upstream != nil:
 		return s.put(*c.Upstream, offset)
 	case c.Removed != "":
@@ -87,9 +95,11 @@
 		return false
 	}
 	e.offset = offset
-	for model, has := range e.upstream.Weights {
+	if u.Born == e.upstream.Born {
 		// One start of an upstream never goes back; an entry may be older than what is known.
-		u.Weights[model] = max(u.Weights[model], has)
+		for model, has := range e.upstream.Weights {
+			u.Weights[model] = max(u.Weights[model], has)
+		}
 	}
 	same := equal(e.upstream, u) && e.lapsed.IsZero()
 	e.upstream, e.lapsed = u, time.Time{}
@@ -134,10 +144,10 @@
 	}
 }
 
-// Renewed tells that an upstream has a weight version, before its entry says so.
-func (s *State) Renewed(id, model string, version uint64) bool {
+// Renewed tells that a start of an upstream has a weight version, before its entry says so.
+func (s *State) Renewed(id string, born int64, model string, version uint64) bool {
 	e := s.upstreams[id]
-	if e == nil || e.upstream.Weights[model] >= version {
+	if e == nil || e.upstream.Born != born || e.upstream.Weights[model] >= version {
 		return false
 	}
 	weights := maps.Clone(e.upstream.Weights)
@@ -147,7 +157,7 @@
 }
 
 func equal(a, b Upstream) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Standing == b.Standing &&
+	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.Standing == b.Standing &&
 		a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
 }
 
@@ -167,6 +177,16 @@
 	return true
 }
 
+// Drop forgets an upstream whose entry cannot be read any more: it names none to use.
+func (s *State) Drop(id string, offset int64) bool {
+	e := s.upstreams[id]
+	if e == nil || offset < e.offset {
+		return false
+	}
+	delete(s.upstreams, id)
+	return true
+}
+
 // inGrace tells that removals may come from entries that could not be renewed.
 func (s *State) inGrace(now time.Time) bool {
 	return s.away || !s.returned.IsZero() && now.Sub(s.returned) < lapseGrace
@@ -211,6 +231,15 @@
 	Listed    bool                // Listed tells that Upstreams has been read; without it their absence says nothing.
 	Upstreams []Upstream          // Upstreams are ordered by ID.
 	ByService map[string][]string // ByService has the IDs of upstreams that take new work.
+	// Evacuated are the availability zones whose upstreams are sent nothing new, Returned
+	// is when those that were evacuated earlier were taken back.
+	Evacuated map[string]bool
+	Returned  map[string]time.Time
+}
+
+// Takes tells that an upstream takes new work.
+func (v *View) Takes(u *Upstream) bool {
+	return u.Standing == StandingReady && !v.Evacuated[u.AvailabilityZone]
 }
 
 // Ready tells that requests can be served: configuration and upstreams are known.
@@ -218,14 +247,21 @@
 
 // View returns what is believed now.
 func (s *State) View() *View {
-	v := &View{Table: s.table, Listed: s.listed, Named: maps.Clone(s.named), ByService: make(map[string][]string)}
+	v := &View{
+		Table:     s.table,
+		Listed:    s.listed,
+		Named:     maps.Clone(s.named),
+		ByService: make(map[string][]string),
+		Evacuated: s.emptied.evacuated(),
+		Returned:  s.emptied.returned(),
+	}
 	for _, e := range s.upstreams {
 		v.Upstreams = append(v.Upstreams, e.upstream)
 	}
 	slices.SortFunc(v.Upstreams, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	for i := range v.Upstreams {
 		u := &v.Upstreams[i]
-		if u.Standing == StandingReady {
+		if v.Takes(u) {
 			v.ByService[u.Service] = append(v.ByService[u.Service], u.ID)
 		}
 	}
--- a/follower/state_test.go
+++ b/follower/state_test.go
@@ -24,12 +24,13 @@
 	IDs         []string
 	Offset      int64
 	Weights     uint64
+	Born        int64
 	Want        []string
 	WantWeights uint64
 }
 
 func (s *step) apply(t *testing.T, state *State, now time.Time) {
-	up := Upstream{ID: s.ID, Service: "s", Address: "127.0.0.1:1", Standing: StandingReady, Weights: map[string]uint64{"m": s.Weights}}
+	up := Upstream{ID: s.ID, Born: s.Born, Service: "s", Address: "127.0.0.1:1", Standing: StandingReady, Weights: map[string]uint64{"m": s.Weights}}
 	switch s.Do {
 	case "put":
 		state.Apply(now, Change{Upstream: &up}, s.Offset)
@@ -45,7 +46,9 @@
 		}
 		state.Replace(now, listed, s.Offset)
 	case "renewed":
-		state.Renewed(s.ID, "m", s.Weights)
+		state.Renewed(s.ID, s.Born, "m", s.Weights)
+	case "unreadable":
+		state.Drop(s.ID, s.Offset)
 	case "failed":
 		state.Failed()
 	case "answered":
--- a/follower/types.go
+++ b/follower/types.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,7 +53,8 @@
 
 // Upstream is one upstream as its entry describes it.
 type Upstream struct {
-	ID               string // ID is new for each start of the upstream.
+	ID               string // ID is what the upstream calls itself. It may start again under the same one.
+	Born             int64  // Born is when it was started, in milliseconds of the time of day; 0 if it does not say.
 	Service          string
 	Address          string // Address is IP:port.
 	AvailabilityZone string
@@ -61,13 +63,23 @@
 	Weights          map[string]uint64 // Weights has the weight version of each model.
 }
 
+// Start names one start of the upstream. What is known of an earlier one under the same
+// ID does not hold for it: it keeps nothing and has no work.
+func (u *Upstream) Start() string {
+	if u.Born == 0 {
+		return u.ID
+	}
+	return u.ID + "@" + strconv.FormatInt(u.Born, 36)
+}
+
 // Change is what one record says. At most one field is set; none is if the
 // record is of no interest.
 type Change struct {
-	Table    *matcher.Table
-	Weights  *Weights
-	Upstream *Upstream
-	Removed  string // Removed is the ID of an upstream whose entry is gone.
+	Table      *matcher.Table
+	Weights    *Weights
+	Evacuation *Evacuation
+	Upstream   *Upstream
+	Removed    string // Removed is the ID of an upstream whose entry is gone.
 }
 
 // Weights is a weight version of a model that operators have named.
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -19,6 +19,8 @@
 	StoreBack            = "StoreBack"
 	ListingApplied       = "ListingApplied"
 	RecordApplied        = "RecordApplied"
+	ZoneEvacuated        = "ZoneEvacuated"
+	ZoneTakenBack        = "ZoneTakenBack"
 	RecordUnreadable     = "RecordUnreadable"
 	LapsedEntriesRemoved = "LapsedEntriesRemoved"
 	HostChanged          = "HostChanged"
@@ -40,7 +42,7 @@
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
 	UpstreamChosen, RequestEnded, LinesLeftOut,
-	StoreLost, StoreBack, ListingApplied, RecordApplied, RecordUnreadable, LapsedEntriesRemoved,
+	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
 	LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
--- /dev/null
+++ b/placer/evacuation_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// evacuatedView has upstreams and stores with even numbers in the zone "east", which is
+// evacuated, and the others in "west".
+func evacuatedView(n int) *follower.View {
+	v := testView(n, 1)
+	for i := range v.Upstreams {
+		zone := "west"
+		if i%2 == 0 {
+			zone = "east"
+		}
+		v.Upstreams[i].AvailabilityZone = zone
+	}
+	return v
+}
+
+// TestEvacuatedZone: nothing goes to upstreams of a zone that is evacuated, none of them
+// is named as a source, and nothing is left to be chosen where all are there.
+func TestEvacuatedZone(t *testing.T) {
+	v := evacuatedView(4)
+	p := testPlacer(v)
+	first, verdict := p.Choose(start, askFor("shared", "own"))
+	assert.Equal(t, verdict, Chosen)
+	serve(p, start, first)
+	v.Evacuated = map[string]bool{first.Upstream.AvailabilityZone: true}
+	p.Update(v)
+	for i := range 20 {
+		c, verdict := p.Choose(start, askFor("shared", fmt.Sprint("own", i)))
+		assert.Equal(t, verdict, Chosen)
+		assert.Assert(t, !v.Evacuated[c.Upstream.AvailabilityZone])
+		if c.Fetch != nil {
+			assert.Assert(t, c.Fetch[0] != first.Upstream.Address)
+		}
+		c.Ticket.Done(start, ResultServed)
+	}
+	v.Evacuated = map[string]bool{"east": true, "west": true}
+	p.Update(v)
+	_, verdict = p.Choose(start, askFor("shared", "own"))
+	assert.Equal(t, verdict, None)
+}
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -23,14 +23,14 @@
 
 // Placement says that an engine has read a part.
 type Placement struct {
-	Upstream string  `cbor:"1,keyasint"`
+	Upstream string  `cbor:"1,keyasint"` // Upstream is what Start names the engine.
 	Key      PartKey `cbor:"2,keyasint"`
 	Tokens   int     `cbor:"3,keyasint"`
 }
 
 // Report is what a host tells the others.
 type Report struct {
-	Work   map[string]Work `cbor:"1,keyasint,omitempty"` // Work is by upstream; those left out have none.
+	Work   map[string]Work `cbor:"1,keyasint,omitempty"` // Work is by start of an upstream; those left out have none.
 	Placed []Placement     `cbor:"2,keyasint,omitempty"` // Placed is new since the last report.
 	// Stores is what is being fetched from stores, by address.
 	Stores map[string]Work `cbor:"3,keyasint,omitempty"`
@@ -92,7 +92,7 @@
 	r := Report{Partial: true, Work: make(map[string]Work, len(p.changed)), Placed: p.placed, Waiting: p.waiting()}
 	p.placed = nil
 	for t := range p.changed {
-		r.Work[t.upstream.ID] = t.own
+		r.Work[t.key] = t.own
 	}
 	clear(p.changed)
 	return r
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -44,7 +44,7 @@
 
 	mu        sync.Mutex
 	rng       *rand.Rand
-	targets   map[string]*target   // targets are all known upstreams by ID.
+	targets   map[string]*target   // targets are all known upstreams, by what Start names them.
 	pools     map[string][]*target // pools has those of each service that take new work.
 	near      map[string][]*target // near has those of pools that belong to this host's cell.
 	cell      int                  // cell is this host's among the cells of its zone.
@@ -87,9 +87,15 @@
 	}
 }
 
-// Update takes over the upstreams of a view. What is known of those that stay
-// is kept.
+// Update takes over the upstreams of a view. What is known of those that stay is kept.
+// Requests that are under way at one that has started anew since are lost.
 func (p *Placer) Update(view *follower.View) {
+	for _, tell := range p.update(view) {
+		tell()
+	}
+}
+
+func (p *Placer) update(view *follower.View) (lost []func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.targets
@@ -97,9 +103,10 @@
 	p.pools = make(map[string][]*target)
 	p.named = view.Named
 	for _, u := range view.Upstreams {
-		t := before[u.ID]
+		key := u.Start()
+		t := before[key]
 		if t == nil {
-			t = &target{eased: p.heard, tickets: make(map[*Ticket]struct{}), hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
+			t = &target{key: key, eased: p.heard, tickets: make(map[*Ticket]struct{}), hash: xxhash.Sum64String(u.ID), hold: firstHold, near: u.AvailabilityZone == p.opts.AvailabilityZone}
 		}
 		t.upstream = u
 		if view.Table != nil {
@@ -107,8 +114,8 @@
 				t.engine = s.Engine
 			}
 		}
-		p.targets[u.ID] = t
-		if u.Standing == follower.StandingReady {
+		p.targets[key] = t
+		if view.Takes(&u) {
 			p.pools[u.Service] = append(p.pools[u.Service], t)
 		}
 	}
@@ -116,6 +123,24 @@
 	p.sumPeers(p.heard)
 	p.updateStores(view)
 	p.eased()
+	return p.restarted(before)
+}
+
+// restarted returns what is to be called for requests at upstreams of which another start
+// is known now.
+func (p *Placer) restarted(before map[string]*target) []func() {
+	starts := make(map[string]string, len(p.targets))
+	for key, t := range p.targets {
+		starts[t.upstream.ID] = key
+	}
+	var tell []func()
+	for key, t := range before {
+		if now := starts[t.upstream.ID]; now != "" && now != key {
+			tell = append(tell, t.lost()...)
+			delete(p.changed, t)
+		}
+	}
+	return tell
 }
 
 // SetCell tells which of the cells of its zone this host is in. Engines of the zone
@@ -141,11 +166,11 @@
 	}
 }
 
-// Busy returns the number of requests under way at an upstream.
-func (p *Placer) Busy(id string) int {
+// Busy returns the number of requests under way at a start of an upstream.
+func (p *Placer) Busy(start string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t := p.targets[id]; t != nil {
+	if t := p.targets[start]; t != nil {
 		return t.own.Requests + t.peers.Requests
 	}
 	return 0
@@ -155,8 +180,8 @@
 func (p *Placer) Renewing(phases map[string]renewer.Phase) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, t := range p.targets {
-		t.phase = phases[id]
+	for _, t := range p.targets {
+		t.phase = phases[t.upstream.ID]
 	}
 	p.eased()
 }
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -186,7 +186,7 @@
 	}
 	for i, k := range keys {
 		if !t.kept.has(k) {
-			p.tell(Placement{Upstream: t.upstream.ID, Key: k, Tokens: parts[i].Tokens})
+			p.tell(Placement{Upstream: t.key, Key: k, Tokens: parts[i].Tokens})
 		}
 		t.kept.put(now, k, parts[i].Tokens, p.room(t))
 	}
--- /dev/null
+++ b/placer/restart_test.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStartedAgain: an engine that starts again under its ID keeps nothing and has no
+// work, what others say of its former life is not taken for the new one, and requests that
+// the former one had are given up.
+func TestStartedAgain(t *testing.T) {
+	v := testView(1, 1)
+	v.Upstreams[0].Born = 100
+	p := testPlacer(v)
+	first, _ := p.Choose(start, askFor("shared", "own"))
+	serve(p, start, first)
+	open, _ := p.Choose(start, askFor("shared", "own2"))
+	assert.Equal(t, open.Basis.Missing, 4000)
+	given := 0
+	open.Ticket.OnSilent(func() { given++ })
+	former := v.Upstreams[0].Start()
+
+	next := *v
+	next.Upstreams = append(next.Upstreams[:0:0], v.Upstreams...)
+	next.Upstreams[0].Born = 200
+	p.Update(&next)
+	assert.Equal(t, given, 1)
+	assert.Equal(t, p.Busy(next.Upstreams[0].Start()), 0)
+
+	p.Heard(start, "peer", Report{
+		Work:   map[string]Work{former: {Requests: 3, Memory: 50000}},
+		Placed: []Placement{{Upstream: former, Key: keysOf(nil, saltOf("")(1), []Part{{ID: "shared"}})[0], Tokens: 12800}},
+	})
+	open.Ticket.Done(start, ResultFailed) // the former one's work is not taken off the new one's
+	again, verdict := p.Choose(start, askFor("shared", "own3"))
+	assert.Equal(t, verdict, Chosen)
+	assert.Equal(t, again.Basis.Missing, 16800)
+	assert.Equal(t, again.Basis.Work, Work{})
+	assert.Equal(t, p.Report().Work[next.Upstreams[0].Start()].Requests, 1)
+	assert.Equal(t, len(p.Changes().Work), 0)
+}
--- a/placer/silence.go
+++ b/placer/silence.go
@@ -101,6 +101,11 @@
 // fellSilent keeps new work away and returns what is to be called.
 func (t *target) fellSilent(now time.Time) []func() {
 	t.unreached(now)
+	return t.lost()
+}
+
+// lost returns what is to be called for the requests that the upstream will not answer.
+func (t *target) lost() []func() {
 	var tell []func()
 	for tk := range t.tickets {
 		if tk.onSilent != nil {
--- a/placer/store.go
+++ b/placer/store.go
@@ -27,6 +27,7 @@
 	pace    pace
 	own     Work // own and peers are transfers under way.
 	peers   Work
+	emptied bool // emptied tells that its availability zone is evacuated: nothing is saved there.
 	up      bool // up tells that the store has answered lately.
 	epoch   int64
 	next    int64            // next is the number after the last change that is known.
@@ -67,6 +68,7 @@
 		}
 		st.service = *s.Store
 		st.pace.nominal = float64(transferTime(1000, p.bytesPerToken(view), s.Store.LinkMbps)) / 1000
+		st.emptied = view.Evacuated[s.Store.AvailabilityZone]
 		st.near = s.Store.AvailabilityZone == p.opts.AvailabilityZone
 		p.stores[s.Store.Address] = st
 	}
@@ -268,7 +270,7 @@
 		if st.held[name] > 0 {
 			return nil
 		}
-		if !st.up || !st.room(now, tokens) {
+		if !st.up || st.emptied || !st.room(now, tokens) {
 			continue
 		}
 		weight := weighted(rendezvous(keyOf(name), st.hash), float64(st.service.CapacityTokens))
--- a/placer/target.go
+++ b/placer/target.go
@@ -32,6 +32,7 @@
 
 // target is an upstream with what is known of its load.
 type target struct {
+	key      string // key is what Start names it.
 	upstream follower.Upstream
 	engine   *matcher.Engine // engine is nil for plain services.
 	hash     uint64
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -64,6 +64,7 @@
 	ID      string `cbor:"1,keyasint"`
 	Model   string `cbor:"2,keyasint"`
 	Version uint64 `cbor:"3,keyasint"`
+	Born    int64  `cbor:"4,keyasint,omitempty"` // Born tells which start of the engine has it.
 }
 
 func (ReadLease) command()  {}
@@ -87,12 +88,13 @@
 // Input is what a step depends on.
 type Input struct {
 	View  *follower.View
-	Place int                 // Place is this host's place among the live ones.
-	Busy  func(id string) int // Busy is the work under way at an engine.
+	Place int                    // Place is this host's place among the live ones.
+	Busy  func(start string) int // Busy is the work under way at a start of an engine.
 }
 
 // job is an engine that is to be renewed.
 type job struct {
+	born    int64 // born tells which start of the engine the job is for.
 	model   string
 	version uint64
 	ordered time.Time // ordered is when the last order was sent.
@@ -179,7 +181,7 @@
 			if has < view.Named[model].Version {
 				need = append(need, *u)
 				ids[u.ID] = true
-				r.job(u.ID, model, view.Named[model].Version)
+				r.job(u, model, view.Named[model].Version)
 				break
 			}
 		}
@@ -192,11 +194,11 @@
 	return need
 }
 
-func (r *Renewer) job(id, model string, version uint64) {
-	j := r.jobs[id]
-	if j == nil {
-		j = &job{}
-		r.jobs[id] = j
+func (r *Renewer) job(u *follower.Upstream, model string, version uint64) {
+	j := r.jobs[u.ID]
+	if j == nil || j.born != u.Born {
+		j = &job{born: u.Born}
+		r.jobs[u.ID] = j
 	}
 	if j.version != version || j.model != model {
 		j.model, j.version = model, version
@@ -207,7 +209,7 @@
 // work gives orders and asks how they went.
 func (r *Renewer) work(now time.Time, in Input, need []follower.Upstream) []Command {
 	slices.SortStableFunc(need, func(a, b follower.Upstream) int {
-		return cmp.Or(cmp.Compare(in.Busy(a.ID), in.Busy(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(in.Busy(a.Start()), in.Busy(b.Start())), cmp.Compare(a.ID, b.ID))
 	})
 	atOnce := max(r.opts.AtOnce, int(r.opts.Share*float64(engines(in.View))))
 	var out []Command
@@ -281,14 +283,14 @@
 // Ordered takes in the answer to an order.
 func (r *Renewer) Ordered(now time.Time, o Order, result OrderResult) []Command {
 	j := r.jobs[o.Upstream.ID]
-	if j == nil {
-		return nil
+	if j == nil || j.born != o.Upstream.Born {
+		return nil // an engine that was started again knows nothing of the order
 	}
 	j.calling = false
 	switch result {
 	case OrderHolds:
 		if j.version == o.Version {
-			return r.renewed(o.Upstream.ID, o.Model, o.Version)
+			return r.renewed(&o.Upstream, o.Model, o.Version)
 		}
 		j.loading, j.again = false, now
 	case OrderRefused:
@@ -301,7 +303,7 @@
 // Told takes in an engine's answer to a question.
 func (r *Renewer) Told(now time.Time, a Ask, busy bool, version uint64, err error) []Command {
 	j := r.jobs[a.Upstream.ID]
-	if j == nil {
+	if j == nil || j.born != a.Upstream.Born {
 		return nil
 	}
 	j.calling = false
@@ -316,11 +318,11 @@
 	if version == 0 {
 		return nil
 	}
-	return r.renewed(a.Upstream.ID, a.Model, version)
+	return r.renewed(&a.Upstream, a.Model, version)
 }
 
-func (r *Renewer) renewed(id, model string, version uint64) []Command {
-	done := Renewed{ID: id, Model: model, Version: version}
+func (r *Renewer) renewed(u *follower.Upstream, model string, version uint64) []Command {
+	done := Renewed{ID: u.ID, Born: u.Born, Model: model, Version: version}
 	r.told = append(r.told, done)
 	return []Command{done}
 }
