Share what cold upstreams bear, and keep requests in their regions

Cause: an upstream that has just started, or whose zone is taken back, was the emptiest of all, and hosts sent it as much as it could queue; it bears 20 requests a second by 1.5, and 5. A request with homes could go to any region.

Each host has a fixed part of the allowance without asking anybody: three quarters of it divided by all hosts that may send or lately might (30 s), the remainder by rank. A host that does not know the others yet (1.5 s after its start) or that stands by sends nothing there. Cold is what the entry says, an evacuated zone for cold_start_s after it is taken back, and an upstream that answers again after it could not be reached for 2 s. Homes bind in the choice, in what stores are named for saving, and in the directory.

Ruled out: a token for each request from one holder (a call for each, and nothing while it is cut off); counting by reports (0.1 to 0.4 s old: 15 hosts see the same room).

Tests that failed first: placer.TestAllowanceOfColdEngine (15 hosts of which five vanish), TestTurnsCold, TestWarmGoesFirst, TestHomes.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -99,6 +99,7 @@
 	// reporting keeps reports in the order in which they were made: one that is older
 	// would undo a newer part.
 	reporting sync.Mutex
+	senders   senders       // senders are the hosts that may send to upstreams, or lately might.
 	reports   int           // reports counts the ticks of reports.
 	urgent    chan struct{} // urgent asks for a report at once.
 	eased     chan struct{} // eased asks to look whether upstreams can begin requests that wait.
@@ -125,6 +126,7 @@
 		log:     opts.Log,
 		events:  make(chan Event, eventQueue),
 		watched: make(map[string]context.CancelFunc),
+		senders: make(senders),
 		ctx:     ctx,
 		cancel:  cancel,
 		urgent:  make(chan struct{}, 1),
@@ -135,8 +137,10 @@
 		Host:             s.Host,
 		Waiting:          func() int { return h.exchanger.Waiting() },
 		AvailabilityZone: s.AvailabilityZone,
+		Regions:          s.Platform.Regions,
 		Seed:             uint64(opts.Timer.Now().UnixNano()),
 		WeightsWithin:    s.Platform.WeightsWithin.Std(),
+		Cold:             placer.ColdLimit{Overage: s.Platform.ColdOverage, Slack: s.Platform.ColdSlack},
 		Urgent:           h.hurry,
 		Eased:            h.ease,
 	})
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -19,6 +19,9 @@
 // report tells other hosts what this one has under way.
 func (h *Host) report(now time.Time) {
 	h.placer.Watch(now)
+	if now.Sub(h.started) > acquaintance {
+		h.placer.SetSharers(h.senders.update(now, *h.hosts.Load(), *h.serving.Load()))
+	}
 	h.reports++
 	if !h.serving.Load().All && h.reports%manyPause != 0 {
 		return
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -56,6 +56,10 @@
 	if ask.Prompt != nil {
 		ask.SaltOf = d.salt
 	}
+	ask.Homes = append(ask.Homes, d.route.Regions)
+	if d.workspace != nil {
+		ask.Homes = append(ask.Homes, d.workspace.Regions)
+	}
 	if ask.Prompt != nil && !d.opts.Placer.Fits(d.service, ask.Prompt) {
 		d.unplaced = ReasonTooLarge
 		return placer.Choice{}, false
--- a/follower/state.go
+++ b/follower/state.go
@@ -78,14 +78,17 @@
 	case c.Evacuation != nil:
 		return s.emptied.put(now, *c.Evacuation, offset)
 	case c.Upstream != nil:
-		return s.put(*c.Upstream, offset)
+		return s.put(now, *c.Upstream, offset)
 	case c.Removed != "":
 		return s.remove(now, c.Removed, offset)
 	}
 	return false
 }
 
-func (s *State) put(u Upstream, offset int64) bool {
+func (s *State) put(now time.Time, u Upstream, offset int64) bool {
+	if u.Cold > 0 {
+		u.ColdUntil = now.Add(u.Cold) // the entry was written before: it is warm a little earlier
+	}
 	e := s.upstreams[u.ID]
 	if e == nil {
 		s.upstreams[u.ID] = &entry{upstream: u, offset: offset}
@@ -101,7 +104,7 @@
 			u.Weights[model] = max(u.Weights[model], has)
 		}
 	}
-	same := equal(e.upstream, u) && e.lapsed.IsZero()
+	same := equal(e.upstream, u) && e.lapsed.IsZero() && !turnedCold(e.upstream, u)
 	e.upstream, e.lapsed = u, time.Time{}
 	return !same
 }
@@ -156,6 +159,14 @@
 	return true
 }
 
+// coldSlip is how far two words on the end of the same coldness lie apart at most.
+const coldSlip = 700 * time.Millisecond
+
+// turnedCold tells that an upstream has become cold, or warm, since it wrote last.
+func turnedCold(before, u Upstream) bool {
+	return before.Cold > 0 != (u.Cold > 0) || u.ColdUntil.Sub(before.ColdUntil) > coldSlip
+}
+
 func equal(a, b Upstream) bool {
 	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.Standing == b.Standing &&
 		a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
--- a/follower/types.go
+++ b/follower/types.go
@@ -60,6 +60,8 @@
 	AvailabilityZone string
 	Slots            int
 	Standing         Standing
+	Cold             time.Duration     // Cold is how much longer it was slow when it wrote its entry.
+	ColdUntil        time.Time         // ColdUntil is until when it is slow, as State works it out.
 	Weights          map[string]uint64 // Weights has the weight version of each model.
 }
 
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -49,6 +49,7 @@
 	LinkMbps   float64           // LinkMbps is the width of this host's own link; the widest relay for others.
 	Cores      float64           // Cores is how many processor cores this host may use, 0.4 for two fifths of one; 0 if that is not known.
 	FirstStart bool              // FirstStart tells that all hosts start for the first time; they find each other before they ask the store for more.
+	Regions    map[string]string // Regions has the region of each availability zone.
 	Ready      Endpoint          // Ready is where the platform asks whether this host takes callers.
 	Directory  Endpoint          // Directory is where callers ask for addresses.
 	RetryShare float64           // RetryShare is the share of requests to a service that all hosts may send once more.
@@ -56,6 +57,8 @@
 	Lease      duration.Duration // Lease is the time within which orders of two hosts to one upstream clash.
 	// WeightsWithin is the time after which no request may begin on replaced weights.
 	WeightsWithin duration.Duration
+	ColdOverage   float64 // ColdOverage multiplies what a service allows for a cold upstream a second; all hosts together stay under it.
+	ColdSlack     float64 // ColdSlack is added to that.
 	LoadsAtOnce   int     // LoadsAtOnce is the least number of engines that load weights at the same time.
 	LoadsShare    float64 // LoadsShare is the part of all engines that may do so, where that is more.
 }
@@ -208,6 +211,8 @@
 	v.endpoint("/Platform/Directory", p.Directory)
 	v.check(p.RetryShare >= 0 && p.RetryShare <= 1, "/Platform/RetryShare", "want 0 to 1")
 	v.check(p.RetrySlack >= 0, "/Platform/RetrySlack", "want at least 0")
+	v.check(p.ColdOverage >= 0, "/Platform/ColdOverage", "must not be negative")
+	v.check(p.ColdSlack >= 0, "/Platform/ColdSlack", "must not be negative")
 	v.check(p.WeightsWithin >= 0, "/Platform/WeightsWithin", "must not be negative")
 	v.check(p.LoadsShare >= 0 && p.LoadsShare <= 1, "/Platform/LoadsShare", "want 0 to 1")
 	v.check(p.LoadsAtOnce > 0, "/Platform/LoadsAtOnce", "want more than 0")
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -31,6 +31,7 @@
 	Objective   time.Duration // Objective is the latency up to which an answer is on time.
 	Rank        int           // Rank is the urgency; 0 is the most urgent.
 	MaxAttempts int           // MaxAttempts bounds the upstreams on which one request may run.
+	Regions     []string      // Regions are those that may serve its requests and keep their context; all if there are none.
 	Services    []Share
 }
 
@@ -64,9 +65,11 @@
 // Service is a group of upstreams that do the same.
 type Service struct {
 	Name           string
-	MaxConnections int     // MaxConnections bounds the connections to one upstream, of all hosts together.
-	Engine         *Engine // Engine is nil for plain services.
-	Store          *Store  // Store is nil unless the service keeps context for engines.
+	ColdFor        time.Duration // ColdFor is how long an upstream is slow after its start.
+	ColdPerSecond  float64       // ColdPerSecond is how many requests a second an upstream bears meanwhile; 0 if any.
+	MaxConnections int           // MaxConnections bounds the connections to one upstream, of all hosts together.
+	Engine         *Engine       // Engine is nil for plain services.
+	Store          *Store        // Store is nil unless the service keeps context for engines.
 }
 
 // Engine describes the upstreams of a service that computes prompts.
@@ -91,8 +94,9 @@
 type Workspace struct {
 	Name     string
 	Keys     []string
-	Rank     *int // Rank goes before the route's rank if it is set.
-	Isolated bool // Isolated tells that no kept context is shared with others.
+	Rank     *int     // Rank goes before the route's rank if it is set.
+	Regions  []string // Regions are as those of a route; where both have some, both bind.
+	Isolated bool     // Isolated tells that no kept context is shared with others.
 }
 
 // Limits bound what callers may send.
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -18,6 +18,8 @@
 	// SaltOf returns the text that sets apart context of a weight version.
 	SaltOf  func(weights uint64) string
 	Exclude []string
+	// Homes are the lists of regions that may serve the request; each of them binds.
+	Homes [][]string
 	// Objective is the time to the first byte in which an answer counts as on time; 0
 	// if there is none.
 	Objective time.Duration
@@ -105,6 +107,7 @@
 	tk.fetching = c.Basis.Moved > 0
 	tk.expected = c.Basis.Behind + c.Basis.Reading + c.Basis.Fetching
 	best.own.add(tk.work)
+	best.noteSent(now)
 	p.changed[best] = struct{}{}
 	best.tickets[tk] = struct{}{}
 	if tk.work.Pending+tk.moved.Pending >= urgentTokens && p.opts.Urgent != nil {
@@ -134,7 +137,7 @@
 	all := p.candidates(ask)
 	for i, from := 0, p.anywhere(len(all)); i < len(all); i++ {
 		t := all[(from+i)%len(all)]
-		if !slices.Contains(ask.Exclude, t.upstream.ID) {
+		if !slices.Contains(ask.Exclude, t.upstream.ID) && p.home(ask, t.upstream.AvailabilityZone) {
 			p.consider(now, t, ask, &s)
 		}
 	}
@@ -144,6 +147,8 @@
 // consider puts a candidate where it belongs on the list.
 func (p *Placer) consider(now time.Time, t *target, ask *Ask, s *shortlist) {
 	switch {
+	case p.spared(now, t):
+		s.busy = true
 	case t.suspect(now):
 		if s.spare == nil || t.suspectUntil.Before(s.spare.suspectUntil) {
 			s.spare = t
--- /dev/null
+++ b/placer/cold_test.go
@@ -0,0 +1,166 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/internal/strictjson"
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+// coldView has engines that bear 20 requests a second while they are cold.
+func coldView(n int) *follower.View {
+	v := testView(n, 1)
+	engine := &matcher.Engine{Slots: 1000, CapacityTokens: 1 << 30, BytesPerToken: 18432, LinkMbps: 370000}
+	v.Table = matcher.New(matcher.Parts{Services: []matcher.Service{{Name: "engines", ColdFor: 3 * time.Second, ColdPerSecond: 20, Engine: engine}}})
+	for i := range v.Upstreams {
+		v.Upstreams[i].AvailabilityZone = fmt.Sprint("zone", i)
+	}
+	return v
+}
+
+func coldPlacer(host string, v *follower.View) *Placer {
+	p := New(Options{Host: host, Cold: ColdLimit{Overage: 1.5, Slack: 5}})
+	p.Update(v)
+	return p
+}
+
+func shortAsk(n int) *Ask {
+	return &Ask{Service: "engines", SaltOf: saltOf(""), Prompt: &Prompt{Model: "m", Parts: []Part{{fmt.Sprint("shared", n), 5}, {"own", 8}}}}
+}
+
+// hostNames returns the names of the hosts in [from, to); of one host if to is not given.
+func hostNames(span []int) []string {
+	var out []string
+	switch len(span) {
+	case 1:
+		out = append(out, fmt.Sprint("host", span[0]))
+	case 2:
+		for i := span[0]; i < span[1]; i++ {
+			out = append(out, fmt.Sprint("host", i))
+		}
+	}
+	return out
+}
+
+// TestAllowanceOfColdEngine: all hosts together stay under what a cold engine bears,
+// whatever they know of each other, and use most of it.
+func TestAllowanceOfColdEngine(t *testing.T) {
+	text, err := os.ReadFile("testdata/cold.jsonc")
+	assert.NilError(t, err)
+	var cases []struct {
+		Name   string
+		Groups []struct{ Hosts, Count []int }
+		Least  int // Least is how many requests a second the engine gets at least.
+		Most   int
+	}
+	_, faults := strictjson.Decode(text, &cases)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			v := coldView(1)
+			v.Upstreams[0].ColdUntil = start.Add(time.Hour)
+			var placers []*Placer
+			for _, g := range c.Groups {
+				for _, name := range hostNames(g.Hosts) {
+					p := coldPlacer(name, v)
+					p.SetSharers(hostNames(g.Count))
+					placers = append(placers, p)
+				}
+			}
+			const length = 4 * time.Second
+			var sent []time.Time
+			for now := start; now.Before(start.Add(length)); now = now.Add(10 * time.Millisecond) {
+				for i, p := range placers {
+					if _, verdict := p.Choose(now, shortAsk(i)); verdict == Chosen {
+						sent = append(sent, now)
+					}
+				}
+			}
+			assert.Assert(t, busiest(sent) <= c.Most, "%d in a second", busiest(sent))
+			got := int(float64(len(sent)) / length.Seconds())
+			assert.Assert(t, got >= c.Least, "%d a second", got)
+		})
+	}
+}
+
+// busiest returns the largest number of times within a second.
+func busiest(times []time.Time) int {
+	most := 0
+	for i, from := 0, 0; i < len(times); i++ {
+		for times[i].Sub(times[from]) >= time.Second {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// choices counts the requests that a host may send to an upstream at one moment.
+func choices(p *Placer, now time.Time) int {
+	n := 0
+	for n < 100 {
+		if _, verdict := p.Choose(now, shortAsk(n)); verdict != Chosen {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// TestTurnsCold: an engine counts as cold as long as its entry says, for a while after its
+// zone was taken back, and after it answers again although it could not be reached.
+func TestTurnsCold(t *testing.T) {
+	fresh := func() (*follower.View, *Placer) {
+		v := coldView(1)
+		p := coldPlacer("host0", v)
+		p.SetSharers([]string{"host0"})
+		return v, p
+	}
+	part := ColdLimit{Overage: 1.5, Slack: 5}.perSecond(20)
+
+	_, p := fresh()
+	assert.Equal(t, choices(p, start), 100, "a warm one takes any number")
+
+	v, p := fresh()
+	v.Upstreams[0].ColdUntil = start.Add(time.Second)
+	p.Update(v)
+	assert.Equal(t, choices(p, start), part)
+	assert.Equal(t, choices(p, start.Add(time.Second)), 100)
+
+	v, p = fresh()
+	v.Returned = map[string]time.Time{"zone0": start}
+	p.Update(v)
+	assert.Equal(t, choices(p, start.Add(2*time.Second)), part)
+	assert.Equal(t, choices(p, start.Add(3*time.Second)), 100)
+
+	_, p = fresh()
+	c, _ := p.Choose(start, askFor("x", "own"))
+	c.Ticket.Done(start, ResultUnreached)
+	now := start.Add(firstPause)
+	c, verdict := p.Choose(now, askFor("x", "own"))
+	assert.Equal(t, verdict, Chosen)
+	serve(p, now, c)
+	assert.Equal(t, choices(p, now.Add(time.Millisecond))+2, part, "the two before count")
+	assert.Equal(t, choices(p, now.Add(coldGuard)), 100)
+}
+
+// TestWarmGoesFirst: a cold engine is taken when the warm ones have work to do.
+func TestWarmGoesFirst(t *testing.T) {
+	v := coldView(2)
+	v.Upstreams[0].ColdUntil = start.Add(time.Hour)
+	p := coldPlacer("host0", v)
+	p.SetSharers([]string{"host0"})
+	first, _ := p.Choose(start, askFor("x", "own"))
+	assert.Equal(t, first.Upstream.ID, v.Upstreams[1].ID)
+	second, _ := p.Choose(start, askFor("y", "own"))
+	assert.Equal(t, second.Upstream.ID, v.Upstreams[0].ID)
+}
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -74,6 +74,9 @@
 	if !t.near {
 		cost += farPenalty
 	}
+	if p.cold(now, t) {
+		cost += coldPenalty
+	}
 	if t.engine == nil || ask.Prompt == nil {
 		return cost + slotWait(t, work)
 	}
--- /dev/null
+++ b/placer/home_test.go
@@ -0,0 +1,53 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestHomes: a request whose route or workspace names regions goes nowhere else, nor is its
+// context saved elsewhere; where both name some, both bind.
+func TestHomes(t *testing.T) {
+	v := evacuatedView(4) // two engines in each zone
+	for _, c := range []struct {
+		name  string
+		homes [][]string
+		zones []string // zones are those that serve.
+	}{
+		{"none", [][]string{nil, nil}, []string{"east", "west"}},
+		{"the route's", [][]string{{"r-east"}, nil}, []string{"east"}},
+		{"the workspace's", [][]string{nil, {"r-west"}}, []string{"west"}},
+		{"both", [][]string{{"r-east", "r-west"}, {"r-west"}}, []string{"west"}},
+		{"none in common", [][]string{{"r-east"}, {"r-west"}}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Options{Regions: map[string]string{"east": "r-east", "west": "r-west"}})
+			p.Update(v)
+			p.Trust(start)
+			p.StoreHeard(start, "s1:1", StoreNews{Epoch: 1, Clock: 5_000_000})
+			seen := make(map[string]bool)
+			for i := range 40 {
+				ask := askFor(fmt.Sprint("x", i), "own")
+				ask.Homes = c.homes
+				got, verdict := p.Choose(start, ask)
+				assert.Equal(t, verdict == Chosen, len(c.zones) > 0)
+				if verdict != Chosen {
+					return
+				}
+				// The stores of these tests are in no region.
+				assert.Assert(t, got.Save == nil || c.name == "none")
+				seen[got.Upstream.AvailabilityZone] = true
+				serve(p, start, got)
+			}
+			for _, zone := range c.zones {
+				assert.Assert(t, seen[zone], zone)
+			}
+			assert.Equal(t, len(seen), len(c.zones))
+		})
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,10 +20,13 @@
 	// Waiting returns how many requests wait here for an upstream; nil counts as none.
 	Waiting          func() int
 	AvailabilityZone string // AvailabilityZone is this host's.
+	// Regions has the region of each availability zone, where there are several.
+	Regions map[string]string
 	// WeightsWithin is the time in which the operators want no request to begin on
 	// replaced weights any more; 10 s if it is not set.
 	WeightsWithin time.Duration
-	Seed          uint64 // Seed begins the draws among many upstreams; hosts must differ in it.
+	Cold          ColdLimit // Cold bounds what all hosts together send to a cold upstream.
+	Seed          uint64    // Seed begins the draws among many upstreams; hosts must differ in it.
 	// Eased is called, if set, when an upstream has more room than before. It must not
 	// block.
 	Eased func()
@@ -59,6 +62,8 @@
 	transfers []Transfer           // transfers wait to be told to other hosts.
 	placed    []Placement          // placed waits to be told to other hosts.
 	named     map[string]follower.Named
+	returned  map[string]time.Time // returned is when availability zones that were evacuated were taken back.
+	sharers   sharers
 	host      uint64    // host is a hash of this host's name.
 	contend   []uint64  // contend has a hash of each other host at which requests wait.
 	heard     time.Time // heard is when another host was heard last.
@@ -102,6 +107,7 @@
 	p.targets = make(map[string]*target, len(view.Upstreams))
 	p.pools = make(map[string][]*target)
 	p.named = view.Named
+	p.returned = view.Returned
 	for _, u := range view.Upstreams {
 		key := u.Start()
 		t := before[key]
@@ -112,6 +118,10 @@
 		if view.Table != nil {
 			if s, ok := view.Table.Service(u.Service); ok {
 				t.engine = s.Engine
+				if t.bears != s.ColdPerSecond {
+					t.bears, t.shareRound = s.ColdPerSecond, 0
+				}
+				t.coldFor = s.ColdFor
 			}
 		}
 		p.targets[key] = t
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -90,7 +90,7 @@
 	f := fetchPlan(t, ask, known)
 	p.planFetches(ask, t, known, &f, c, tk)
 	if c.Weights >= p.named[ask.Prompt.Model].Version {
-		c.Save = p.saves(now, known.salt, parts)
+		c.Save = p.saves(now, ask, known.salt)
 	}
 	c.Basis.Stored = len(known.stored)
 	for _, address := range c.Save {
@@ -162,11 +162,12 @@
 }
 
 // saves names the stores that shared parts are to be saved to.
-func (p *Placer) saves(now time.Time, salt string, parts []Part) []string {
+func (p *Placer) saves(now time.Time, ask *Ask, salt string) []string {
 	var out []string
+	parts := ask.Prompt.Parts
 	for i, part := range parts[:len(parts)-1] {
 		name := PartName{Salt: salt, ID: part.ID}
-		st := p.saver(now, name, part.Tokens)
+		st := p.saver(now, ask, name, part.Tokens)
 		if st == nil {
 			continue
 		}
--- a/placer/store.go
+++ b/placer/store.go
@@ -260,7 +260,7 @@
 
 // saver returns the store that a part is to be saved to, or nil if one holds it,
 // is getting it, or none has room. All hosts choose alike, weighed by room.
-func (p *Placer) saver(now time.Time, name PartName, tokens int) *store {
+func (p *Placer) saver(now time.Time, ask *Ask, name PartName, tokens int) *store {
 	var best *store
 	var most float64
 	for _, st := range p.stores {
@@ -270,6 +270,9 @@
 		if st.held[name] > 0 {
 			return nil
 		}
+		if !p.home(ask, st.service.AvailabilityZone) {
+			continue
+		}
 		if !st.up || st.emptied || !st.room(now, tokens) {
 			continue
 		}
--- a/placer/target.go
+++ b/placer/target.go
@@ -45,6 +45,13 @@
 	failing float64       // failing is the recent share of requests that failed.
 	hold    time.Duration // hold is how long a request of a plain service takes, smoothed.
 
+	bears      float64       // bears is how many requests a second it bears while it is cold; 0 if any.
+	coldFor    time.Duration // coldFor is how long it is cold after a start.
+	guarded    time.Time     // guarded is until when it may be cold although nobody says so.
+	share      int           // share is this host's part of what it bears, as of shareRound.
+	shareRound int
+	sent       []time.Time // sent is when this host last sent requests there.
+
 	tickets      map[*Ticket]struct{} // tickets are this host's requests under way.
 	eased        time.Time            // eased is when it last had more room than before.
 	sign         time.Time            // sign is the last sign of life.
@@ -71,7 +78,10 @@
 	longestPause = 4 * time.Second
 )
 
-func (t *target) succeeded(took time.Duration) {
+func (t *target) succeeded(now time.Time, took time.Duration) {
+	if t.pause > 0 {
+		t.guarded = now.Add(coldGuard)
+	}
 	t.failing -= failWeight * t.failing
 	t.hold += time.Duration(holdWeight * float64(took-t.hold))
 	t.suspectUntil, t.pause, t.probing = time.Time{}, 0, false
--- a/placer/ticket.go
+++ b/placer/ticket.go
@@ -93,7 +93,7 @@
 	t.eased = now
 	switch result {
 	case ResultServed:
-		t.succeeded(now.Sub(tk.start))
+		t.succeeded(now, now.Sub(tk.start))
 	case ResultFailed, ResultRefused:
 		t.failed() // also a full one is the worse choice for a while
 	case ResultUnreached:
