Pass on only entries of upstreams that say something new

Cause: entries that say nothing new were passed on every 5 s all the same.

Ruled out: telling more rarely; a page says from where to where it covers the feed, and a host that misses one asks, so that nothing rests on repeats.

Test: conductor.TestEntriesAreToldOnce, stricter: 400 records at most instead of 800 of 2,000.

--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -24,16 +24,11 @@
 	newest  map[string]follower.Record
 	heard   bool                 // heard tells that another host has told a page since this one last read.
 	alone   bool                 // alone tells that none did between this host's last two readings.
-	told    map[string]time.Time // told is when the record of a key was last passed on.
+	noted   map[string]time.Time // noted is when a line was written about an unreadable record of a key.
 }
 
-// tellAgain is the time after which an upstream's entry that says nothing new is passed
-// on all the same. Upstreams write theirs every second or so: 165 upstreams made 137
-// records a second for every host to read.
-const tellAgain = 5 * time.Second
-
 func newFeed() *feed {
-	return &feed{newest: make(map[string]follower.Record), told: make(map[string]time.Time)}
+	return &feed{newest: make(map[string]follower.Record), noted: make(map[string]time.Time)}
 }
 
 // readFeed asks the store for more of a feed if that is this host's turn.
@@ -163,10 +158,10 @@
 		dropped = n.state.Drop(r.Key, r.Offset)
 		n.viewDirty = n.viewDirty || dropped
 	}
-	if !dropped && now.Sub(f.told[r.Key]) < unreadableAgain {
+	if !dropped && now.Sub(f.noted[r.Key]) < unreadableAgain {
 		return false
 	}
-	f.told[r.Key] = now
+	f.noted[r.Key] = now
 	n.do(Note{What: NoteUnreadable, Feed: name, Key: r.Key, Offset: r.Offset, Err: err})
 	return true
 }
@@ -201,6 +196,10 @@
 	}
 }
 
+// apply takes in a record and reports whether the other hosts are to hear of it: only what
+// changes beliefs is passed on, with how far the feed was read. Upstreams write their entries
+// every second or so, and nearly all say nothing new: 3,000 upstreams make 2,500 records a
+// second, and passed on every 5 s they were 24,700 kB/s at the busiest of 299 hosts.
 func (n *Node) apply(now time.Time, name follower.Feed, f *feed, r follower.Record) (tell bool) {
 	if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
 		return false
@@ -211,23 +210,14 @@
 	}
 	if len(r.Value) == 0 {
 		delete(f.newest, r.Key)
-		delete(f.told, r.Key)
+		delete(f.noted, r.Key)
 	} else {
 		f.newest[r.Key] = r
 	}
 	if n.state.Apply(now, change, r.Offset) {
 		n.do(noteOf(name, r, change))
 		n.viewDirty = true
-		if len(r.Value) > 0 {
-			f.told[r.Key] = now
-		}
 		return true
 	}
-	if name == follower.FeedUpstreams && len(r.Value) > 0 && now.Sub(f.told[r.Key]) < tellAgain {
-		return false
-	}
-	if len(r.Value) > 0 {
-		f.told[r.Key] = now
-	}
-	return true
+	return name != follower.FeedUpstreams || len(r.Value) == 0 // an entry that says nothing new is no news
 }
--- a/conductor/standby_test.go
+++ b/conductor/standby_test.go
@@ -72,7 +72,7 @@
 }
 
 // TestEntriesAreToldOnce: upstreams write their entries again and again. What says
-// nothing new goes to all hosts only now and then, and a change at once.
+// nothing new goes to nobody, and a change to all hosts at once.
 func TestEntriesAreToldOnce(t *testing.T) {
 	c := newCluster(20)
 	c.idle = true
@@ -92,7 +92,7 @@
 		}
 		c.run(time.Second)
 	}
-	most := 20 * upstreams * (2 + seconds*int(time.Second)/int(tellAgain))
+	most := 20 * upstreams * 2
 	assert.Assert(t, told <= most, "%d records were passed on, at most %d are expected", told, most)
 	c.write(follower.FeedUpstreams, "u3", "leaving")
 	c.run(time.Second)
