Hand over listings packed and once, and fill gaps with what has changed

Cause: a host that lacked a page of a feed asked for the whole listing, every 0.3 s until it had it; each answer was encoded anew: 1,001 entries are 300 kB for each of 84 hosts.

Tests: conductor.TestGapIsFilledWithChanges (a whole listing for each gap before), TestStartOfLargeFleet, messenger.TestLongMessagesArePacked, BenchmarkEncodeListing3000.

--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -21,14 +21,23 @@
 	again   time.Time // again is when the store may be asked after a failure.
 	asked   time.Time // asked is when another host was asked last.
 	behind  time.Time // behind is since when another host knows more.
-	newest  map[string]follower.Record
+	newest  map[string]known
+	dropped map[string]int64 // dropped are keys whose records were dropped, with the offset of that.
+	since   int64            // since is the offset from which on dropped has all.
+	shared  handover
 	heard   bool                 // heard tells that another host has told a page since this one last read.
 	alone   bool                 // alone tells that none did between this host's last two readings.
 	noted   map[string]time.Time // noted is when a line was written about an unreadable record of a key.
 }
 
 func newFeed() *feed {
-	return &feed{newest: make(map[string]follower.Record), noted: make(map[string]time.Time)}
+	return &feed{newest: make(map[string]known), dropped: make(map[string]int64), noted: make(map[string]time.Time)}
+}
+
+// known is the newest record of a key.
+type known struct {
+	follower.Record
+	changed int64 // changed is the offset of the record of the key that last changed beliefs.
 }
 
 // readFeed asks the store for more of a feed if that is this host's turn.
@@ -130,7 +139,7 @@
 }
 
 func (n *Node) takeListing(now time.Time, news follower.News, f *feed) {
-	f.known = true
+	f.known, f.since = true, news.Next
 	listed := make(map[string]bool, len(news.Records))
 	for _, r := range news.Records {
 		listed[r.Key] = true
@@ -141,7 +150,7 @@
 	}
 	for key, r := range f.newest {
 		if !listed[key] && r.Offset < news.Next {
-			delete(f.newest, key)
+			f.drop(key, news.Next-1)
 		}
 	}
 	n.do(Note{What: NoteListingApplied, Feed: news.Feed, Offset: news.Next})
@@ -154,7 +163,7 @@
 func (n *Node) unreadable(now time.Time, name follower.Feed, f *feed, r follower.Record, err error) (tell bool) {
 	dropped := false
 	if name == follower.FeedUpstreams {
-		delete(f.newest, r.Key)
+		f.drop(r.Key, r.Offset)
 		dropped = n.state.Drop(r.Key, r.Offset)
 		n.viewDirty = n.viewDirty || dropped
 	}
@@ -208,13 +217,9 @@
 	if err != nil {
 		return n.unreadable(now, name, f, r, err)
 	}
-	if len(r.Value) == 0 {
-		delete(f.newest, r.Key)
-		delete(f.noted, r.Key)
-	} else {
-		f.newest[r.Key] = r
-	}
-	if n.state.Apply(now, change, r.Offset) {
+	changed := n.state.Apply(now, change, r.Offset)
+	f.remember(r, changed)
+	if changed {
 		n.do(noteOf(name, r, change))
 		n.viewDirty = true
 		return true
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -34,16 +34,29 @@
 			f.behind = now
 		}
 		waits := f.known || n.paths().ours // a host that stands by asks nobody else
-		if waits && now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.opts.Timing.Ask {
+		if waits && now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.askAgain(f) {
 			continue
 		}
 		f.asked = now
-		n.send(host, &messenger.Message{Wants: []string{wantOf(name)}})
+		from := int64(allOfIt)
+		if f.known {
+			from = f.next
+		}
+		n.send(host, &messenger.Message{Lacks: map[follower.Feed]int64{name: from}})
 	}
 }
 
-// wantOf names a feed in a question to another host.
-func wantOf(name follower.Feed) string { return "Feed/" + string(name) }
+// allOfIt stands for the offset from which on a host that knows nothing lacks a feed.
+const allOfIt = -1
+
+// askAgain is the least time between two questions for a feed. A whole listing takes a
+// second to a narrow link, and asked for again meanwhile it takes longer.
+func (n *Node) askAgain(f *feed) time.Duration {
+	if f.known || n.paths().small {
+		return n.opts.Timing.Ask
+	}
+	return n.opts.Timing.AskAll
+}
 
 // wantStores asks for all that a host knows of stores, wantKept for all that it knows of
 // kept context.
@@ -61,23 +74,99 @@
 }
 
 // answerWants hands over what another host asks for.
-func (n *Node) answerWants(now time.Time, to string, wants []string) {
+func (n *Node) answerWants(to string, wants []string) {
 	if slices.Contains(wants, wantStores) {
 		n.send(to, &messenger.Message{Stores: n.opts.Stores()})
 	}
 	if slices.Contains(wants, wantKept) {
 		n.send(to, n.kept())
 	}
-	for name, f := range n.feeds {
-		if !f.known || !slices.Contains(wants, wantOf(name)) {
+}
+
+// handOver tells another host what it lacks of feeds: what changed since, or all.
+func (n *Node) handOver(now time.Time, to string, lacks map[follower.Feed]int64) {
+	for name, from := range lacks {
+		f := n.feeds[name]
+		if f == nil || !f.known {
 			continue
 		}
-		news := follower.News{Feed: name, Full: true, Next: f.next, Age: now.Sub(f.fresh)}
-		for _, r := range f.newest {
-			news.Records = append(news.Records, r)
+		if from >= f.since {
+			news := follower.News{Feed: name, Kept: true, From: from, Next: f.next, Age: now.Sub(f.fresh), Records: f.changes(from)}
+			n.send(to, &messenger.Message{News: []follower.News{news}})
+			continue
 		}
-		n.send(to, &messenger.Message{News: []follower.News{news}})
+		n.send(to, f.handOver(now, name))
+	}
+}
+
+// handover is a whole listing as it was last told. It is used again for a while: after a
+// loss of all, some 80 hosts of a zone ask for it within a second, and encoding what is
+// known of 3,000 upstreams takes 10 ms of a whole core.
+type handover struct {
+	message *messenger.Message
+	made    time.Time
+}
+
+// handoverLife is how long a listing is told again. What has changed since is asked for
+// by its offset.
+const handoverLife = 400 * time.Millisecond
+
+func (f *feed) handOver(now time.Time, name follower.Feed) *messenger.Message {
+	if f.shared.message != nil && now.Sub(f.shared.made) < handoverLife {
+		return f.shared.message
+	}
+	news := follower.News{Feed: name, Full: true, Next: f.next, Age: now.Sub(f.fresh) + handoverLife}
+	for _, r := range f.newest {
+		news.Records = append(news.Records, r.Record)
 	}
+	f.shared = handover{message: &messenger.Message{News: []follower.News{news}}, made: now}
+	return f.shared.message
+}
+
+// remember keeps the newest record of a key, for hosts that ask.
+func (f *feed) remember(r follower.Record, changed bool) {
+	if len(r.Value) == 0 {
+		f.drop(r.Key, r.Offset)
+		delete(f.noted, r.Key)
+		return
+	}
+	next := known{Record: r, changed: r.Offset}
+	if had, ok := f.newest[r.Key]; ok && !changed {
+		next.changed = had.changed
+	}
+	f.newest[r.Key] = next
+	delete(f.dropped, r.Key)
+}
+
+// mostDropped bounds how many dropped keys are remembered. A host that lacks more asks
+// for the whole listing.
+const mostDropped = 4096
+
+// drop forgets the record of a key.
+func (f *feed) drop(key string, offset int64) {
+	delete(f.newest, key)
+	if len(f.dropped) >= mostDropped {
+		clear(f.dropped)
+		f.since = offset + 1
+	}
+	f.dropped[key] = offset
+}
+
+// changes returns the records, and the drops, by which beliefs have changed from an offset
+// on.
+func (f *feed) changes(from int64) []follower.Record {
+	var out []follower.Record
+	for _, r := range f.newest {
+		if r.changed >= from {
+			out = append(out, r.Record)
+		}
+	}
+	for key, offset := range f.dropped {
+		if offset >= from {
+			out = append(out, follower.Record{Key: key, Offset: offset})
+		}
+	}
+	return out
 }
 
 // hear takes in pages that another host has read.
@@ -87,7 +176,7 @@
 		if !ok || news.Full && f.known && news.Next <= f.next {
 			continue
 		}
-		if !news.Full {
+		if !news.Full && !news.Kept {
 			f.heard = true
 			n.state.Answered(now) // it has answered another host, so it is there
 		}
--- /dev/null
+++ b/conductor/handover_test.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// listings counts the records of whole listings that hosts tell each other of a feed.
+func (c *cluster) listings(f follower.Feed) *int {
+	n := new(int)
+	c.seen = func(ev PeerMessage) {
+		for _, news := range ev.Message.News {
+			if news.Feed == f && news.Full {
+				*n++
+			}
+		}
+	}
+	return n
+}
+
+// TestGapIsFilledWithChanges: a host that missed a page asks for what has changed since,
+// drops included, and gets no whole listing.
+func TestGapIsFilledWithChanges(t *testing.T) {
+	c := newCluster(3)
+	c.write(follower.FeedOperator, "config", "version 1")
+	for i := range 50 {
+		c.write(follower.FeedUpstreams, fmt.Sprint("u", i), "ready")
+	}
+	c.run(2 * time.Second)
+	told := c.listings(follower.FeedUpstreams)
+	last := c.nodes[2]
+	c.set(last, accessRefuse)
+	last.paused = true
+	c.run(200 * time.Millisecond)
+	last.inbox = nil // what comes while it stands still is lost
+	c.write(follower.FeedUpstreams, "u7", "")
+	c.write(follower.FeedUpstreams, "u8", "leaving")
+	c.write(follower.FeedUpstreams, "u90", "ready")
+	c.run(300 * time.Millisecond)
+	last.inbox, last.paused = nil, false
+	c.write(follower.FeedUpstreams, "u91", "ready")
+	c.run(2 * time.Second)
+	for _, s := range c.nodes {
+		got := s.node.view.ByService["s"]
+		assert.Equal(t, len(got), 50, s.name)
+	}
+	assert.DeepEqual(t, last.node.view.ByService["s"], c.nodes[0].node.view.ByService["s"])
+	assert.Equal(t, *told, 0)
+}
+
+// TestStartOfLargeFleet: hosts that start beside others get one listing each of what these
+// know, and do not ask again while it is under way.
+func TestStartOfLargeFleet(t *testing.T) {
+	c := newCluster(60)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.write(follower.FeedUpstreams, "a", "ready")
+	c.run(4 * time.Second)
+	told := c.listings(follower.FeedUpstreams)
+	for _, s := range c.nodes[30:] {
+		c.start(s)
+	}
+	c.run(3 * time.Second)
+	for _, s := range c.nodes {
+		assert.Assert(t, s.node.view.Ready(), s.name)
+	}
+	assert.Assert(t, *told <= 60, "%d listings for 30 hosts", *told)
+}
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -129,7 +129,8 @@
 	}
 	n.mergeHosts(now, ev.From, m.Hosts)
 	n.tellSuspect(ev.From)
-	n.answerWants(now, ev.From, m.Wants)
+	n.answerWants(ev.From, m.Wants)
+	n.handOver(now, ev.From, m.Lacks)
 	n.hear(now, m.News)
 	if len(m.Namings) > 0 {
 		n.viewDirty = n.state.Recall(now, m.Namings) || n.viewDirty
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -33,6 +33,7 @@
 	Again        time.Duration // Again is the pause after a call to the store that failed.
 	Behind       time.Duration // Behind is how long another host may know more before it is asked.
 	Ask          time.Duration // Ask is the interval between questions to other hosts for a page.
+	AskAll       time.Duration // AskAll is the same for a whole listing in a large fleet.
 
 	// Term is how long a hold on the renewals' lease lasts without renewal. When its
 	// holder dies, the next order comes a term, a turn of 3 s and a margin later, and
@@ -68,6 +69,7 @@
 		Again:  250 * time.Millisecond,
 		Behind: 150 * time.Millisecond,
 		Ask:    300 * time.Millisecond,
+		AskAll: 1200 * time.Millisecond,
 		Term:   time.Second,
 		Margin: 200 * time.Millisecond,
 	}
--- a/follower/types.go
+++ b/follower/types.go
@@ -41,6 +41,7 @@
 	Next    int64         `cbor:"4,keyasint"`           // Next is the offset after the last record covered.
 	Age     time.Duration `cbor:"5,keyasint,omitempty"` // Age is how long ago the page was read.
 	Records []Record      `cbor:"6,keyasint,omitempty"`
+	Kept    bool          `cbor:"7,keyasint,omitempty"` // Kept tells that the page was not read just now, but is what a host knows.
 }
 
 // Standing is what an upstream says of itself.
--- a/messenger/mesh.go
+++ b/messenger/mesh.go
@@ -61,6 +61,7 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	last  encoded // last is the message that was sent last to one host.
 
 	sentBytes     atomic.Uint64
 	receivedBytes atomic.Uint64
@@ -100,9 +101,24 @@
 }
 
 // Send queues a message for a host. It never blocks; when the queue is full the
-// message is dropped.
+// message is dropped. A message that was the last one sent is not encoded again.
 func (m *Messenger) Send(host, address string, msg *Message) {
-	m.SendAll([]Target{{Host: host, Address: address}}, msg)
+	m.mu.Lock()
+	last := m.last
+	m.mu.Unlock()
+	if last.message != msg {
+		last = encoded{message: msg, bytes: Encode(msg)}
+		m.mu.Lock()
+		m.last = last
+		m.mu.Unlock()
+	}
+	m.queue(host, address, last.bytes)
+}
+
+// encoded is a message with its wire form.
+type encoded struct {
+	message *Message
+	bytes   []byte
 }
 
 // Target is a host that a message goes to.
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -46,6 +46,7 @@
 	Stores    []placer.StoreReport     `cbor:"25,keyasint,omitempty"` // Stores is news of stores of kept context.
 	Namings   []follower.Naming        `cbor:"26,keyasint,omitempty"` // Namings are what the sender remembers of weight versions.
 	Buckets   []uint64                 `cbor:"28,keyasint,omitempty"` // Buckets are digests of parts of the sender's view of all hosts; it asks for the parts that differ.
+	Lacks     map[follower.Feed]int64  `cbor:"29,keyasint,omitempty"` // Lacks asks for what the receiver knows of feeds from an offset on; below 0 for all.
 	Use       float64                  `cbor:"27,keyasint,omitempty"` // Use is how many processor cores the sender uses; with Report.
 	News      []follower.News          `cbor:"20,keyasint,omitempty"` // News are pages of the platform's feeds that the sender has read.
 }
@@ -140,6 +141,9 @@
 // Encode returns the wire form of a message.
 func Encode(m *Message) []byte {
 	b, err := codec.Marshal(m)
+	if err == nil {
+		b, err = pack(b)
+	}
 	if err != nil {
 		panic("messenger: message cannot be encoded: " + err.Error())
 	}
@@ -149,6 +153,10 @@
 // Decode reads the wire form of a message. Unknown fields are ignored, so that
 // hosts of neighbouring versions understand each other.
 func Decode(b []byte) (*Message, error) {
+	b, err := unpack(b)
+	if err != nil {
+		return nil, err
+	}
 	var m Message
 	if err := codec.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(err, "messenger: not a message")
--- /dev/null
+++ b/messenger/pack_test.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package messenger
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// listing is what a host tells another of n upstreams.
+func listing(n int) *Message {
+	news := follower.News{Feed: follower.FeedUpstreams, Full: true, Next: int64(n)}
+	for i := range n {
+		news.Records = append(news.Records, follower.Record{
+			Key: fmt.Sprintf("i-%08x", uint32(i)*2654435761),
+			Value: fmt.Appendf(nil, `{"service":"huvo11a","address":"10.128.%d.%d:8080","zone":"sala-kalsa","version":"v1","slots":64,`+
+				`"state":"ready","cold_remaining_ms":0,"stage":"colocated","models":[{"name":"daka510000","version":1,"adapters":[]}],"sequence":%d}`, i/250, i%250, i%9),
+			Offset: int64(i),
+		})
+	}
+	return &Message{News: []follower.News{news}}
+}
+
+// TestLongMessagesArePacked: a long message takes a tenth of its length, and is the same
+// when it arrives; a short one is sent as it is.
+func TestLongMessagesArePacked(t *testing.T) {
+	m := listing(3000)
+	b := Encode(m)
+	plain := 0
+	for _, r := range m.News[0].Records {
+		plain += len(r.Key) + len(r.Value)
+	}
+	assert.Assert(t, len(b) < plain/10, "%d of %d bytes", len(b), plain)
+	got, err := Decode(b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.News, m.News)
+
+	b = Encode(&Message{Digest: 7})
+	assert.Assert(t, b[0]>>majorShift != packedType)
+	_, err = Decode([]byte{0x43, 1, 2, 3})
+	assert.Assert(t, err != nil)
+}
+
+// BenchmarkEncodeListing3000 is what a host of a large fleet does for those that start:
+// once in handoverLife, whatever their number.
+func BenchmarkEncodeListing3000(b *testing.B) {
+	m := listing(3000)
+	b.ReportAllocs()
+	for b.Loop() {
+		Encode(m)
+	}
+}
