Wait for a long part that an engine is reading instead of reading it again

A host tells the others which long parts it has had begun and by when they are read. It goes on when the part is read, when the request that has it read ends, or half of the estimate late. Named weights are not needed for it: engines' newest count until then.

Ruled out: sending to the engine that reads, before it has read: it is behind 17,000 tokens there.

Test that failed first: placer.TestReadingIsAwaited. The log says how long a request awaited a reading (Awaited).

--- a/conductor/record.go
+++ b/conductor/record.go
@@ -44,7 +44,7 @@
 	if failed && len(o.Choices) > 0 {
 		ev.Array("Attempts", attempts(o.Choices))
 	}
-	ev.Bool("Late", o.Late).Int("Events", o.Events).Dur("Waited", o.Waited).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
+	ev.Bool("Late", o.Late).Int("Events", o.Events).Dur("Waited", o.Waited).Dur("Awaited", o.Awaited).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
 }
 
 // attempts writes choices into a log line.
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -52,18 +53,58 @@
 
 // Choose implements dispatcher.Way. It waits until an upstream can begin the request.
 func (d *delivery) Choose(ctx context.Context) (placer.Choice, bool) {
+	ask := d.ask()
+	if ask.Prompt != nil && !d.opts.Placer.Fits(d.service, ask.Prompt) {
+		d.unplaced = ReasonTooLarge
+		return placer.Choice{}, false
+	}
+	came := d.opts.Timer.Now()
+	defer func() { d.outcome.Waited += d.opts.Timer.Now().Sub(came) }()
+	for range mostReadings {
+		choice, verdict := d.enter(ctx, ask)
+		if verdict != placer.Awaits {
+			return choice, verdict == placer.Chosen
+		}
+		d.readElsewhere(ctx, ask.Wait)
+		if ctx.Err() != nil {
+			return placer.Choice{}, false
+		}
+	}
+	ask.Due = time.Time{}
+	choice, verdict := d.enter(ctx, ask)
+	return choice, verdict == placer.Chosen
+}
+
+// mostReadings bounds how many readings of other requests one waits for: the first may
+// fail, and another request begin it anew.
+const mostReadings = 2
+
+// readElsewhere waits until an engine has read for another request what this one begins
+// with.
+func (d *delivery) readElsewhere(ctx context.Context, w placer.Wait) {
+	came := d.opts.Timer.Now()
+	w.For(ctx)
+	d.outcome.Awaited += d.opts.Timer.Now().Sub(came)
+}
+
+// ask returns what placement must know of the request.
+func (d *delivery) ask() *placer.Ask {
 	ask := &placer.Ask{Service: d.service, Prompt: d.request.Prompt, Exclude: d.tried, Objective: d.route.Objective}
 	if ask.Prompt != nil {
 		ask.SaltOf = d.salt
 	}
+	if ask.Objective > 0 {
+		ask.Due = d.request.Start.Add(ask.Objective)
+	}
 	ask.Homes = append(ask.Homes, d.route.Regions)
 	if d.workspace != nil {
 		ask.Homes = append(ask.Homes, d.workspace.Regions)
 	}
-	if ask.Prompt != nil && !d.opts.Placer.Fits(d.service, ask.Prompt) {
-		d.unplaced = ReasonTooLarge
-		return placer.Choice{}, false
-	}
+	return ask
+}
+
+// enter waits in the queue until there is something else to say than that all are busy.
+func (d *delivery) enter(ctx context.Context, ask *placer.Ask) (placer.Choice, placer.Verdict) {
 	var choice placer.Choice
 	verdict := placer.Busy
 	item := d.item(ask)
@@ -71,15 +112,13 @@
 		choice, verdict = d.opts.Placer.Choose(d.opts.Timer.Now(), ask)
 		return verdict != placer.Busy
 	}
-	came := d.opts.Timer.Now()
-	defer func() { d.outcome.Waited += d.opts.Timer.Now().Sub(came) }()
 	switch d.gate.Enter(ctx, item) {
 	case scheduler.Granted:
 		d.gate.Started()
 	case scheduler.TooLate:
 		d.unplaced = ReasonOverloaded
 	}
-	return choice, verdict == placer.Chosen
+	return choice, verdict
 }
 
 // Try implements dispatcher.Way.
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -62,6 +62,7 @@
 	Choices  []placer.Choice // Choices are the upstreams that were tried, in order.
 	Late     bool            // Late tells that the first byte came after the route's objective.
 	Waited   time.Duration   // Waited is how long it waited here for an upstream that could begin it.
+	Awaited  time.Duration   // Awaited is how much of that it waited for an engine to read what it begins with.
 	First    time.Duration   // First is the time to the first byte of the answer's body.
 	Took     time.Duration
 }
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -34,7 +34,7 @@
 	if ask.Prompt == nil || !p.direct && len(p.near[ask.Service]) >= enoughNear {
 		return out
 	}
-	known := p.under(ask, p.named[ask.Prompt.Model].Version)
+	known := p.under(ask, p.usual(ask.Prompt.Model))
 	first, second := homesOf(pool, shared(known.keys))
 	add(first)
 	add(second)
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -20,6 +20,11 @@
 	Exclude []string
 	// Homes are the lists of regions that may serve the request; each of them binds.
 	Homes [][]string
+	// Due is when the first byte must be there to be on time; if it is zero, the request
+	// waits for no reading of another one.
+	Due time.Time
+	// Wait is set if Choose says Awaits.
+	Wait Wait
 	// Objective is the time to the first byte in which an answer counts as on time; 0
 	// if there is none.
 	Objective time.Duration
@@ -78,6 +83,9 @@
 	Chosen Verdict = "Chosen"
 	// Busy says that no upstream can begin the request now, but one will.
 	Busy Verdict = "Busy"
+	// Awaits says that an engine is reading what the request begins with, and that it had
+	// better wait for that.
+	Awaits Verdict = "Awaits"
 	// None says that the service has no upstream for the request.
 	None Verdict = "None"
 )
@@ -91,6 +99,9 @@
 	if ask.Prompt != nil {
 		ask.size = ask.Prompt.Tokens() + ask.Prompt.Output
 	}
+	if ask.Wait = p.wait(now, ask); ask.Wait.Read != nil {
+		return Choice{}, Awaits
+	}
 	best, estimate, verdict := p.best(now, ask)
 	if verdict != Chosen {
 		return Choice{}, verdict
@@ -110,6 +121,7 @@
 		running := time.Duration(c.Basis.Work.Requests) * runningPenalty
 		tk.common, tk.fetchTime = firstToken+running+c.Basis.Behind+c.Basis.Reading, c.Basis.Fetching
 	}
+	p.begin(now, tk, tk.reads)
 	best.own.add(tk.work)
 	best.noteSent(now)
 	p.changed[best] = struct{}{}
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -35,9 +35,10 @@
 	// Stores is what is being fetched from stores, by address.
 	Stores map[string]Work `cbor:"3,keyasint,omitempty"`
 	// Transfers were timed since the last report.
-	Transfers []Transfer `cbor:"4,keyasint,omitempty"`
-	Readings  []Reading  `cbor:"7,keyasint,omitempty"` // Readings were timed since the last report.
-	Waiting   int        `cbor:"5,keyasint,omitempty"` // Waiting are requests that wait at the host.
+	Transfers []Transfer  `cbor:"4,keyasint,omitempty"`
+	Readings  []Reading   `cbor:"7,keyasint,omitempty"` // Readings were timed since the last report.
+	Waiting   int         `cbor:"5,keyasint,omitempty"` // Waiting are requests that wait at the host.
+	Begun     []Beginning `cbor:"8,keyasint,omitempty"` // Begun was placed since the last report.
 	// Partial tells that Work has only upstreams whose work has changed since the last
 	// report, also those that have none any more, and that Stores are as before.
 	Partial bool `cbor:"6,keyasint,omitempty"`
@@ -67,8 +68,8 @@
 func (p *Placer) Report() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Work: make(map[string]Work), Stores: make(map[string]Work), Placed: p.placed, Transfers: p.transfers, Readings: p.readings}
-	p.placed, p.transfers, p.readings = nil, nil, nil
+	r := Report{Work: make(map[string]Work), Stores: make(map[string]Work), Placed: p.placed, Transfers: p.transfers, Readings: p.readings, Begun: p.begun}
+	p.placed, p.transfers, p.readings, p.begun = nil, nil, nil, nil
 	clear(p.changed)
 	r.Waiting = p.waiting()
 	for address, st := range p.stores {
@@ -90,8 +91,8 @@
 func (p *Placer) Changes() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Partial: true, Work: make(map[string]Work, len(p.changed)), Placed: p.placed, Waiting: p.waiting()}
-	p.placed = nil
+	r := Report{Partial: true, Work: make(map[string]Work, len(p.changed)), Placed: p.placed, Begun: p.begun, Waiting: p.waiting()}
+	p.placed, p.begun = nil, nil
 	for t := range p.changed {
 		r.Work[t.key] = t.own
 	}
@@ -140,6 +141,9 @@
 			st.pace.learn(now, tr)
 		}
 	}
+	for _, b := range r.Begun {
+		p.started(now, b, nil)
+	}
 	for _, rd := range r.Readings {
 		if t := p.targets[rd.Upstream]; t != nil {
 			t.slow.learn(now, rd)
@@ -149,6 +153,7 @@
 		if t := p.targets[pl.Upstream]; t != nil && t.engine != nil {
 			t.kept.put(now, pl.Key, pl.Tokens, p.room(t))
 		}
+		p.ended(pl.Key, nil)
 	}
 }
 
@@ -184,6 +189,11 @@
 			delete(p.peers, host)
 		}
 	}
+	for key, r := range p.reading {
+		if now.After(r.end) {
+			delete(p.reading, key)
+		}
+	}
 	p.sumPeers(now)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -55,14 +55,17 @@
 	direct    bool      // direct tells that other hosts' work is heard of at once at all upstreams.
 	drawn     []*target // drawn is the room for the candidates of one choice.
 	peers     map[string]*peerWork
-	changed   map[*target]struct{} // changed are those whose own work has changed since the last report.
-	stores    map[string]*store    // stores of kept context by address.
-	clock     clock                // clock is the newest reading of the upstreams' clock.
-	current   time.Time            // current is when the operators' feed was known to be current.
-	readings  []Reading            // readings wait to be told to other hosts.
-	transfers []Transfer           // transfers wait to be told to other hosts.
-	placed    []Placement          // placed waits to be told to other hosts.
+	changed   map[*target]struct{}  // changed are those whose own work has changed since the last report.
+	stores    map[string]*store     // stores of kept context by address.
+	clock     clock                 // clock is the newest reading of the upstreams' clock.
+	current   time.Time             // current is when the operators' feed was known to be current.
+	reading   map[PartKey]*progress // reading are parts that engines are reading.
+	begun     []Beginning           // begun waits to be told to other hosts.
+	readings  []Reading             // readings wait to be told to other hosts.
+	transfers []Transfer            // transfers wait to be told to other hosts.
+	placed    []Placement           // placed waits to be told to other hosts.
 	named     map[string]follower.Named
+	newest    map[string]uint64    // newest is the newest weight version that an engine has of a model.
 	returned  map[string]time.Time // returned is when availability zones that were evacuated were taken back.
 	sharers   sharers
 	host      uint64    // host is a hash of this host's name.
@@ -90,6 +93,7 @@
 		peers:   make(map[string]*peerWork),
 		changed: make(map[*target]struct{}),
 		stores:  make(map[string]*store),
+		reading: make(map[PartKey]*progress),
 	}
 }
 
@@ -108,6 +112,7 @@
 	p.targets = make(map[string]*target, len(view.Upstreams))
 	p.pools = make(map[string][]*target)
 	p.named = view.Named
+	p.newest = make(map[string]uint64)
 	p.returned = view.Returned
 	for _, u := range view.Upstreams {
 		key := u.Start()
@@ -126,6 +131,9 @@
 			}
 		}
 		p.targets[key] = t
+		for model, version := range u.Weights {
+			p.newest[model] = max(p.newest[model], version)
+		}
 		if view.Takes(&u) {
 			p.pools[u.Service] = append(p.pools[u.Service], t)
 		}
@@ -140,13 +148,18 @@
 // restarted returns what is to be called for requests at upstreams of which another start
 // is known now.
 func (p *Placer) restarted(before map[string]*target) []func() {
-	starts := make(map[string]string, len(p.targets))
-	for key, t := range p.targets {
-		starts[t.upstream.ID] = key
+	gone := make(map[string]*target)
+	for key, t := range before {
+		if p.targets[key] == nil {
+			gone[t.upstream.ID] = t
+		}
+	}
+	if len(gone) == 0 {
+		return nil
 	}
 	var tell []func()
-	for key, t := range before {
-		if now := starts[t.upstream.ID]; now != "" && now != key {
+	for _, now := range p.targets {
+		if t := gone[now.upstream.ID]; t != nil {
 			tell = append(tell, t.lost()...)
 			delete(p.changed, t)
 		}
@@ -154,6 +167,15 @@
 	return tell
 }
 
+// usual returns the weight version that most requests run on: the one that was named last,
+// or what engines have while none was named.
+func (p *Placer) usual(model string) uint64 {
+	if v := p.named[model].Version; v > 0 {
+		return v
+	}
+	return p.newest[model]
+}
+
 // SetCell tells which of the cells of its zone this host is in. Engines of the zone
 // are divided among the cells, so that those who use one tell each other at once. Direct
 // tells that this host hears at once of the work of all others at any engine.
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -109,6 +109,7 @@
 	}
 	c.Basis.Moved = ask.Prompt.Tokens() - f.missing - f.kept
 	tk.missing = f.missing
+	tk.reads = f.parts
 	tk.quiet = c.Basis.Work.Pending < quietPending
 	tk.work.Pending = f.missing
 	tk.work.Memory = ask.size
--- /dev/null
+++ b/placer/progress_test.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func closed(w Wait) bool {
+	select {
+	case <-w.Read:
+		return true
+	default:
+		return false
+	}
+}
+
+// dueAsk is askFor a request that must have its first byte within a time.
+func dueAsk(now time.Time, within time.Duration, shared, own string) *Ask {
+	ask := askFor(shared, own)
+	ask.Due = now.Add(within)
+	return ask
+}
+
+// TestReadingIsAwaited: a long part that an engine is reading is read by no other, on any
+// host: requests that begin with it wait, and fetch it then, unless they would be late by
+// waiting only.
+func TestReadingIsAwaited(t *testing.T) {
+	const within = 800 * time.Millisecond
+	v := testView(3, 1)
+	v.Named = nil // operators have named no weights yet
+	a, b := testPlacer(v), testPlacer(v)
+	first, verdict := a.Choose(start, dueAsk(start, within, "x", "own"))
+	assert.Equal(t, verdict, Chosen, "nobody reads it yet")
+	b.Heard(start, "a", a.Changes())
+	now := start.Add(100 * time.Millisecond)
+	var waits []*Ask
+	for _, p := range []*Placer{a, b} {
+		ask := dueAsk(now, within, "x", "own2")
+		_, verdict = p.Choose(now, ask)
+		assert.Equal(t, verdict, Awaits)
+		assert.Assert(t, !closed(ask.Wait) && ask.Wait.Most < time.Second)
+		waits = append(waits, ask)
+
+		_, verdict = p.Choose(now, dueAsk(now, 100*time.Millisecond, "x", "own3"))
+		assert.Equal(t, verdict, Awaits, "it would be late also by reading itself")
+		other, verdict := p.Choose(now, dueAsk(now, within, "y"+string(rune(len(waits))), "own4"))
+		assert.Equal(t, verdict, Chosen, "nobody reads that one")
+		other.Ticket.Done(now, ResultFailed)
+	}
+	first.Ticket.First(now)
+	b.Heard(now, "a", a.Changes())
+	for i, p := range []*Placer{a, b} {
+		assert.Assert(t, closed(waits[i].Wait))
+		c, verdict := p.Choose(now, waits[i])
+		assert.Equal(t, verdict, Chosen)
+		assert.Equal(t, c.Basis.Missing, 4000)
+	}
+
+	// A request that ends without an answer frees those that wait on its host.
+	second, _ := a.Choose(now, dueAsk(now, within, "z", "own"))
+	ask := dueAsk(now, within, "z", "own2")
+	_, verdict = a.Choose(now, ask)
+	assert.Equal(t, verdict, Awaits)
+	second.Ticket.Done(now, ResultFailed)
+	assert.Assert(t, closed(ask.Wait))
+	_, verdict = a.Choose(now, ask)
+	assert.Equal(t, verdict, Chosen)
+}
--- a/placer/ticket.go
+++ b/placer/ticket.go
@@ -35,6 +35,7 @@
 	fetching  bool          // fetching tells that the upstream has to fetch kept context first.
 	onSilent  func()
 	queued    int  // queued are the tokens that go out there up to its own.
+	reads     int  // reads is the first of its parts that the upstream has to read.
 	missing   int  // missing are the tokens that it had to read.
 	quiet     bool // quiet tells that its engine had nothing else to read.
 	first     bool
@@ -61,6 +62,9 @@
 	tk.placer.paced(now, tk)
 	tk.arrived()
 	tk.placer.note(now, tk.target, tk.keys, tk.parts)
+	for _, k := range tk.keys {
+		tk.placer.ended(k, nil)
+	}
 	tk.placer.eased()
 }
 
@@ -88,6 +92,11 @@
 	}
 	tk.done = true
 	tk.arrived()
+	if !tk.first {
+		for _, k := range tk.keys {
+			tk.placer.ended(k, tk)
+		}
+	}
 	t := tk.target
 	delete(t.tickets, tk)
 	if result == ResultServed || result == ResultRefused {
--- /dev/null
+++ b/placer/update_bench_test.go
@@ -0,0 +1,50 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+)
+
+// manyUpstreams returns what is believed of n engines.
+func manyUpstreams(n int) *follower.State {
+	s := follower.New()
+	table := matcher.New(matcher.Parts{Version: 1, Services: []matcher.Service{
+		{Name: "engines", MaxConnections: 800, Engine: &matcher.Engine{Slots: 64, CapacityTokens: 60000, BytesPerToken: 18432, LinkMbps: 370000}},
+	}})
+	s.Apply(start, follower.Change{Table: table}, 0)
+	for i := range n {
+		s.Apply(start, follower.Change{Upstream: upstreamOf(i)}, int64(i))
+	}
+	return s
+}
+
+func upstreamOf(i int) *follower.Upstream {
+	return &follower.Upstream{
+		ID: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Born: int64(i + 1), Service: "engines", Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
+		AvailabilityZone: fmt.Sprint("zone", i%3), Slots: 64, Standing: follower.StandingReady, Weights: map[string]uint64{"m": 1},
+	}
+}
+
+// BenchmarkChange3000 is what a change of one of 3,000 upstreams takes on each host.
+func BenchmarkChange3000(b *testing.B) {
+	s := manyUpstreams(3000)
+	p := New(Options{AvailabilityZone: "zone1"})
+	p.Update(s.View())
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		u := upstreamOf(i % 3000)
+		if i/3000%2 == 0 {
+			u.Standing = follower.StandingLeaving
+		}
+		s.Apply(start, follower.Change{Upstream: u}, int64(10000+i))
+		p.Update(s.View())
+		i++
+	}
+}
