--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -182,12 +182,23 @@
 	return int(math.Ceil(float64(hosts) / (1 - activePart)))
 }
 
+// division is how connections were divided last: 3,000 bounds need not be set again for
+// each host that is news.
+type division struct {
+	view  *follower.View
+	hosts int
+}
+
 // bound divides each upstream's connections among the hosts.
 func (h *Host) bound(view *follower.View) {
 	if view.Table == nil {
 		return
 	}
 	hosts := h.sharers()
+	if h.divided.view == view && h.divided.hosts == hosts {
+		return
+	}
+	h.divided = division{view: view, hosts: hosts}
 	known := make(map[string]bool, len(view.Upstreams))
 	for _, u := range view.Upstreams {
 		known[u.Address] = true
@@ -205,6 +216,9 @@
 
 func (h *Host) note(n Note) {
 	ev := h.log.Info()
+	if n.What == NoteRecord || n.What == NoteHostChanged {
+		ev = h.log.Belief()
+	}
 	if n.Err != nil {
 		ev = h.log.Warn().Err(n.Err)
 	}
--- a/follower/state.go
+++ b/follower/state.go
@@ -6,7 +6,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"amaranthgate.example/amaranthgate/matcher"
@@ -24,6 +23,8 @@
 	current   time.Time          // current is up to when the operators' feed is known.
 	emptied   evacuations
 	upstreams map[string]*entry
+	order     []string  // order has the IDs of upstreams, sorted.
+	lapsed    int       // lapsed is how many of them have lapsed.
 	listed    bool      // listed tells that a whole listing of the upstreams was taken in.
 	away      bool      // away tells that the store's last answer was a failure.
 	returned  time.Time // returned is when the store answered again after a failure.
@@ -89,9 +90,10 @@
 	if u.Cold > 0 {
 		u.ColdUntil = now.Add(u.Cold) // the entry was written before: it is warm a little earlier
 	}
+	u.start = u.Start()
 	e := s.upstreams[u.ID]
 	if e == nil {
-		s.upstreams[u.ID] = &entry{upstream: u, offset: offset}
+		s.insert(u.ID, &entry{upstream: u, offset: offset})
 		return true
 	}
 	if offset < e.offset {
@@ -105,10 +107,35 @@
 		}
 	}
 	same := equal(e.upstream, u) && e.lapsed.IsZero() && !turnedCold(e.upstream, u)
-	e.upstream, e.lapsed = u, time.Time{}
+	e.upstream = u
+	s.revive(e)
 	return !same
 }
 
+// insert adds an upstream that was not known.
+func (s *State) insert(id string, e *entry) {
+	s.upstreams[id] = e
+	at, _ := slices.BinarySearch(s.order, id)
+	s.order = slices.Insert(s.order, at, id)
+}
+
+// forget removes an upstream.
+func (s *State) forget(id string) {
+	s.revive(s.upstreams[id])
+	delete(s.upstreams, id)
+	if at, found := slices.BinarySearch(s.order, id); found {
+		s.order = slices.Delete(s.order, at, at+1)
+	}
+}
+
+// revive takes back that an entry has lapsed.
+func (s *State) revive(e *entry) {
+	if !e.lapsed.IsZero() {
+		e.lapsed = time.Time{}
+		s.lapsed--
+	}
+}
+
 // Namings returns what this host remembers of namings, the earlier ones too.
 func (s *State) Namings(now time.Time) []Naming {
 	var out []Naming
@@ -181,10 +208,11 @@
 	if s.inGrace(now) && e.upstream.Standing == StandingReady {
 		if e.lapsed.IsZero() {
 			e.lapsed = now
+			s.lapsed++
 		}
 		return false
 	}
-	delete(s.upstreams, id)
+	s.forget(id)
 	return true
 }
 
@@ -194,7 +222,7 @@
 	if e == nil || offset < e.offset {
 		return false
 	}
-	delete(s.upstreams, id)
+	s.forget(id)
 	return true
 }
 
@@ -219,17 +247,15 @@
 
 // Expire removes entries whose grace is over and reports whether there were any.
 func (s *State) Expire(now time.Time) bool {
-	if s.inGrace(now) {
+	if s.lapsed == 0 || s.inGrace(now) {
 		return false
 	}
-	changed := false
 	for id, e := range s.upstreams {
 		if !e.lapsed.IsZero() {
-			delete(s.upstreams, id)
-			changed = true
+			s.forget(id)
 		}
 	}
-	return changed
+	return true
 }
 
 // Table returns the configuration in force, or nil.
@@ -266,10 +292,10 @@
 		Evacuated: s.emptied.evacuated(),
 		Returned:  s.emptied.returned(),
 	}
-	for _, e := range s.upstreams {
-		v.Upstreams = append(v.Upstreams, e.upstream)
+	v.Upstreams = make([]Upstream, 0, len(s.order))
+	for _, id := range s.order {
+		v.Upstreams = append(v.Upstreams, s.upstreams[id].upstream)
 	}
-	slices.SortFunc(v.Upstreams, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	for i := range v.Upstreams {
 		u := &v.Upstreams[i]
 		if v.Takes(u) {
--- a/follower/types.go
+++ b/follower/types.go
@@ -64,13 +64,18 @@
 	Cold             time.Duration     // Cold is how much longer it was slow when it wrote its entry.
 	ColdUntil        time.Time         // ColdUntil is until when it is slow, as State works it out.
 	Weights          map[string]uint64 // Weights has the weight version of each model.
+
+	start string // start is what Start returns, once it was worked out.
 }
 
 // Start names one start of the upstream. What is known of an earlier one under the same
 // ID does not hold for it: it keeps nothing and has no work.
 func (u *Upstream) Start() string {
-	if u.Born == 0 {
+	switch {
+	case u.Born == 0:
 		return u.ID
+	case u.start != "":
+		return u.start
 	}
 	return u.ID + "@" + strconv.FormatInt(u.Born, 36)
 }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -16,6 +16,10 @@
 const (
 	RoutineLines = 200
 	FailureLines = 300
+	// BeliefLines bounds lines about records and hosts that change what is believed. A host
+	// that starts in a fleet of 300 before 3,000 upstreams would write 3,300 within 0.3 s,
+	// which is when callers come back.
+	BeliefLines = 60
 )
 
 // Logger writes lines. It is safe for concurrent use.
@@ -23,6 +27,7 @@
 	zerolog.Logger
 	routine zerolog.Logger
 	failure zerolog.Logger
+	belief  zerolog.Logger
 	left    atomic.Uint64 // left counts lines that were left out.
 	said    atomic.Uint64 // said is how many of them a line has told of.
 }
@@ -41,6 +46,7 @@
 	l := &Logger{Logger: base}
 	l.routine = base.Sample(l.bound(RoutineLines))
 	l.failure = base.Sample(l.bound(FailureLines))
+	l.belief = base.Sample(l.bound(BeliefLines))
 	return l
 }
 
@@ -50,6 +56,9 @@
 // Failure begins a line of a request that failed or was late.
 func (l *Logger) Failure() *zerolog.Event { return l.failure.Info() }
 
+// Belief begins a line about one of many records or hosts that are news.
+func (l *Logger) Belief() *zerolog.Event { return l.belief.Info() }
+
 // LeftOut returns the number of lines that were left out.
 func (l *Logger) LeftOut() uint64 { return l.left.Load() }
 
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -109,6 +109,7 @@
 	opts      Options
 	lease     lease
 	nonce     uint64
+	settled   *follower.View       // settled is the last view in which no engine had old weights.
 	needed    time.Time            // needed is since when engines have old weights.
 	notBefore time.Time            // notBefore is when this host may give its first order.
 	started   time.Time            // started is when this process took its first step.
@@ -170,6 +171,9 @@
 // outdated returns the engines that take work with old weights, and forgets jobs
 // of all others.
 func (r *Renewer) outdated(view *follower.View) []follower.Upstream {
+	if view == r.settled {
+		return nil
+	}
 	var need []follower.Upstream
 	ids := make(map[string]bool)
 	for i := range view.Upstreams {
@@ -191,6 +195,9 @@
 			delete(r.jobs, id)
 		}
 	}
+	if len(need) == 0 {
+		r.settled = view
+	}
 	return need
 }
 
