Remember through a loss of all hosts since when weights are replaced

What stores hold of replaced weights is freed 12 s after the naming, by a time that each keeper counted from when it saw the salt first; a rolling restart or a loss of all began it anew.

A keeper now goes by what hosts tell each other of namings, and notes the ages in the platform's store at 1, 3, 6, 10 and 15 s; the first in rank reads them once and tells all. An age noted earlier is a lower bound of the one now, so that nothing is freed too early.

Ruled out: freeing sooner after a word to all hosts (a host that hears only another watcher goes on fetching: MIXED); the time of day in the note (clocks jump).

--- a/conductor/events.go
+++ b/conductor/events.go
@@ -66,19 +66,23 @@
 // host lacks.
 type StoreGap struct{ From string }
 
+// NamingsRecalled is what hosts of before have noted of weight versions.
+type NamingsRecalled struct{ Namings []follower.Naming }
+
 // DrainBegun says that this host is to end.
 type DrainBegun struct{}
 
-func (Tick) event()         {}
-func (FeedRead) event()     {}
-func (PeerMessage) event()  {}
-func (PeerUp) event()       {}
-func (HostsFound) event()   {}
-func (WorkReported) event() {}
-func (RenewalEnd) event()   {}
-func (StoreHeard) event()   {}
-func (StoreGap) event()     {}
-func (DrainBegun) event()   {}
+func (Tick) event()            {}
+func (FeedRead) event()        {}
+func (PeerMessage) event()     {}
+func (PeerUp) event()          {}
+func (HostsFound) event()      {}
+func (WorkReported) event()    {}
+func (RenewalEnd) event()      {}
+func (StoreHeard) event()      {}
+func (StoreGap) event()        {}
+func (NamingsRecalled) event() {}
+func (DrainBegun) event()      {}
 
 // Action is something that a host is to do.
 type Action interface{ action() }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -38,6 +38,10 @@
 	// Announced returns a page of what hosts have announced, by name, from behind a
 	// name on, and where the next page begins; empty if none follows.
 	Announced(ctx context.Context, after string) (cards map[string][]byte, next string, err error)
+	// Note keeps a value under a key, for hosts that start after a loss of all; Notes
+	// returns all of them.
+	Note(ctx context.Context, key string, value []byte) error
+	Notes(ctx context.Context) (map[string][]byte, error)
 	// Lease returns the newest record of a lease and the offset after it, 0 if
 	// there is none.
 	Lease(ctx context.Context, name string) (record []byte, end int64, err error)
@@ -177,6 +181,7 @@
 	h.view.Store(&follower.View{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
 	h.unheard.Store(&map[string]bool{})
+	h.keeper.Store(true) // until it finds others
 	alone := activator.Select([]tracker.HostRecord{self}, nil)
 	h.serving.Store(&alone)
 	h.exchanger = exchanger.New(exchanger.Options{
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -105,19 +105,10 @@
 }
 
 // free tells stores to give up what was made with replaced weights, when nobody
-// can be fetching it any more. replaced remembers since when salts are unused.
-func (h *Host) free(now time.Time, replaced map[string]time.Time) {
-	view := h.view.Load()
-	unused := h.placer.Unused(func(text string) bool {
-		salt, ok := placer.ParseSalt(text)
-		if !ok || salt.Weights >= view.Named[salt.Model].Version {
-			return true
-		}
-		if replaced[text].IsZero() {
-			replaced[text] = now
-		}
-		return now.Sub(replaced[text]) < h.placer.FreeAfter()
-	})
+// can be fetching it any more.
+func (h *Host) free(now time.Time) {
+	view, after := h.view.Load(), h.placer.FreeAfter()
+	unused := h.placer.Unused(func(text string) bool { return inUse(view, now, text, after) })
 	for _, f := range unused {
 		ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
 		err := h.opts.Stores.Free(ctx, f)
@@ -126,17 +117,30 @@
 	}
 }
 
+// inUse tells that what stores hold under a salt may still be fetched: its weights are in
+// force, or were replaced less than some time before, by what any host remembers.
+func inUse(view *follower.View, now time.Time, text string, after time.Duration) bool {
+	salt, ok := placer.ParseSalt(text)
+	if !ok {
+		return true
+	}
+	named := view.Named[salt.Model]
+	return salt.Weights >= named.Version || now.Sub(named.Replaced(salt.Weights)) < after
+}
+
 // freeInterval is the interval at which the first host in rank looks for what
 // can be freed.
 const freeInterval = 500 * time.Millisecond
 
 // keepStores frees what stores hold for nobody, while this host is first in rank.
 func (h *Host) keepStores() {
-	replaced := make(map[string]time.Time) // since when salts are known to be of replaced weights
+	var notes namingNotes
 	for h.ctx.Err() == nil {
 		pause(h.ctx, freeInterval)
-		if h.keeper.Load() {
-			h.free(h.opts.Timer.Now(), replaced)
+		if !h.keeper.Load() {
+			continue
 		}
+		notes.keep(h)
+		h.free(h.opts.Timer.Now())
 	}
 }
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -128,6 +128,9 @@
 		n.renewalEnd(now, ev)
 	case StoreGap:
 		n.askStores(now, ev.From)
+	case NamingsRecalled:
+		n.viewDirty = n.state.Recall(now, ev.Namings) || n.viewDirty
+		n.broadcast(&messenger.Message{Namings: ev.Namings})
 	case DrainBegun:
 		n.leave()
 	}
@@ -167,6 +170,7 @@
 		n.viewDirty = false
 		n.view = n.state.View()
 		n.do(PublishView{View: n.view})
+		n.sayReady()
 	}
 	if n.hostsDirty && n.hostsDue() {
 		n.hostsDirty = false
@@ -178,6 +182,18 @@
 	}
 }
 
+// sayReady tells all hosts once that this one can serve callers.
+func (n *Node) sayReady() {
+	if !n.view.Ready() {
+		return
+	}
+	self, changed := n.hosts.Say(func(r *tracker.HostRecord) { r.Ready = true })
+	if changed {
+		n.noteHosts([]tracker.HostRecord{self})
+		n.spreadHosts("", []tracker.HostRecord{self})
+	}
+}
+
 // hostsPause is the least time between two lists of hosts in a large fleet. 295 hosts
 // that start tell each other of some hundreds of changes within a second, and each list
 // takes 0.2 ms.
--- a/follower/state.go
+++ b/follower/state.go
@@ -138,8 +138,12 @@
 
 // Namings returns what this host remembers of namings, the earlier ones too.
 func (s *State) Namings(now time.Time) []Naming {
+	return namings(now, s.named)
+}
+
+func namings(now time.Time, named map[string]Named) []Naming {
 	var out []Naming
-	for model, n := range s.named {
+	for model, n := range named {
 		for _, b := range append(slices.Clone(n.before), n) {
 			out = append(out, Naming{Model: model, Version: b.Version, Age: now.Sub(b.Since)})
 		}
@@ -147,6 +151,9 @@
 	return out
 }
 
+// Namings returns what this host remembers of namings, the earlier ones too.
+func (v *View) Namings(now time.Time) []Naming { return namings(now, v.Named) }
+
 // Recall takes in what another host remembers of namings. A host that has just started
 // would else take an engine for freshly replaced whose weights were replaced long before.
 // It reports whether that changes the view.
@@ -154,9 +161,12 @@
 	for _, t := range told {
 		s.recalled[t.Model] = append(s.recalled[t.Model], Named{Version: t.Version, Since: now.Add(-t.Age)})
 	}
+	changed := false
 	for _, t := range told {
 		if n, ok := s.named[t.Model]; ok {
-			s.named[t.Model] = n.recalling(s.recalled[t.Model])
+			next := n.recalling(s.recalled[t.Model])
+			changed = changed || !next.same(n)
+			s.named[t.Model] = next
 		}
 	}
 	for model, n := range s.named {
@@ -164,7 +174,7 @@
 			delete(s.recalled, model) // it is part of what is known now
 		}
 	}
-	return len(told) > 0
+	return changed
 }
 
 // Current tells up to when the operators' feed is known. It never goes back.
--- a/follower/types.go
+++ b/follower/types.go
@@ -144,6 +144,12 @@
 	return last
 }
 
+// same tells that two hosts' memories of namings are alike.
+func (n Named) same(o Named) bool {
+	alike := func(a, b Named) bool { return a.Version == b.Version && a.Since.Equal(b.Since) }
+	return alike(n, o) && slices.EqualFunc(n.before, o.before, alike)
+}
+
 // sooner returns the first of two times.
 func sooner(a, b time.Time) time.Time {
 	if b.Before(a) {
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -27,6 +27,8 @@
 	HostsUnread          = "HostsUnread"
 	HostRecordUnreadable = "HostRecordUnreadable"
 	MessageRefused       = "MessageRefused"
+	NamingsUnnoted       = "NamingsUnnoted"
+	NamingsUnread        = "NamingsUnread"
 	LeaseUnread          = "LeaseUnread"
 	LeaseWritten         = "LeaseWritten"
 	OrderGiven           = "OrderGiven"
@@ -44,6 +46,6 @@
 	UpstreamChosen, RequestEnded, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
-	LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
+	NamingsUnnoted, NamingsUnread, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
 }
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -42,6 +42,7 @@
 	LinkMbps         float64   `cbor:"10,keyasint,omitempty"` // LinkMbps is the width of the host's own link; 0 if it was not told.
 	Cores            float64   `cbor:"11,keyasint,omitempty"` // Cores is how many processor cores the host may use; 0 if it was not told.
 	ZoneUse          float64   `cbor:"12,keyasint,omitempty"` // ZoneUse is how many cores the hosts of its availability zone use together, told by one host of the zone; 0 elsewhere.
+	Ready            bool      `cbor:"14,keyasint,omitempty"` // Ready tells that the host knows what it needs to serve callers.
 	Spare            float64   `cbor:"13,keyasint,omitempty"` // Spare is the part of its room that is free.
 }
 
