--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -84,9 +84,38 @@
 // handler is a step of the chain.
 type handler = dispatcher.Handler[*exchange, Outcome]
 
+const (
+	// unreadyShare is the part of a caller's time for which a request waits at a host that
+	// has just started, and unreadyMost the longest. Callers come back once only, so that a
+	// refusal costs them that; a host with a whole core knows what it needs after 0.14 s.
+	unreadyShare = 0.08
+	unreadyMost  = 300 * time.Millisecond
+	unreadyPoll  = 5 * time.Millisecond
+)
+
+// becomeReady waits a little for this host to know what is in force.
+func (e *exchange) becomeReady(ctx context.Context) {
+	most := min(unreadyMost, time.Duration(unreadyShare*float64(e.request.Patience)))
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	tick := time.NewTicker(unreadyPoll)
+	defer tick.Stop()
+	for !e.view.Ready() {
+		select {
+		case <-tick.C:
+			e.view = e.opts.Beliefs.Load()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // informed refuses requests while this host does not know what is in force.
 func informed(next handler) handler {
 	return func(ctx context.Context, e *exchange) Outcome {
+		if !e.view.Ready() {
+			e.becomeReady(ctx)
+		}
 		if !e.view.Ready() {
 			return e.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: retryUnready})
 		}
--- /dev/null
+++ b/exchanger/unready_test.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package exchanger
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/retrier"
+	"amaranthgate.example/amaranthgate/timer"
+)
+
+// turning are the beliefs of a host that becomes ready after it was asked a few times.
+type turning struct {
+	asked atomic.Int32
+	after int32
+	view  *follower.View
+}
+
+func (b *turning) Load() *follower.View {
+	if b.asked.Add(1) <= b.after {
+		return &follower.View{}
+	}
+	return b.view
+}
+
+// TestHostBecomesReady: a request waits a little for a host that has just started, and is
+// refused at once if its caller has no time for that, or at the end of it.
+func TestHostBecomesReady(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		after    int32
+		patience time.Duration
+		want     int
+	}{
+		{"ready at once", 0, time.Minute, http.StatusOK},
+		{"ready in a moment", 3, time.Minute, http.StatusOK},
+		{"a caller that names no time", 3, 0, http.StatusServiceUnavailable},
+		{"not ready in time", 1 << 30, 100 * time.Millisecond, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &turning{after: c.after, view: testView("Idempotent")}
+			p := placer.New(placer.Options{})
+			p.Update(b.view)
+			sender := &heldSender{let: make(chan struct{})}
+			close(sender.let)
+			x := New(Options{Beliefs: b, Placer: p, Sender: sender, Budget: retrier.NewShared(retrier.Allowance{}), Timer: timer.NewSystem()})
+			caller := &recorder{}
+			r := &Request{ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key", Patience: c.patience}
+			x.Handle(context.Background(), r, caller)
+			assert.Equal(t, caller.status, c.want)
+		})
+	}
+}
