Let stores serve replaced weights for 6.5 s at most

Cause: with two versions named in 4 s, stores hold what was made with both replaced ones for up to 12 s and have no room for the new: of 110 long prompts in 2 s, 2 to 9 could save. Where the operators allow 12 s for a renewal, stores served replaced weights for 9.5 s; the renewal of 60 engines, 12 at a time, takes 6 s.

Ruled out: one bound for engines and stores; engines may take work on old weights longer.

--- a/placer/replaced.go
+++ b/placer/replaced.go
@@ -67,14 +67,22 @@
 	if weights < named.Version {
 		inForce = named.InForceUntil(weights)
 	}
-	return now.Sub(inForce) < p.useReplaced()
+	return now.Sub(inForce) < p.serveReplaced()
 }
 
+// mostServed bounds how long stores serve replaced weights: a renewal of 60 engines, 12 at
+// a time, takes 6 s, and what stores hold for the old weights leaves no room for the new.
+const mostServed = 6500 * time.Millisecond
+
+// serveReplaced is how long stores serve replaced weights.
+func (p *Placer) serveReplaced() time.Duration { return min(p.useReplaced(), mostServed) }
+
+
 // FreeAfter is how long after a weight version was named, what stores hold for
 // the one before may be freed: no host fetches it for longer than useReplaced after it was
 // surely in force, and what was ordered before has ended then.
 func (p *Placer) FreeAfter() time.Duration {
-	return p.useReplaced() + fetchTime + freeMargin
+	return p.serveReplaced() + fetchTime + freeMargin
 }
 
 // freeMargin covers delays between hosts, up to those that they notice, and the reading
