--- /dev/null
+++ b/conductor/cluster_test.go
@@ -0,0 +1,271 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/matcher"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/renewer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// simDecoder reads "version N" as a configuration, the key "evacuate/ZONE" as an
+// evacuation, and "ready" or "leaving" as an upstream's entry.
+type simDecoder struct{}
+
+func (simDecoder) Decode(f follower.Feed, r follower.Record) (follower.Change, error) {
+	text := string(r.Value)
+	if f == follower.FeedUpstreams {
+		if text == "" {
+			return follower.Change{Removed: r.Key}, nil
+		}
+		if text == "rubbish" {
+			return follower.Change{}, errors.New("unreadable")
+		}
+		up := &follower.Upstream{ID: r.Key, Service: "s", AvailabilityZone: zoneOf(r.Key), Standing: follower.StandingReady}
+		if text == "leaving" {
+			up.Standing = follower.StandingLeaving
+		}
+		return follower.Change{Upstream: up}, nil
+	}
+	if zone, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
+		return follower.Change{Evacuation: &follower.Evacuation{AvailabilityZone: zone, Over: text == ""}}, nil
+	}
+	number, ok := strings.CutPrefix(text, "version ")
+	n, err := strconv.ParseUint(number, 10, 64)
+	if !ok || err != nil {
+		return follower.Change{}, errors.New("unreadable")
+	}
+	return follower.Change{Table: matcher.New(matcher.Parts{Version: n})}, nil
+}
+
+// zoneOf returns the availability zone of an upstream that is named "a@zone", else "".
+func zoneOf(key string) string {
+	_, zone, _ := strings.Cut(key, "@")
+	return zone
+}
+
+// access is how the store treats a host.
+type access string
+
+const (
+	accessOK     access = "OK"
+	accessRefuse access = "Refuse"
+	accessSilent access = "Silent"
+)
+
+type simNode struct {
+	name       string
+	zone       string
+	node       *Node
+	access     access
+	changed    time.Time // changed is when access or the process changed last.
+	down       bool
+	paused     bool
+	waiting    []*simRead
+	inbox      []Event
+	starts     uint64
+	unreadable int                      // unreadable counts the lines about records that cannot be read.
+	version    uint64                   // version is what was published last.
+	reports    map[string]placer.Report // reports has the newest work of others, by who told of it.
+}
+
+type simRead struct {
+	read    Read
+	asked   time.Time
+	ends    time.Time // ends is when the store gives up waiting, or the host does.
+	swallow bool
+}
+
+// cluster is several nodes and a store in simulated time.
+type cluster struct {
+	now        time.Time
+	nodes      []*simNode
+	byName     map[string]*simNode
+	logs       map[follower.Feed][]follower.Record
+	first      map[follower.Feed]int64 // first is the first offset that is still there.
+	faults     []string
+	calls      int               // calls counts questions to the store.
+	use        float64           // use is how many cores each host uses.
+	firstStart bool              // firstStart tells hosts so.
+	idle       bool              // idle tells that no host has work.
+	seen       func(PeerMessage) // seen, if set, is called with each message that arrives.
+	sent       map[string]int    // sent counts messages by sender.
+}
+
+const (
+	clusterTick = 10 * time.Millisecond
+	reportMilli = 100
+)
+
+func newCluster(n int) *cluster { return startCluster(n, false) }
+
+// startCluster starts hosts that have run before, or that start for the first time.
+func startCluster(n int, firstStart bool) *cluster {
+	c := &cluster{firstStart: firstStart, now: time.Unix(5000, 0), byName: make(map[string]*simNode), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64), sent: make(map[string]int)}
+	for i := range n {
+		s := &simNode{name: fmt.Sprintf("host-%d", i+1), zone: fmt.Sprintf("zone-%d", i%3), access: accessOK}
+		c.nodes = append(c.nodes, s)
+		c.byName[s.name] = s
+		c.start(s)
+	}
+	return c
+}
+
+func (c *cluster) start(s *simNode) {
+	s.starts++
+	s.down, s.paused, s.waiting, s.inbox, s.version = false, false, nil, nil, 0
+	s.changed, s.reports = c.now, make(map[string]placer.Report)
+	self := tracker.HostRecord{Host: s.name, AvailabilityZone: s.zone, Incarnation: s.starts, State: tracker.HostLive, Peers: s.name}
+	s.node = NewNode(NodeOptions{
+		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(), FirstStart: c.firstStart,
+		Renewer: renewer.Options{Host: s.name, Term: 2 * time.Second, Turn: 3 * time.Second, Margin: 250 * time.Millisecond, AtOnce: 3},
+		Busy:    func(string) int { return 0 },
+		Kept:    func() []placer.Placement { return nil },
+		Stores:  func() []placer.StoreReport { return nil },
+	})
+	var found []tracker.HostRecord
+	for _, o := range c.nodes {
+		found = append(found, tracker.HostRecord{Host: o.name, AvailabilityZone: o.zone, Incarnation: o.starts, State: tracker.HostLive, Peers: o.name})
+	}
+	s.inbox = append(s.inbox, HostsFound{Hosts: found})
+	for _, o := range c.nodes {
+		if o != s && o.node != nil {
+			o.inbox = append(o.inbox, HostsFound{Hosts: []tracker.HostRecord{self}})
+		}
+	}
+}
+
+func (c *cluster) write(f follower.Feed, key, value string) {
+	log := c.logs[f]
+	c.logs[f] = append(log, follower.Record{Key: key, Value: []byte(value), Offset: int64(len(log))})
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(clusterTick) {
+		for _, s := range c.nodes {
+			if s.down {
+				continue
+			}
+			c.answers(s)
+			if s.paused {
+				continue
+			}
+			inbox := append(s.inbox, Tick{})
+			if c.now.UnixMilli()%reportMilli == 0 {
+				inbox = append(inbox, c.workOf(s))
+			}
+			s.inbox = nil
+			for _, ev := range inbox {
+				if m, ok := ev.(PeerMessage); ok && c.seen != nil {
+					c.seen(m)
+				}
+				c.carry(s, s.node.Handle(c.now, ev))
+			}
+		}
+	}
+}
+
+func (c *cluster) workOf(s *simNode) WorkReported {
+	r := placer.Report{Work: map[string]placer.Work{}}
+	if !c.idle {
+		r.Work["engine"] = placer.Work{Requests: 1}
+	}
+	return WorkReported{Report: r, Use: c.use}
+}
+
+// answers ends the questions of a node whose time has come.
+func (c *cluster) answers(s *simNode) {
+	var rest []*simRead
+	for _, w := range s.waiting {
+		ev := FeedRead{News: follower.News{Feed: w.read.Feed}, Asked: w.asked, Wait: w.read.Wait}
+		log := c.logs[w.read.Feed]
+		swallowed := w.swallow || s.access == accessSilent
+		w.swallow = swallowed
+		switch {
+		case s.access == accessRefuse:
+			ev.Err = errors.New("refused")
+		case swallowed && c.now.Sub(w.asked) < w.read.Wait+time.Second:
+			rest = append(rest, w)
+			continue
+		case swallowed:
+			ev.Err = errors.New("no answer")
+		case w.read.Full:
+			ev.News = c.listing(w.read.Feed)
+		case w.read.From < c.first[w.read.Feed]:
+			ev.Err = follower.ErrForgotten
+		case int64(len(log)) <= w.read.From && c.now.Before(w.ends):
+			rest = append(rest, w)
+			continue
+		default:
+			ev.News.From, ev.News.Next = w.read.From, int64(len(log))
+			ev.News.Records = log[min(w.read.From, int64(len(log))):]
+		}
+		s.inbox = append(s.inbox, ev)
+	}
+	s.waiting = rest
+}
+
+func (c *cluster) listing(f follower.Feed) follower.News {
+	news := follower.News{Feed: f, Full: true, Next: int64(len(c.logs[f]))}
+	newest := make(map[string]follower.Record)
+	for _, r := range c.logs[f] {
+		newest[r.Key] = r
+	}
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			news.Records = append(news.Records, r)
+		}
+	}
+	return news
+}
+
+func (c *cluster) carry(s *simNode, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			c.sent[s.name]++
+			to := c.byName[a.To]
+			if !to.down {
+				to.inbox = append(to.inbox, PeerMessage{From: s.name, Message: a.Message})
+			}
+		case Spread:
+			c.sent[s.name] += len(a.To)
+			for _, t := range a.To {
+				if to := c.byName[t.Host]; !to.down {
+					to.inbox = append(to.inbox, PeerMessage{From: s.name, Message: a.Message})
+				}
+			}
+		case Read:
+			c.calls++
+			s.waiting = append(s.waiting, &simRead{read: a, asked: c.now, ends: c.now.Add(a.Wait), swallow: s.access == accessSilent})
+		case PublishView:
+			if t := a.View.Table; t != nil {
+				if t.Version() < s.version {
+					c.faults = append(c.faults, fmt.Sprintf("%s went from version %d back to %d", s.name, s.version, t.Version()))
+				}
+				s.version = t.Version()
+			}
+		case Note:
+			if a.What == NoteUnreadable {
+				s.unreadable++
+			}
+		case TakeReport:
+			if a.Report.Work != nil {
+				s.reports[a.From] = a.Report
+			}
+		case Renew:
+			s.inbox = append(s.inbox, RenewalEnd{Command: a.Command, Err: errors.New("not simulated")})
+		}
+	}
+}
+
+func (c *cluster) set(s *simNode, a access) { s.access, s.changed = a, c.now }
