Take the gathering of hosts' news out again

What is gathered goes back to whom it came from, and records are told again that others had told meanwhile: more than compression saves.

Conclusion: not the number of messages, but what is told twice, is what a next try has to mend (neighbours by zone).

--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -4,7 +4,6 @@
 package conductor
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -67,31 +66,9 @@
 	return prompt, slow
 }
 
-// spreadHosts passes news of hosts on to all neighbours but one: at once in a small fleet,
-// in a large one at the next tick, all that came meanwhile together.
+// spreadHosts passes news of hosts on to all neighbours but one.
 func (n *Node) spreadHosts(except string, news []tracker.HostRecord) {
-	if n.paths().small {
-		n.spread(except, &messenger.Message{Hosts: news})
-		return
-	}
-	for _, r := range news {
-		n.unspread[r.Host] = r
-	}
-}
-
-// spreadGathered passes on the news of hosts that were gathered. After a loss of all, 299
-// hosts tell each other of as many within a second; told one by one to four neighbours and
-// more, each of them was a message of its own, too short to be compressed.
-func (n *Node) spreadGathered() {
-	if len(n.unspread) == 0 {
-		return
-	}
-	news := make([]tracker.HostRecord, 0, len(n.unspread))
-	for _, name := range slices.Sorted(maps.Keys(n.unspread)) {
-		news = append(news, n.unspread[name])
-	}
-	clear(n.unspread)
-	n.spread("", &messenger.Message{Hosts: news})
+	n.spread(except, &messenger.Message{Hosts: news})
 }
 
 // spread sends a message to all neighbours but one.
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -66,8 +66,7 @@
 	others     *placer.Report        // others gathers what other zones told once, for this zone.
 	sums       *placer.Report        // sums gathers what this zone's hosts told once, for the others.
 	lastSum    time.Time
-	began      time.Time                     // began is when this host first reported work to others.
-	unspread   map[string]tracker.HostRecord // unspread are news of hosts that wait to be passed on.
+	began      time.Time // began is when this host first reported work to others.
 	uses       map[string]hostUse
 	gauge      activator.Gauge
 	lastStores time.Time // lastStores is when another host was asked for what it knows of stores.
@@ -97,7 +96,6 @@
 		zones:    make(map[string]zoneReport),
 		others:   &placer.Report{},
 		sums:     &placer.Report{},
-		unspread: make(map[string]tracker.HostRecord),
 		uses:     make(map[string]hostUse),
 	}
 }
@@ -145,7 +143,6 @@
 func (n *Node) tick(now time.Time) {
 	n.wake(now)
 	n.beat(now)
-	n.spreadGathered()
 	if n.state.Expire(now) {
 		n.do(Note{What: NoteLapsesCounted, Feed: follower.FeedUpstreams})
 		n.viewDirty = true
