--- a/placer/choice.go
+++ b/placer/choice.go
@@ -163,7 +163,7 @@
 // consider puts a candidate where it belongs on the list.
 func (p *Placer) consider(now time.Time, t *target, ask *Ask, s *shortlist) {
 	switch {
-	case p.spared(now, t):
+	case p.rationed(now, t):
 		s.busy = true
 	case t.suspect(now):
 		if s.spare == nil || t.suspectUntil.Before(s.spare.suspectUntil) {
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -116,8 +116,8 @@
 	return t.bears > 0 && now.Before(p.coldUntil(t))
 }
 
-// spared tells that a cold upstream must get no more of this host for the moment.
-func (p *Placer) spared(now time.Time, t *target) bool {
+// rationed tells that a cold upstream must get no more of this host for the moment.
+func (p *Placer) rationed(now time.Time, t *target) bool {
 	if !p.cold(now, t) {
 		return false
 	}
--- a/placer/exchange.go
+++ b/placer/exchange.go
@@ -35,10 +35,10 @@
 	// Stores is what is being fetched from stores, by address.
 	Stores map[string]Work `cbor:"3,keyasint,omitempty"`
 	// Transfers were timed since the last report.
-	Transfers []Transfer  `cbor:"4,keyasint,omitempty"`
-	Readings  []Reading   `cbor:"7,keyasint,omitempty"` // Readings were timed since the last report.
-	Waiting   int         `cbor:"5,keyasint,omitempty"` // Waiting are requests that wait at the host.
-	Begun     []Beginning `cbor:"8,keyasint,omitempty"` // Begun was placed since the last report.
+	Transfers []Transfer   `cbor:"4,keyasint,omitempty"`
+	Paces     []PaceSample `cbor:"7,keyasint,omitempty"` // Paces were timed since the last report.
+	Waiting   int          `cbor:"5,keyasint,omitempty"` // Waiting are requests that wait at the host.
+	Begun     []Beginning  `cbor:"8,keyasint,omitempty"` // Begun was placed since the last report.
 	// Partial tells that Work has only upstreams whose work has changed since the last
 	// report, also those that have none any more, and that Stores are as before.
 	Partial bool `cbor:"6,keyasint,omitempty"`
@@ -68,8 +68,8 @@
 func (p *Placer) Report() Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Report{Work: make(map[string]Work), Stores: make(map[string]Work), Placed: p.placed, Transfers: p.transfers, Readings: p.readings, Begun: p.begun}
-	p.placed, p.transfers, p.readings, p.begun = nil, nil, nil, nil
+	r := Report{Work: make(map[string]Work), Stores: make(map[string]Work), Placed: p.placed, Transfers: p.transfers, Paces: p.samples, Begun: p.begun}
+	p.placed, p.transfers, p.samples, p.begun = nil, nil, nil, nil
 	clear(p.changed)
 	r.Waiting = p.waiting()
 	for address, st := range p.stores {
@@ -144,7 +144,7 @@
 	for _, b := range r.Begun {
 		p.started(now, b, nil)
 	}
-	for _, rd := range r.Readings {
+	for _, rd := range r.Paces {
 		if t := p.targets[rd.Upstream]; t != nil {
 			t.slow.learn(now, rd)
 		}
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -50,14 +50,14 @@
 }
 
 // learn takes in a sample.
-func (s *slowness) learn(now time.Time, r Reading) {
+func (s *slowness) learn(now time.Time, r PaceSample) {
 	had := math.Log(s.factor(now))
 	s.learned = had + float64(r.Weight)*(float64(r.Slower)-had)
 	s.at = now
 }
 
-// Reading is one timed request at an engine.
-type Reading struct {
+// PaceSample is one timed request at an engine.
+type PaceSample struct {
 	Upstream string  `cbor:"1,keyasint"` // Upstream is what Start names the engine.
 	Slower   float32 `cbor:"2,keyasint"` // Slower is the logarithm of how many times longer than estimated it took.
 	Weight   float32 `cbor:"3,keyasint"`
@@ -77,9 +77,9 @@
 	slower := math.Log(float64(took) / float64(tk.common))
 	slower = min(max(slower, -math.Log(mostFast)), math.Log(mostSlow))
 	weight := slowWeight * float64(tk.common) / float64(tk.common+slowScale)
-	r := Reading{Upstream: tk.target.key, Slower: float32(slower), Weight: float32(weight)}
+	r := PaceSample{Upstream: tk.target.key, Slower: float32(slower), Weight: float32(weight)}
 	tk.target.slow.learn(now, r)
-	if (tk.common > slowScale || math.Abs(slower) > slowTold) && len(p.readings) < maxPlaced {
-		p.readings = append(p.readings, r)
+	if (tk.common > slowScale || math.Abs(slower) > slowTold) && len(p.samples) < maxPlaced {
+		p.samples = append(p.samples, r)
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -61,7 +61,7 @@
 	current   time.Time             // current is when the operators' feed was known to be current.
 	reading   map[PartKey]*progress // reading are parts that engines are reading.
 	begun     []Beginning           // begun waits to be told to other hosts.
-	readings  []Reading             // readings wait to be told to other hosts.
+	samples   []PaceSample          // samples wait to be told to other hosts.
 	transfers []Transfer            // transfers wait to be told to other hosts.
 	placed    []Placement           // placed waits to be told to other hosts.
 	named     map[string]follower.Named
--- a/placer/replaced.go
+++ b/placer/replaced.go
@@ -77,7 +77,6 @@
 // serveReplaced is how long stores serve replaced weights.
 func (p *Placer) serveReplaced() time.Duration { return min(p.useReplaced(), mostServed) }
 
-
 // FreeAfter is how long after a weight version was named, what stores hold for
 // the one before may be freed: no host fetches it for longer than useReplaced after it was
 // surely in force, and what was ordered before has ended then.
