--- a/activator/select_test.go
+++ b/activator/select_test.go
@@ -13,9 +13,12 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"amaranthgate.example/amaranthgate/internal/seeder"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
+func init() { seeder.Fix() }
+
 type fleet []struct {
 	Zone  string
 	Hosts int
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -12,9 +12,12 @@
 	"pgregory.net/rapid"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/internal/seeder"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
+func init() { seeder.Fix() }
+
 // TestChangeReachesAll: the host that reads for all is cut off silently at the
 // moment of a change. All others must know it within 2 s, and so must those
 // that the store refuses.
--- a/dispatcher/attempts_test.go
+++ b/dispatcher/attempts_test.go
@@ -11,8 +11,11 @@
 	"pgregory.net/rapid"
 
 	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/internal/seeder"
 )
 
+func init() { seeder.Fix() }
+
 // scripted answers attempts from a list of failures; "" is the final answer.
 type scripted struct {
 	script    []forwarder.Failure
--- a/placer/exchange_test.go
+++ b/placer/exchange_test.go
@@ -9,8 +9,12 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"amaranthgate.example/amaranthgate/internal/seeder"
 )
 
+func init() { seeder.Fix() }
+
 // TestChangesAddUp: whichever mixture of whole reports and of changes another host is
 // sent, it knows exactly what this one has under way at each upstream.
 func TestChangesAddUp(t *testing.T) {
--- a/renewer/random_test.go
+++ b/renewer/random_test.go
@@ -13,8 +13,11 @@
 	"pgregory.net/rapid"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/internal/seeder"
 )
 
+func init() { seeder.Fix() }
+
 // sim is several hosts, a store with one lease, and engines, in simulated time.
 type sim struct {
 	now     time.Time
