Let the demo run hosts as they are deployed

Cause: the README's main job ran the older control plane (server, router, runner, emulator), which nobody deploys: a newcomer who ran it had not run what the users run, and saw neither a return from kept context nor an evacuation nor a new start of an engine.

Now: platform/demonstrator starts three hosts as serve puts them together, before stand-ins of the store, two engines and a plain service, and plays a tour of five steps; then it prints lines to try, and takes evacuations and restarts by hand. The stand-in engines keep what they have read, bounded, read what is missing at a pace, fetch from each other where the request says so, and can start again under their ID, cold.

Ruled out: a store of kept context among the stand-ins (the engines' own memory shows a return; left for kept context as a managed resource); timed claims in the tour's test (each step waits until it shows, 15 s at most).

After: none but the stand-ins and the choice of ports; TestDemoIsDeployed follows the imports of both, TestDemoShows plays the tour. The test of the older way stays whole as TestSmallSystemServes.

--- a/internal/commander/demo_test.go
+++ b/internal/commander/demo_test.go
@@ -6,21 +6,86 @@
 import (
 	"bytes"
 	"context"
+	"go/parser"
+	"go/token"
 	"io"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"amaranthgate.example/amaranthgate/emulator"
 	"amaranthgate.example/amaranthgate/internal/deployment"
 )
 
-// TestDemoServes runs the whole path: a caller asks for addresses, gets a
-// stream, a refusal and a kept answer.
-func TestDemoServes(t *testing.T) {
+// TestDemoShows: the tour of the demonstration shows each of its steps, and its lines name
+// where the system can be reached.
+func TestDemoShows(t *testing.T) {
+	d, err := startDemo(t.Context(), io.Discard)
+	assert.NilError(t, err)
+	defer d.Close()
+	var out bytes.Buffer
+	assert.NilError(t, d.Tour(t.Context(), &out), out.String())
+	assert.NilError(t, d.WriteLines(&out))
+	for _, address := range []string{d.Callers(), d.Directory(), d.Operators()} {
+		assert.Assert(t, strings.Contains(out.String(), "http://"+address+"/"))
+	}
+}
+
+// onlyDemo are the packages that the demonstration has beyond a deployed host: the stand-ins
+// and what chooses their ports.
+var onlyDemo = map[string]bool{
+	"platform/demonstrator": true, "platform/standin": true, "internal/freeport": true,
+}
+
+// TestDemoIsDeployed: the demonstration runs the packages of a deployed host and no others.
+func TestDemoIsDeployed(t *testing.T) {
+	demo, deployed := make(map[string]bool), make(map[string]bool)
+	addImports(t, demo, "demo.go")
+	addImports(t, deployed, "platform.go")
+	for name := range demo {
+		assert.Assert(t, deployed[name] || onlyDemo[name], "only the demonstration imports %s", name)
+	}
+	assert.Assert(t, demo["platform/demonstrator"] && demo["loader"])
+	assert.Assert(t, deployed["conductor"] && deployed["exchanger"] && deployed["placer"])
+}
+
+// addImports adds the packages of this module that a file imports, and what they import.
+func addImports(t *testing.T, found map[string]bool, file string) {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+	assert.NilError(t, err)
+	for _, spec := range f.Imports {
+		name, ours := strings.CutPrefix(strings.Trim(spec.Path.Value, `"`), "amaranthgate.example/amaranthgate/")
+		if !ours || found[name] {
+			continue
+		}
+		found[name] = true
+		files, err := filepath.Glob(filepath.Join("../..", name, "*.go"))
+		assert.NilError(t, err)
+		for _, next := range files {
+			if !strings.HasSuffix(next, "_test.go") {
+				addImports(t, found, next)
+			}
+		}
+	}
+}
+
+// TestSmallSystemServes runs the whole path of hosts beside a log of their own: a caller
+// asks for addresses, gets a stream, a refusal and a kept answer.
+func TestSmallSystemServes(t *testing.T) {
 	ctx := t.Context()
-	d, err := startDemo(ctx, io.Discard)
+	d, err := deployment.Start(ctx, deployment.Options{
+		Hosts:      3,
+		Engines:    2,
+		Services:   1,
+		LogLatency: 2 * time.Millisecond,
+		Engine:     emulator.EngineOptions{PrefillRate: 20000, TokenInterval: 25 * time.Millisecond, LoadTime: time.Second},
+		Logs:       io.Discard,
+	})
 	assert.NilError(t, err)
 	defer d.Close()
 	seed := d.Hosts[0].Addresses().Callers
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -41,7 +41,7 @@
 }
 
 // newPlatformHost puts a host of the users' platform together.
-func newPlatformHost(s loader.Settings, out io.Writer) host {
+func newPlatformHost(s loader.Settings, out io.Writer) *platformHost {
 	var dropped atomic.Uint64
 	writer := diode.NewWriter(out, logQueue, 0, func(missed int) { dropped.Add(uint64(missed)) })
 	return &platformHost{Host: conductor.New(platformOptions(s, logger.New(writer, s.LogLevel), dropped.Load)), log: writer}
