--- a/placer/saver_test.go
+++ b/placer/saver_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/matcher"
 )
 
@@ -24,13 +25,7 @@
 		{0.9, 0.13, 0.25},
 		{0.99, 0, 0},
 	} {
-		v := testView(1, 1)
-		v.Table = matcher.New(matcher.Parts{Services: []matcher.Service{
-			{Name: "engines", Engine: &matcher.Engine{Slots: 8, CapacityTokens: 60_000, BytesPerToken: 18_432, LinkMbps: 370_000}},
-			{Name: "fast", Store: &matcher.Store{Address: "fast:1", CapacityTokens: 200_000, LinkMbps: 70_000}},
-			{Name: "roomy", Store: &matcher.Store{Address: "roomy:1", CapacityTokens: 1_000_000, LinkMbps: 30_000}},
-		}})
-		p := testPlacer(v)
+		p := testPlacer(viewOfStores(70_000, 30_000))
 		for address, st := range p.stores {
 			p.StoreHeard(start, address, StoreNews{Epoch: 1, Full: true, Next: 1, Clock: 1})
 			assert.Assert(t, st.up)
@@ -46,3 +41,34 @@
 		assert.Assert(t, share >= c.from && share <= c.to, "%.2f used: %.2f of the parts", c.used, share)
 	}
 }
+
+// viewOfStores has a small store and a roomy one, whose links have so many Mbit/s.
+func viewOfStores(fast, roomy float64) *follower.View {
+	v := testView(1, 1)
+	v.Table = matcher.New(matcher.Parts{Services: []matcher.Service{
+		{Name: "engines", Engine: &matcher.Engine{Slots: 8, CapacityTokens: 60_000, BytesPerToken: 18_432, LinkMbps: 370_000}},
+		{Name: "fast", Store: &matcher.Store{Address: "fast:1", CapacityTokens: 200_000, LinkMbps: fast}},
+		{Name: "roomy", Store: &matcher.Store{Address: "roomy:1", CapacityTokens: 1_000_000, LinkMbps: roomy}},
+	}})
+	return v
+}
+
+// TestSavesWithoutLinks: where nobody names the stores' links, hosts still choose alike.
+func TestSavesWithoutLinks(t *testing.T) {
+	v := viewOfStores(0, 0)
+	a, b := testPlacer(v), testPlacer(v)
+	chosen := make(map[string]int)
+	for i := range 100 {
+		name := PartName{Salt: "s", ID: fmt.Sprint(i)}
+		var addresses [2]string
+		for j, p := range []*Placer{a, b} {
+			for address := range p.stores {
+				p.StoreHeard(start, address, StoreNews{Epoch: 1, Next: 1, Clock: 1})
+			}
+			addresses[j] = p.saver(start, &Ask{}, name, 100).service.Address
+		}
+		assert.Equal(t, addresses[0], addresses[1])
+		chosen[addresses[0]]++
+	}
+	assert.Assert(t, chosen["fast:1"] > 30 && chosen["roomy:1"] > 30, "%v", chosen)
+}
--- a/placer/store.go
+++ b/placer/store.go
@@ -4,7 +4,6 @@
 package placer
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,21 +35,6 @@
 	saving  map[PartName]saving
 }
 
-// saving is a part that was sent to a store and has not been reported whole.
-type saving struct {
-	tokens int
-	at     time.Time
-}
-
-const (
-	// savingTime is how long a part that was to be saved counts as on its way. Events
-	// of stores come after 60 ms and a few never do.
-	savingTime = 3 * time.Second
-	// fullShare is the part of a store's room that is filled; reservations of other
-	// hosts are not known.
-	fullShare = 0.97
-)
-
 // updateStores takes over the stores of a view; p.mu is held.
 func (p *Placer) updateStores(view *follower.View) {
 	if view.Table == nil {
@@ -257,57 +241,3 @@
 	}
 	return best
 }
-
-// saver returns the store that a part is to be saved to, or nil if one holds it,
-// is getting it, or none has room. All hosts choose alike, weighed by link and free room.
-// Weighed by room alone, stores with 28 Gbit/s got 83 in 100 parts beside some with 71, and
-// while a quarter of 90 engines was gone, 11.7 M tokens that waited for those links too
-// long were read again in 34 s; weighed by link, 10.4 M; by link and free room, 8.7 M (means
-// of three runs).
-func (p *Placer) saver(now time.Time, ask *Ask, name PartName, tokens int) *store {
-	var best *store
-	var most float64
-	for _, st := range p.stores {
-		if s, ok := st.saving[name]; ok && now.Sub(s.at) < savingTime {
-			return nil
-		}
-		if st.held[name] > 0 {
-			return nil
-		}
-		if !p.home(ask, st.service.AvailabilityZone) {
-			continue
-		}
-		if !st.up || st.emptied || !st.room(now, tokens) {
-			continue
-		}
-		weight := weighted(rendezvous(keyOf(name), st.hash), st.service.LinkMbps*st.free())
-		if best == nil || weight > most {
-			best, most = st, weight
-		}
-	}
-	return best
-}
-
-// weighted turns a rank into one that wins in proportion to a weight.
-func weighted(rank uint64, weight float64) float64 {
-	draw := (float64(rank>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(draw)
-}
-
-// free returns the share of the room that nothing lies in. Saves to a nearly full store get
-// lost: hosts do not know what others are sending there.
-func (st *store) free() float64 {
-	return 1 - float64(st.used)/float64(max(st.service.CapacityTokens, 1))
-}
-
-func (st *store) room(now time.Time, tokens int) bool {
-	used := st.used
-	for name, s := range st.saving {
-		if now.Sub(s.at) > savingTime {
-			delete(st.saving, name)
-			continue
-		}
-		used += s.tokens
-	}
-	return float64(used+tokens) < fullShare*float64(st.service.CapacityTokens)
-}
