--- a/conductor/host.go
+++ b/conductor/host.go
@@ -138,46 +138,9 @@
 		eased:   make(chan struct{}, 1),
 		budget:  retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
-	h.placer = placer.New(placer.Options{
-		Host:             s.Host,
-		Waiting:          func() int { return h.exchanger.Waiting() },
-		AvailabilityZone: s.AvailabilityZone,
-		Regions:          s.Platform.Regions,
-		Seed:             uint64(opts.Timer.Now().UnixNano()),
-		WeightsWithin:    s.Platform.WeightsWithin.Std(),
-		Cold:             placer.ColdLimit{Overage: s.Platform.ColdOverage, Slack: s.Platform.ColdSlack},
-		Urgent:           h.hurry,
-		Eased:            h.ease,
-	})
-	self := tracker.HostRecord{
-		Host:             s.Host,
-		Incarnation:      uint64(opts.Timer.Now().UnixNano()),
-		State:            tracker.HostLive,
-		AvailabilityZone: s.AvailabilityZone,
-		LinkMbps:         s.Platform.LinkMbps,
-		Cores:            s.Platform.Cores,
-		Peers:            advertised(s.Peers),
-		Callers:          advertised(s.Callers),
-	}
-	h.node = NewNode(NodeOptions{
-		Self:    self,
-		Decoder: opts.Store,
-		Timing:  opts.Timing,
-
-		FirstStart: s.Platform.FirstStart,
-		Busy:       h.placer.Busy,
-		Kept:       h.placer.Kept,
-		Stores:     h.placer.StoreReports,
-		Renewer: renewer.Options{
-			Host:   s.Host,
-			Term:   opts.Timing.Term,
-			Turn:   s.Platform.Lease.Std(),
-			Margin: opts.Timing.Margin,
-			AtOnce: s.Platform.LoadsAtOnce,
-			Share:  s.Platform.LoadsShare,
-			Seed:   self.Incarnation,
-		},
-	})
+	h.placer = h.newPlacer()
+	self := h.self()
+	h.node = h.newNode(self)
 	h.view.Store(&follower.View{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
 	h.unheard.Store(&map[string]bool{})
@@ -203,13 +166,6 @@
 	return h
 }
 
-func advertised(e loader.Endpoint) string {
-	if e.Advertise != "" {
-		return e.Advertise
-	}
-	return e.Listen
-}
-
 func (h *Host) receive(from string, m *messenger.Message) {
 	h.met.Store(true)
 	h.post(PeerMessage{From: from, Message: m})
--- /dev/null
+++ b/conductor/parts.go
@@ -0,0 +1,74 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/renewer"
+	"amaranthgate.example/amaranthgate/tracker"
+)
+
+// newPlacer returns the placement of this host's requests.
+func (h *Host) newPlacer() *placer.Placer {
+	s := h.opts.Settings
+	return placer.New(placer.Options{
+		Host:             s.Host,
+		Waiting:          func() int { return h.exchanger.Waiting() },
+		AvailabilityZone: s.AvailabilityZone,
+		Regions:          s.Platform.Regions,
+		Seed:             uint64(h.opts.Timer.Now().UnixNano()),
+		WeightsWithin:    s.Platform.WeightsWithin.Std(),
+		Cold:             placer.ColdLimit{Overage: s.Platform.ColdOverage, Slack: s.Platform.ColdSlack},
+		Urgent:           h.hurry,
+		Eased:            h.ease,
+	})
+}
+
+// self returns what this host says of itself when it starts.
+func (h *Host) self() tracker.HostRecord {
+	s := h.opts.Settings
+	return tracker.HostRecord{
+		Host:             s.Host,
+		Incarnation:      uint64(h.opts.Timer.Now().UnixNano()),
+		State:            tracker.HostLive,
+		AvailabilityZone: s.AvailabilityZone,
+		LinkMbps:         s.Platform.LinkMbps,
+		Cores:            s.Platform.Cores,
+		Peers:            advertised(s.Peers),
+		Callers:          advertised(s.Callers),
+	}
+}
+
+// newNode returns the control plane.
+func (h *Host) newNode(self tracker.HostRecord) *Node {
+	s := h.opts.Settings
+	return NewNode(NodeOptions{
+		Self:    self,
+		Decoder: h.opts.Store,
+		Timing:  h.opts.Timing,
+
+		FirstStart: s.Platform.FirstStart,
+		Busy:       h.placer.Busy,
+		Kept:       h.placer.Kept,
+		Stores:     h.placer.StoreReports,
+		Renewer: renewer.Options{
+			Host:   s.Host,
+			Term:   h.opts.Timing.Term,
+			Turn:   s.Platform.Lease.Std(),
+			Margin: h.opts.Timing.Margin,
+			AtOnce: s.Platform.LoadsAtOnce,
+			Share:  s.Platform.LoadsShare,
+			Seed:   self.Incarnation,
+		},
+	})
+}
+
+// advertised returns where others reach an endpoint.
+func advertised(e loader.Endpoint) string {
+	if e.Advertise != "" {
+		return e.Advertise
+	}
+	return e.Listen
+}
