Print what a failed run of bookings under faults leaves to be read

Ruled out: a longer time (hides it). Now attempts by outcome and the hosts' beliefs are printed if a run fails. No check is changed.

--- a/cmd/amaranthgate/process_test.go
+++ b/cmd/amaranthgate/process_test.go
@@ -257,6 +257,7 @@
 	answered int
 	notRun   []string // notRun are keys whose only attempt was refused as not run.
 	lies     []string
+	outcomes map[string]int // outcomes counts what became of attempts, for a failed run.
 }
 
 // run sends bookings through all hosts until ctx ends.
@@ -278,6 +279,7 @@
 	for try := range 4 {
 		a, err := book(context.WithoutCancel(ctx), s.host((n+try)%s.count()).addr.Callers, key, try == 0)
 		b.mu.Lock()
+		b.outcomes[fmt.Sprintf("%d %s %s %v", a.status, a.reason, a.ran, err)]++
 		switch {
 		case err != nil:
 		case a.status == http.StatusOK:
@@ -345,7 +347,8 @@
 		t.Run(f.Name, func(t *testing.T) {
 			s := startSystem(t, 3, deployment.Options{Services: 2})
 			ctx, cancel := context.WithCancel(t.Context())
-			b := &bookings{}
+			b := &bookings{outcomes: make(map[string]int)}
+			t.Cleanup(func() { b.tell(t, s) })
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
@@ -363,6 +366,21 @@
 	}
 }
 
+// tell prints what a failed run leaves to be read: what became of attempts, and what the
+// hosts believe.
+func (b *bookings) tell(t *testing.T, s *system) {
+	if !t.Failed() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.Logf("attempts: %v", b.outcomes)
+	for i := range s.count() {
+		d := s.dump(i)
+		t.Logf("host %d: writer %s, ready %v, leases %+v, streams %+v, ranges %+v, claims %+v", i+1, d.Writer, d.Ready, d.Leases, d.Streams, d.Ranges, d.Claims)
+	}
+}
+
 // wait waits until more bookings were answered.
 func (b *bookings) wait(t *testing.T, _ *system, more int) {
 	t.Helper()
