Name requests by what is asked for, and say when their upstream has ended

Sight for the series of ends: lines named a request by its ID, which each try of a caller changes, and a broken answer was not told apart from an upstream that has ended. Failed requests now bear an identity (workspace, method, host, target, body), and a line UpstreamEnded says under which identity which start of an upstream has ended: its answer broke off and its address refuses connections. A break alone is no evidence: garbled bodies, lost answers and resets come from upstreams that live; the connection that is opened to find out is kept for the next call.

No decision depends on it yet.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// upstreamEnded counts a request whose upstream has ended with it under way.
+func (c *counters) upstreamEnded() {
+	c.set.GetOrCreateCounter("amaranthgate_requests_upstream_ended_total").Inc()
+}
+
 // store counts a call to the platform's store.
 func (c *counters) store(call string, started time.Time, now time.Time, err error) {
 	result := "ok"
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -154,6 +154,8 @@
 		Budget:  h.budget,
 		Timer:   opts.Timer,
 		Chosen:  h.recordChoice,
+		Refuses: opts.Pool.Refuses,
+		Ended:   h.recordEnded,
 	})
 	h.messenger = messenger.New(messenger.Options{
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
--- a/conductor/record.go
+++ b/conductor/record.go
@@ -12,6 +12,7 @@
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 )
 
 // recordChoice writes the line of an upstream that was chosen for a request. It is
@@ -38,6 +39,9 @@
 		return
 	}
 	ev.Str("RequestID", r.ID).Int("Status", o.Status).Str("Route", o.Route)
+	if failed && o.Identity != (quarantiner.Identity{}) {
+		ev.Stringer("Identity", o.Identity)
+	}
 	if o.Reason != exchanger.ReasonNone {
 		ev.Str("Reason", string(o.Reason)).Str("Detail", o.Detail)
 	}
@@ -47,6 +51,14 @@
 	ev.Bool("Late", o.Late).Int("Events", o.Events).Dur("Waited", o.Waited).Dur("Awaited", o.Awaited).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
 }
 
+// recordEnded writes the line of an upstream that ended with a request under way. Lines of
+// several requests at one upstream tell who was there; of several upstreams with one
+// identity, what they have in common.
+func (h *Host) recordEnded(e exchanger.Ended) {
+	h.counters.upstreamEnded()
+	h.log.Failure().Str("RequestID", e.RequestID).Stringer("Identity", e.Identity).Str("Upstream", e.Upstream.Start()).Msg(logger.UpstreamEnded)
+}
+
 // attempts writes choices into a log line.
 type attempts []placer.Choice
 
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -152,6 +152,7 @@
 	}
 	r := d.attempt(ctx, choice, dir)
 	choice.Ticket.Done(d.opts.Timer.Now(), forPlacement(ctx, r))
+	d.upstreamEnded(ctx, choice.Upstream, r)
 	return r
 }
 
--- /dev/null
+++ b/exchanger/ended_test.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package exchanger
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/retrier"
+	"amaranthgate.example/amaranthgate/timer"
+)
+
+// TestUpstreamEnded: an upstream is said to have ended when its answer broke off and it
+// takes no connection. A refusal, a failure of its own, an address that refused from the
+// beginning and a break of one that lives say nothing.
+func TestUpstreamEnded(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		script  []string
+		refuses bool
+		want    int
+	}{
+		{"lost and gone", []string{"lost", "ok"}, true, 1},
+		{"cut and gone", []string{"cut", "ok"}, true, 1},
+		{"lost twice", []string{"lost", "lost"}, true, 2},
+		{"lost, and there", []string{"lost", "ok"}, false, 0},
+		{"failed", []string{"500", "ok"}, true, 0},
+		{"refused", []string{"notrun", "ok"}, true, 0},
+		{"never reached", []string{"unreached", "ok"}, true, 0},
+		{"time over", []string{"hang"}, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			view := testView("Idempotent")
+			var beliefs atomic.Pointer[follower.View]
+			beliefs.Store(view)
+			p := placer.New(placer.Options{})
+			p.Update(view)
+			var ended []Ended
+			x := New(Options{
+				Beliefs: &beliefs, Placer: p, Sender: &scriptedSender{script: c.script}, Timer: timer.NewSystem(),
+				Budget:  retrier.NewShared(retrier.Allowance{Share: 1, Slack: 100}),
+				Refuses: func(context.Context, string) bool { return c.refuses },
+				Ended:   func(e Ended) { ended = append(ended, e) },
+			})
+			o := x.Handle(t.Context(), &Request{ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key"}, &recorder{})
+			assert.Equal(t, len(ended), c.want)
+			for _, e := range ended {
+				assert.Equal(t, e.Identity, o.Identity)
+			}
+		})
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -44,6 +44,11 @@
 	// Chosen is told of each upstream that a request is about to be sent to, and of
 	// the beliefs that the choice was made by; nil tells nobody.
 	Chosen func(r *Request, v *follower.View, c *placer.Choice)
+	// Refuses tells that nobody listens at an address any more; nil never says so.
+	Refuses func(ctx context.Context, address string) bool
+	// Ended is told of each request whose upstream has ended with it under way; nil tells
+	// nobody.
+	Ended func(e Ended)
 }
 
 // Exchanger takes requests to their answers. It is safe for concurrent use.
@@ -145,6 +150,7 @@
 				return e.refuse(Refusal{Status: http.StatusUnauthorized, Reason: ReasonNoKey})
 			}
 		}
+		e.identify()
 		return next(ctx, e)
 	}
 }
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -11,6 +11,7 @@
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 )
 
 // Request is a request as it was read from a caller.
@@ -54,6 +55,7 @@
 	Status   int
 	Reason   Reason
 	Detail   string
+	Identity quarantiner.Identity // Identity names what was asked for, by whom; zero if that is not known.
 	Route    string
 	Service  string
 	Upstream string
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -196,7 +196,11 @@
 		return nil, &Failure{Cause: cause, Ran: RanNo, Detail: err.Error()}
 	}
 	p.Opened.Add(1)
-	return &pooled{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: call.Address, lifetime: defaultIdle}, nil
+	return newPooled(conn, call.Address), nil
+}
+
+func newPooled(conn net.Conn, address string) *pooled {
+	return &pooled{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address, lifetime: defaultIdle}
 }
 
 // reserve counts one more connection to an address, in place of an idle one if
--- /dev/null
+++ b/forwarder/reach.go
@@ -0,0 +1,42 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package forwarder
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// refusalTimeout bounds the question whether an address refuses connections. A process that
+// has ended refuses within a round trip; one whose host is dark says nothing.
+const refusalTimeout = 300 * time.Millisecond
+
+// Refuses tells that nobody listens at an address any more: a process that was there has
+// ended. A connection that stands is kept for the next call.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.Opened.Add(1)
+	p.adopt(newPooled(conn, address))
+	return false
+}
+
+// adopt keeps a connection that no call has used yet, if the address may have one more.
+func (p *Pool) adopt(c *pooled) {
+	if !p.reserve(c.address) {
+		_ = c.conn.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.rested = time.Now()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -14,6 +14,7 @@
 	ReloadRefused        = "ReloadRefused"
 	UpstreamChosen       = "UpstreamChosen"
 	RequestEnded         = "RequestEnded"
+	UpstreamEnded        = "UpstreamEnded"
 	LinesLeftOut         = "LinesLeftOut"
 	StoreLost            = "StoreLost"
 	StoreBack            = "StoreBack"
@@ -43,7 +44,7 @@
 // Kinds lists all of them.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, LinesLeftOut,
+	UpstreamChosen, RequestEnded, UpstreamEnded, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
