Send a request under which three upstreams have ended to no more of them

Cause: a request that ends whatever runs it was sent again by its caller, under another ID, to whichever host; hosts remembered of the engine that it broke, and nothing of the request once it was answered. The class: work that harms whoever carries it out and is repeated elsewhere, since nobody remembers it of the work.

The mend: requests are named by what is asked for. A ledger remembers under which starts of upstreams a request was under way when they ended (broken answer and refused connection), shared by all hosts at once, by heartbeats' digests, by greeting and by a note in the platform's store. One end or two: it goes where all hosts send it and no other suspect. Three: it is refused as not run, with a time to come back, until an operator lifts the bar. It holds because only an end that was seen counts, the memory is a union that no order or repeat of words changes, and a request that is ever answered whole is cleared everywhere, so that those who were beside it by chance go free.

Before: eight ends where one caller sends 20 tries to three hosts before four engines (platform.TestRequestsThatEndUpstreams); after: three, and nothing reaches an engine afterwards, also from 27 tries at once, at a host that starts and after a loss of all hosts. A request pays 1.8 us for its identity (3 KB), 27 ns before it is sent and 0.1 us at its end (benchmarks in quarantiner). A stand-in that ended twice at once answered an empty stream, which looked whole; it breaks off now.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -36,6 +36,7 @@
 		return 0
 	})
 	c.set.NewGauge("amaranthgate_upstreams_known", func() float64 { return float64(len(h.view.Load().Upstreams)) })
+	c.set.NewGauge("amaranthgate_suspects_known", func() float64 { return float64(h.quarantine.Len()) })
 	c.set.NewGauge("amaranthgate_connections_opened_total", func() float64 { return float64(h.opts.Pool.Opened.Load()) })
 	c.set.NewGauge("amaranthgate_answers_crossed_total", func() float64 { return float64(h.opts.Pool.Crossed.Load()) })
 	c.set.NewGauge("amaranthgate_log_lines_left_out_total", func() float64 { return float64(h.log.LeftOut()) })
@@ -77,6 +78,9 @@
 	c.set.GetOrCreateCounter("amaranthgate_requests_upstream_ended_total").Inc()
 }
 
+// barred counts a request that is sent to no more upstreams.
+func (c *counters) barred() { c.set.GetOrCreateCounter("amaranthgate_bars_total").Inc() }
+
 // store counts a call to the platform's store.
 func (c *counters) store(call string, started time.Time, now time.Time, err error) {
 	result := "ok"
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -11,6 +11,7 @@
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -69,6 +70,12 @@
 // NamingsRecalled is what hosts of before have noted of weight versions.
 type NamingsRecalled struct{ Namings []follower.Naming }
 
+// EndsFound says that the quarantine has news for the other hosts.
+type EndsFound struct{}
+
+// EndsRecalled is what hosts of before have noted of requests that end upstreams.
+type EndsRecalled struct{ Words []quarantiner.Word }
+
 // DrainBegun says that this host is to end.
 type DrainBegun struct{}
 
@@ -82,6 +89,8 @@
 func (StoreHeard) event()      {}
 func (StoreGap) event()        {}
 func (NamingsRecalled) event() {}
+func (EndsFound) event()       {}
+func (EndsRecalled) event()    {}
 func (DrainBegun) event()      {}
 
 // Action is something that a host is to do.
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -22,6 +22,7 @@
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/timer"
@@ -82,18 +83,20 @@
 
 // Host is one process of the system.
 type Host struct {
-	opts      Options
-	log       *logger.Logger
-	node      *Node
-	placer    *placer.Placer
-	budget    *retrier.Shared
-	exchanger *exchanger.Exchanger
-	messenger *messenger.Messenger
-	counters  *counters
-	events    chan Event
-	ctx       context.Context
-	cancel    context.CancelFunc
-	work      sync.WaitGroup
+	opts   Options
+	log    *logger.Logger
+	node   *Node
+	placer *placer.Placer
+	budget *retrier.Shared
+	// quarantine remembers under which requests upstreams have ended.
+	quarantine *quarantiner.Ledger
+	exchanger  *exchanger.Exchanger
+	messenger  *messenger.Messenger
+	counters   *counters
+	events     chan Event
+	ctx        context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
 
 	view    atomic.Pointer[follower.View]
 	hosts   atomic.Pointer[[]tracker.HostRecord]
@@ -106,6 +109,7 @@
 	divided   division
 	senders   senders       // senders are the hosts that may send to upstreams, or lately might.
 	reports   int           // reports counts the ticks of reports.
+	ends      chan struct{} // ends asks to tell the other hosts under which requests upstreams have ended.
 	urgent    chan struct{} // urgent asks for a report at once.
 	eased     chan struct{} // eased asks to look whether upstreams can begin requests that wait.
 	leaving   atomic.Bool
@@ -135,9 +139,11 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		urgent:  make(chan struct{}, 1),
+		ends:    make(chan struct{}, 1),
 		eased:   make(chan struct{}, 1),
 		budget:  retrier.NewShared(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
+	h.quarantine = quarantiner.New(quarantiner.Options{Changed: h.endsFound, Barred: h.recordBarred})
 	h.placer = h.newPlacer()
 	self := h.self()
 	h.node = h.newNode(self)
@@ -148,14 +154,15 @@
 	alone := activator.Select([]tracker.HostRecord{self}, nil)
 	h.serving.Store(&alone)
 	h.exchanger = exchanger.New(exchanger.Options{
-		Beliefs: &h.view,
-		Placer:  h.placer,
-		Sender:  opts.Sender,
-		Budget:  h.budget,
-		Timer:   opts.Timer,
-		Chosen:  h.recordChoice,
-		Refuses: opts.Pool.Refuses,
-		Ended:   h.recordEnded,
+		Beliefs:    &h.view,
+		Placer:     h.placer,
+		Sender:     opts.Sender,
+		Budget:     h.budget,
+		Timer:      opts.Timer,
+		Chosen:     h.recordChoice,
+		Quarantine: h.quarantine,
+		Refuses:    opts.Pool.Refuses,
+		Ended:      h.recordEnded,
 	})
 	h.messenger = messenger.New(messenger.Options{
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
@@ -203,6 +210,7 @@
 	h.goDo(h.meet)
 	h.goDo(h.keepStores)
 	h.goDo(h.reportUrgently)
+	h.goDo(h.reportEnds)
 	h.goDo(h.admit)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -35,7 +35,8 @@
 		n.spreadHosts("", news)
 	}
 	prompt, slow := n.byPace()
-	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.offsets()}
+	n.opts.Quarantine.Expire(now)
+	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.offsets(), EndedDigest: n.opts.Quarantine.Digest()}
 	if now.Sub(n.lastSlow) >= n.opts.Timing.BeatStandby {
 		n.lastSlow = now
 		n.sendAll(prompt, "", m)
@@ -97,7 +98,8 @@
 // greet tells a host to which a connection was opened what it may lack.
 func (n *Node) greet(now time.Time, host string) {
 	t := n.paths()
-	m := &messenger.Message{Full: true, Digest: n.hosts.Digest(), Namings: n.state.Namings(now), Offsets: n.offsets()}
+	m := &messenger.Message{Full: true, Digest: n.hosts.Digest(), Namings: n.state.Namings(now), Offsets: n.offsets(),
+		Ended: n.opts.Quarantine.Words(now), EndedDigest: n.opts.Quarantine.Digest()}
 	if t.small {
 		m.Hosts = n.hosts.All()
 	} else {
@@ -150,6 +152,7 @@
 	}
 	n.relay(ev.From, m)
 	n.answerBuckets(now, ev.From, m.Buckets)
+	n.hearEnds(now, ev.From, m)
 	if m.Digest != 0 {
 		n.differ(now, ev.From, m.Digest)
 	}
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -134,7 +134,7 @@
 
 // keepStores frees what stores hold for nobody, while this host is first in rank.
 func (h *Host) keepStores() {
-	var notes namingNotes
+	var notes notes
 	for h.ctx.Err() == nil {
 		pause(h.ctx, freeInterval)
 		if !h.keeper.Load() {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// endsFound asks to tell the other hosts what the quarantine has new.
+func (h *Host) endsFound() {
+	select {
+	case h.ends <- struct{}{}:
+	default:
+	}
+}
+
+// reportEnds has the control loop tell the other hosts under which requests upstreams have
+// ended. All that was under way at one upstream is told together.
+func (h *Host) reportEnds() {
+	for {
+		select {
+		case <-h.ends:
+			pause(h.ctx, hurryPause)
+			h.post(EndsFound{})
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
 func (h *Host) reportChanges() {
 	h.reporting.Lock()
 	defer h.reporting.Unlock()
--- a/conductor/namings.go
+++ b/conductor/namings.go
@@ -4,7 +4,6 @@
 package conductor
 
 import (
-	"context"
 	"time"
 
 	"amaranthgate.example/amaranthgate/follower"
@@ -21,13 +20,9 @@
 // notedAges are the ages at which a naming is noted again: five writes for each version.
 var notedAges = []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, 10 * time.Second, 15 * time.Second}
 
-// noteTimeout bounds a call to the store for a note.
-const noteTimeout = time.Second
-
 // namingNotes is what one host, the first in rank, notes. The zero value is ready.
 type namingNotes struct {
-	recalled bool
-	noted    map[string]notedAge // noted is by model.
+	noted map[string]notedAge // noted is by model.
 }
 
 type notedAge struct {
@@ -78,11 +73,8 @@
 	n.noted[model] = notedAge{version: newest.Version, times: passed(newest.Age)}
 }
 
-// keep recalls once what was noted before, and notes what is due.
+// keep notes what is due.
 func (n *namingNotes) keep(h *Host) {
-	if !n.recalled {
-		n.recalled = h.recallNamings()
-	}
 	for model, namings := range n.due(h.view.Load().Namings(h.opts.Timer.Now())) {
 		if h.noteNamings(model, namings) {
 			n.wrote(model, namings)
@@ -95,39 +87,25 @@
 	if err != nil {
 		panic("conductor: namings cannot be encoded: " + err.Error())
 	}
-	ctx, cancel := context.WithTimeout(h.ctx, noteTimeout)
-	defer cancel()
-	asked := h.opts.Timer.Now()
-	err = h.opts.Store.Note(ctx, model, value)
-	h.counters.store("note", asked, h.opts.Timer.Now(), err)
-	if err != nil {
+	if err = h.noteDown(model, value); err != nil {
 		h.log.Warn().Err(err).Str("Model", model).Msg(logger.NamingsUnnoted)
 	}
 	return err == nil
 }
 
-// recallNamings reads what hosts of before have noted, and reports whether it could.
-func (h *Host) recallNamings() bool {
-	ctx, cancel := context.WithTimeout(h.ctx, noteTimeout)
-	defer cancel()
-	asked := h.opts.Timer.Now()
-	notes, err := h.opts.Store.Notes(ctx)
-	h.counters.store("notes", asked, h.opts.Timer.Now(), err)
-	if err != nil {
-		h.log.Warn().Err(err).Msg(logger.NamingsUnread)
-		return false
-	}
-	ev := NamingsRecalled{}
+// namingsIn returns the namings among notes.
+func (h *Host) namingsIn(notes map[string][]byte) []follower.Naming {
+	var out []follower.Naming
 	for model, value := range notes {
+		if _, ok := barOf(model); ok {
+			continue
+		}
 		var namings []follower.Naming
 		if err := codec.Unmarshal(value, &namings); err != nil {
 			h.log.Warn().Err(err).Str("Model", model).Msg(logger.NamingsUnread)
 			continue
 		}
-		ev.Namings = append(ev.Namings, namings...)
-	}
-	if len(ev.Namings) > 0 {
-		h.post(ev)
+		out = append(out, namings...)
 	}
-	return true
+	return out
 }
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -10,6 +10,7 @@
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -30,6 +31,8 @@
 	Busy       func(upstream string) int   // Busy is the work under way at an upstream.
 	Kept       func() []placer.Placement   // Kept is what engines are believed to keep, for hosts that start.
 	Stores     func() []placer.StoreReport // Stores is what is known of stores, for hosts that start.
+	// Quarantine remembers under which requests upstreams have ended; traffic uses it as well.
+	Quarantine *quarantiner.Ledger
 }
 
 // Node is the control plane of one host. It is not safe for concurrent use.
@@ -69,11 +72,15 @@
 	began      time.Time // began is when this host first reported work to others.
 	uses       map[string]hostUse
 	gauge      activator.Gauge
+	endsDiffer endsDiffer
 	lastStores time.Time // lastStores is when another host was asked for what it knows of stores.
 }
 
 // NewNode returns a node that knows nothing but itself.
 func NewNode(opts NodeOptions) *Node {
+	if opts.Quarantine == nil {
+		opts.Quarantine = quarantiner.New(quarantiner.Options{})
+	}
 	return &Node{
 		opts:  opts,
 		state: follower.New(),
@@ -97,6 +104,8 @@
 		others:   &placer.Report{},
 		sums:     &placer.Report{},
 		uses:     make(map[string]hostUse),
+
+		endsDiffer: make(endsDiffer),
 	}
 }
 
@@ -131,6 +140,11 @@
 	case NamingsRecalled:
 		n.viewDirty = n.state.Recall(now, ev.Namings) || n.viewDirty
 		n.broadcast(&messenger.Message{Namings: ev.Namings})
+	case EndsFound:
+		n.tellEnds()
+	case EndsRecalled:
+		n.opts.Quarantine.Hear(now, ev.Words)
+		n.broadcast(&messenger.Message{Ended: ev.Words})
 	case DrainBegun:
 		n.leave()
 	}
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -6,10 +6,14 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 
+	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -25,6 +29,8 @@
 	Hosts     []tracker.HostRecord
 	Upstreams []follower.Upstream
 	Placement placer.Dump
+	Barred    []quarantiner.Word // Barred are requests that are sent to no more upstreams.
+	Suspects  int                // Suspects are requests under which upstreams have ended, the barred ones among them.
 }
 
 // Dump returns what the host believes now.
@@ -40,6 +46,8 @@
 		Hosts:     *h.hosts.Load(),
 		Upstreams: view.Upstreams,
 		Placement: h.placer.Dump(h.opts.Timer.Now()),
+		Barred:    h.quarantine.Bars(h.opts.Timer.Now()),
+		Suspects:  h.quarantine.Len(),
 	}
 	if view.Table != nil {
 		d.Version = view.Table.Version()
@@ -60,5 +68,27 @@
 		e.SetIndent("", "  ")
 		_ = e.Encode(h.Dump()) // an operator who has gone asks again
 	})
+	mux.HandleFunc("POST /quarantine/lift", h.lift)
 	return mux
 }
+
+// lift lets a request be sent to upstreams again, after they were mended for it.
+func (h *Host) lift(w http.ResponseWriter, r *http.Request) {
+	operator, token, ok := r.BasicAuth()
+	if !ok || !slices.Contains(h.opts.Settings.OperatorDigests, configurer.TokenDigest(token)) {
+		http.Error(w, "an operator's token is needed", http.StatusUnauthorized)
+		return
+	}
+	var id quarantiner.Identity
+	if err := id.UnmarshalText([]byte(r.FormValue("identity"))); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lifted := h.quarantine.Lift(h.opts.Timer.Now(), id)
+	h.log.Info().Stringer("Identity", id).Str("Operator", operator).Bool("Known", lifted).Msg(logger.BarLifted)
+	if !lifted {
+		http.Error(w, "no upstream has ended under this request, as far as this host knows", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/conductor/parts.go
+++ b/conductor/parts.go
@@ -53,6 +53,7 @@
 		Busy:       h.placer.Busy,
 		Kept:       h.placer.Kept,
 		Stores:     h.placer.StoreReports,
+		Quarantine: h.quarantine,
 		Renewer: renewer.Options{
 			Host:   s.Host,
 			Term:   h.opts.Timing.Term,
--- a/conductor/record.go
+++ b/conductor/record.go
@@ -59,6 +59,12 @@
 	h.log.Failure().Str("RequestID", e.RequestID).Stringer("Identity", e.Identity).Str("Upstream", e.Upstream.Start()).Msg(logger.UpstreamEnded)
 }
 
+// recordBarred writes the line of a request that is sent to no more upstreams.
+func (h *Host) recordBarred(w quarantiner.Word) {
+	h.counters.barred()
+	h.log.Warn().Stringer("Identity", w.Identity).Strs("Upstreams", w.Ends).Msg(logger.RequestBarred)
+}
+
 // attempts writes choices into a log line.
 type attempts []placer.Choice
 
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -27,6 +27,7 @@
 	*exchange
 	tried  []string
 	held   *held  // held is an answer that is passed on if no better one comes.
+	framed bool   // framed tells that the end of the last answer could be told from its upstream's.
 	stream *relay // stream is what the caller has of a stream.
 	// unplaced says why no upstream was chosen; ReasonNone if the endings of attempts do.
 	unplaced Reason
@@ -54,6 +55,9 @@
 // Choose implements dispatcher.Way. It waits until an upstream can begin the request.
 func (d *delivery) Choose(ctx context.Context) (placer.Choice, bool) {
 	ask := d.ask()
+	if !d.allowed(ask) {
+		return placer.Choice{}, false
+	}
 	if ask.Prompt != nil && !d.opts.Placer.Fits(d.service, ask.Prompt) {
 		d.unplaced = ReasonTooLarge
 		return placer.Choice{}, false
@@ -109,6 +113,10 @@
 	verdict := placer.Busy
 	item := d.item(ask)
 	item.Begin = func() bool {
+		if !d.allowed(ask) { // others may have met its like while it waited
+			verdict = placer.None
+			return true
+		}
 		choice, verdict = d.opts.Placer.Choose(d.opts.Timer.Now(), ask)
 		return verdict != placer.Busy
 	}
@@ -151,8 +159,7 @@
 		dir.LastEvent = d.stream.lastID
 	}
 	r := d.attempt(ctx, choice, dir)
-	choice.Ticket.Done(d.opts.Timer.Now(), forPlacement(ctx, r))
-	d.upstreamEnded(ctx, choice.Upstream, r)
+	choice.Ticket.Done(d.opts.Timer.Now(), d.learn(ctx, choice.Upstream, r))
 	return r
 }
 
@@ -183,6 +190,7 @@
 		return dispatcher.Failed(fail)
 	}
 	defer answer.Close()
+	d.framed = answer.Framed()
 	if d.route.Kind == matcher.KindStream && answer.Status() == http.StatusOK {
 		return d.relay(answer, choice.Ticket)
 	}
@@ -218,6 +226,10 @@
 	case ending == dispatcher.CallerGone:
 		d.outcome.Reason = ReasonCallerGone
 		d.responder.Abort()
+	case d.unplaced == ReasonBarred && tries.Ran() == forwarder.RanNo:
+		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonBarred, RetryAfter: retryBarred})
+	case d.unplaced == ReasonBarred:
+		d.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonBarred})
 	case tries.Ran() == forwarder.RanNo && d.unplaced == ReasonTooLarge:
 		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.unplaced}) // it would be no smaller later
 	case tries.Ran() == forwarder.RanNo && d.unplaced != ReasonNone:
--- a/exchanger/ended.go
+++ b/exchanger/ended.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"time"
 
 	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
 )
 
@@ -41,11 +43,38 @@
 // that breaks says so only if the upstream takes no new one either: resets, lost answers and
 // broken bodies of an upstream that lives are no sign of what its requests do to it.
 func (d *delivery) upstreamEnded(ctx context.Context, u follower.Upstream, r dispatcher.Result) bool {
-	if d.opts.Refuses == nil || !broke(ctx, r) || !d.opts.Refuses(ctx, u.Address) {
-		return false
+	return d.opts.Refuses != nil && broke(ctx, r) && d.opts.Refuses(ctx, u.Address)
+}
+
+// learn takes in what an attempt shows of the request, and returns what it shows of the
+// upstream.
+func (d *delivery) learn(ctx context.Context, u follower.Upstream, r dispatcher.Result) placer.Result {
+	if d.upstreamEnded(ctx, u, r) {
+		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.outcome.Identity, u.Start())
+		if d.opts.Ended != nil {
+			d.opts.Ended(Ended{RequestID: d.request.ID, Identity: d.outcome.Identity, Upstream: u})
+		}
+		return placer.ResultUnreached
+	}
+	if r.Failure == nil && d.outcome.Reason == ReasonNone && d.framed {
+		d.opts.Quarantine.Served(d.opts.Timer.Now(), d.outcome.Identity)
 	}
-	if d.opts.Ended != nil {
-		d.opts.Ended(Ended{RequestID: d.request.ID, Identity: d.outcome.Identity, Upstream: u})
+	return forPlacement(ctx, r)
+}
+
+// allowed tells whether the request may be sent to an upstream at all, and asks for a place
+// of its own where it may end the upstream. That is what keeps a request that ends whatever
+// runs it from ending one upstream after the other: the answer to its caller ends what is
+// known of a request otherwise, and the caller sends it again elsewhere.
+func (d *delivery) allowed(ask *placer.Ask) bool {
+	id := d.outcome.Identity
+	switch v := d.opts.Quarantine.Standing(d.opts.Timer.Now(), id); v.Standing {
+	case quarantiner.Barred:
+		d.unplaced = ReasonBarred
+		return false
+	case quarantiner.Suspect:
+		ask.Apart = placer.Apart{Key: id.Key(), Ends: v.Ends}
+		ask.Due = time.Time{} // it waits for no reading of another request
 	}
 	return true
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/scheduler"
 	"amaranthgate.example/amaranthgate/timer"
@@ -23,7 +24,10 @@
 const (
 	retryUnready = 200 * time.Millisecond // retryUnready is about what a starting host needs to read its beliefs.
 	retryFull    = 50 * time.Millisecond  // retryFull is about three plain requests' work.
-	longestRetry = time.Second            // longestRetry bounds what upstreams advise; callers do not wait for longer.
+	// retryBarred is the least time in which an operator can find out and lift the bar; callers
+	// that can't wait for so long need not come again.
+	retryBarred  = time.Minute
+	longestRetry = time.Second // longestRetry bounds what upstreams advise; callers do not wait for longer.
 	// longestWait bounds requests of callers that name no time on routes that
 	// name none.
 	longestWait = 60 * time.Second
@@ -44,6 +48,9 @@
 	// Chosen is told of each upstream that a request is about to be sent to, and of
 	// the beliefs that the choice was made by; nil tells nobody.
 	Chosen func(r *Request, v *follower.View, c *placer.Choice)
+	// Quarantine remembers under which requests upstreams have ended; nil remembers it for
+	// this exchanger alone.
+	Quarantine Quarantine
 	// Refuses tells that nobody listens at an address any more; nil never says so.
 	Refuses func(ctx context.Context, address string) bool
 	// Ended is told of each request whose upstream has ended with it under way; nil tells
@@ -51,6 +58,13 @@
 	Ended func(e Ended)
 }
 
+// Quarantine remembers under which requests upstreams have ended.
+type Quarantine interface {
+	Standing(now time.Time, id quarantiner.Identity) quarantiner.Verdict
+	Ended(now time.Time, id quarantiner.Identity, start string)
+	Served(now time.Time, id quarantiner.Identity)
+}
+
 // Exchanger takes requests to their answers. It is safe for concurrent use.
 type Exchanger struct {
 	opts   Options
@@ -60,6 +74,9 @@
 
 // New returns an Exchanger.
 func New(opts Options) *Exchanger {
+	if opts.Quarantine == nil {
+		opts.Quarantine = quarantiner.New(quarantiner.Options{})
+	}
 	gate := scheduler.NewGate(func(it *scheduler.Item, _ int) bool { return it.Begin() })
 	return &Exchanger{opts: opts, gate: gate, handle: dispatcher.Chain(forward, informed, routed, identified, bounded)}
 }
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -85,15 +85,17 @@
 }
 
 type fakeAnswer struct {
-	status int
-	body   string
-	end    error
-	closed bool
-	until  <-chan struct{} // until holds the end of the body back, if set.
+	status   int
+	body     string
+	end      error
+	closed   bool
+	unframed bool
+	until    <-chan struct{} // until holds the end of the body back, if set.
 }
 
-func (a *fakeAnswer) Status() int { return a.status }
-func (a *fakeAnswer) Close()      { a.closed = true }
+func (a *fakeAnswer) Status() int  { return a.status }
+func (a *fakeAnswer) Framed() bool { return !a.unframed }
+func (a *fakeAnswer) Close()       { a.closed = true }
 func (a *fakeAnswer) Read(b []byte) (int, error) {
 	n := copy(b, a.body)
 	a.body = a.body[n:]
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -47,7 +47,10 @@
 	ReasonUnknown     Reason = "Unknown"     // ReasonUnknown says that the request may have run without an answer.
 	ReasonDeadline    Reason = "Deadline"    // ReasonDeadline says that the caller's or the route's time is over.
 	ReasonInterrupted Reason = "Interrupted" // ReasonInterrupted says that an answer broke off on its way.
-	ReasonCallerGone  Reason = "CallerGone"
+	// ReasonBarred says that upstreams have ended under the request, and that it is sent to
+	// no more of them.
+	ReasonBarred     Reason = "Barred"
+	ReasonCallerGone Reason = "CallerGone"
 )
 
 // Outcome says what became of a request.
@@ -94,6 +97,8 @@
 // Answer is an upstream's answer whose body has not been read yet.
 type Answer interface {
 	Status() int
+	// Framed tells that the end of the body can be told from the end of the upstream.
+	Framed() bool
 	// Read reads the body; io.EOF comes only after the whole of it.
 	Read(b []byte) (int, error)
 	// Close ends the attempt and frees its connection.
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -15,6 +15,10 @@
 	UpstreamChosen       = "UpstreamChosen"
 	RequestEnded         = "RequestEnded"
 	UpstreamEnded        = "UpstreamEnded"
+	RequestBarred        = "RequestBarred"
+	BarLifted            = "BarLifted"
+	BarUnnoted           = "BarUnnoted"
+	BarUnread            = "BarUnread"
 	LinesLeftOut         = "LinesLeftOut"
 	StoreLost            = "StoreLost"
 	StoreBack            = "StoreBack"
@@ -44,7 +48,7 @@
 // Kinds lists all of them.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, UpstreamEnded, LinesLeftOut,
+	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -13,6 +13,7 @@
 	"amaranthgate.example/amaranthgate/keeper"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -48,7 +49,11 @@
 	Buckets   []uint64                 `cbor:"28,keyasint,omitempty"` // Buckets are digests of parts of the sender's view of all hosts; it asks for the parts that differ.
 	Lacks     map[follower.Feed]int64  `cbor:"29,keyasint,omitempty"` // Lacks asks for what the receiver knows of feeds from an offset on; below 0 for all.
 	Use       float64                  `cbor:"27,keyasint,omitempty"` // Use is how many processor cores the sender uses; with Report.
-	News      []follower.News          `cbor:"20,keyasint,omitempty"` // News are pages of the platform's feeds that the sender has read.
+	// Ended is news of requests under which upstreams have ended, and EndedDigest is of all
+	// that the sender knows of them; with Digest.
+	Ended       []quarantiner.Word `cbor:"30,keyasint,omitempty"`
+	EndedDigest uint64             `cbor:"31,keyasint,omitempty"`
+	News        []follower.News    `cbor:"20,keyasint,omitempty"` // News are pages of the platform's feeds that the sender has read.
 }
 
 // WithNews returns a copy of m with other pages.
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -18,6 +18,8 @@
 	// SaltOf returns the text that sets apart context of a weight version.
 	SaltOf  func(weights uint64) string
 	Exclude []string
+	// Apart is set for a request under which upstreams have ended.
+	Apart Apart
 	// Homes are the lists of regions that may serve the request; each of them binds.
 	Homes [][]string
 	// Due is when the first byte must be there to be on time; if it is zero, the request
@@ -149,6 +151,9 @@
 	if !p.anyBegins(p.pools[ask.Service], ask) {
 		return nil, 0, Busy
 	}
+	if ask.Apart.asked() {
+		return p.apart(now, ask)
+	}
 	var s shortlist
 	all := p.candidates(ask)
 	for i, from := 0, p.anywhere(len(all)); i < len(all); i++ {
--- a/quarantiner/identity.go
+++ b/quarantiner/identity.go
@@ -7,6 +7,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/pkg/errors"
 )
 
 // Identity names what a request asks for and who asks. All tries of a caller bear the same
@@ -16,6 +18,21 @@
 // String returns the identity in hexadecimal digits, as log lines and operators name it.
 func (id Identity) String() string { return hex.EncodeToString(id[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (id Identity) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (id *Identity) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(id)) {
+		return errors.Errorf("quarantiner: an identity has %d hexadecimal digits", hex.EncodedLen(len(id)))
+	}
+	_, err := hex.Decode(id[:], text)
+	return errors.Wrap(err, "quarantiner: not an identity")
+}
+
+// Key returns a short form of the identity, for choices that need not tell all apart.
+func (id Identity) Key() uint64 { return binary.BigEndian.Uint64(id[:]) }
+
 // Parts is what makes up an Identity.
 type Parts struct {
 	Workspace string // Workspace is whose request it is, by whichever of its keys; empty on public routes.
