Learn nothing of an upstream from a time in which this host stood still

Symptom, by a test: a host that stands still for 3 s with one short request under way takes its engine for 1.5 times slower afterwards, and tells all others; the same held for how long plain services take. Cause: the time from sending to the first token counted whole, also where this host was not there to read it. The host's own gap is noticed by Watch; times that span it are no samples now, whichever of the two is looked at first.

Measured: placer.TestStandingStillTeachesNothing, factor 1.55 before and 1.0 after. Pace of sound requests is learned as before (TestPaceIsLearned).

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -72,6 +72,7 @@
 	contend   []uint64  // contend has a hash of each other host at which requests wait.
 	heard     time.Time // heard is when another host was heard last.
 	watched   time.Time // watched is when Watch last looked.
+	stood     time.Time // stood is when Watch last found that this host had stood still.
 }
 
 // peerWork is what another host said last.
--- a/placer/silence.go
+++ b/placer/silence.go
@@ -47,7 +47,10 @@
 func (p *Placer) silent(now time.Time) []func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stood := now.Sub(p.watched) > watchGap
+	stood := p.standsStill(now)
+	if stood {
+		p.stood = now
+	}
 	p.watched = now
 	var quiet []*target
 	watched := 0
@@ -73,6 +76,17 @@
 	return tell
 }
 
+// standsStill tells that this host has stood still until now, or until a moment ago.
+func (p *Placer) standsStill(now time.Time) bool { return now.Sub(p.watched) > watchGap }
+
+// spans tells that this host stood still while the request was under way. How long that took
+// says nothing of the upstream: after 3 s of standing still, one short request made its engine
+// look 1.5 times slower to all hosts.
+func (tk *Ticket) spans(now time.Time) bool {
+	p := tk.placer
+	return p.stood.After(tk.start) || !p.watched.IsZero() && p.standsStill(now)
+}
+
 // quiet tells that an upstream should have given a sign of life by now.
 func (t *target) quiet(now time.Time) bool {
 	for tk := range t.tickets {
--- a/placer/silence_test.go
+++ b/placer/silence_test.go
@@ -84,3 +84,25 @@
 	assert.Equal(t, fetching.patience(), 1450*time.Millisecond)
 	assert.Equal(t, streaming.patience(), 900*time.Millisecond)
 }
+
+// TestStandingStillTeachesNothing: how long a request took that was under way while this host
+// stood still says nothing of its upstream, whether the host looks about first after that or
+// the answer is read first.
+func TestStandingStillTeachesNothing(t *testing.T) {
+	const still = 3 * time.Second
+	for _, lookFirst := range []bool{true, false} {
+		p := testPlacer(testView(1, 1))
+		p.Watch(start)
+		c, verdict := p.Choose(start, askFor("shared", "own"))
+		assert.Equal(t, verdict, Chosen)
+		hold := c.Ticket.target.hold
+		awake := start.Add(still)
+		if lookFirst {
+			p.Watch(awake)
+		}
+		c.Ticket.First(awake)
+		c.Ticket.Done(awake, ResultServed)
+		assert.Equal(t, c.Ticket.target.slow.factor(awake), 1.0)
+		assert.Equal(t, c.Ticket.target.hold, hold)
+	}
+}
--- a/placer/target.go
+++ b/placer/target.go
@@ -80,15 +80,17 @@
 	longestPause = 4 * time.Second
 )
 
-func (t *target) succeeded(now time.Time, took time.Duration) {
+func (t *target) succeeded(now time.Time) {
 	if t.pause > 0 {
 		t.guarded = now.Add(coldGuard)
 	}
 	t.failing -= failWeight * t.failing
-	t.hold += time.Duration(holdWeight * float64(took-t.hold))
 	t.suspectUntil, t.pause, t.probing = time.Time{}, 0, false
 }
 
+// took learns how long a request takes.
+func (t *target) took(d time.Duration) { t.hold += time.Duration(holdWeight * float64(d-t.hold)) }
+
 func (t *target) failed() {
 	t.failing += failWeight * (1 - t.failing)
 	t.probing = false
--- a/placer/ticket.go
+++ b/placer/ticket.go
@@ -58,8 +58,10 @@
 	tk.target.own.Pending -= tk.work.Pending
 	tk.placer.changed[tk.target] = struct{}{}
 	tk.work.Pending = 0
-	tk.placer.timed(now, tk)
-	tk.placer.paced(now, tk)
+	if !tk.spans(now) {
+		tk.placer.timed(now, tk)
+		tk.placer.paced(now, tk)
+	}
 	tk.arrived()
 	tk.placer.note(now, tk.target, tk.keys, tk.parts)
 	for _, k := range tk.keys {
@@ -107,7 +109,10 @@
 	t.eased = now
 	switch result {
 	case ResultServed:
-		t.succeeded(now, now.Sub(tk.start))
+		t.succeeded(now)
+		if !tk.spans(now) {
+			t.took(now.Sub(tk.start))
+		}
 	case ResultFailed, ResultRefused:
 		t.failed() // also a full one is the worse choice for a while
 	case ResultUnreached:
