Let time go on while the machine is suspended

What a suspended host believed: the steady clock of the process stands still while a machine is suspended, and so did leases, ages of what others said, rests of connections and deadlines of requests; each held longer than it does, by the whole suspension. Class: time told by a clock that is not the others'.

One place for it: timer.System counts suspended time. What After waits for comes as soon as the machine wakes; deadlines of requests are kept by it (timer.WithDeadline). All parts then see what they know from a process that stood still. Times of requests and of resting connections came from the standard library, beside those of the service; they are from one clock now.

Ruled out: a reading of the counting clock at each call, a system call of a dozen a request.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -32,7 +32,7 @@
 	least := longKeepers*h.opts.Settings.Timing.AddressTTL.Std() + quietTime
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
-		if end, ok := ctx.Deadline(); ok && end.Sub(now) < 2*closeTime {
+		if end, ok := ctx.Deadline(); ok && time.Until(end) < 2*closeTime {
 			break
 		}
 		quiet := now.Sub(h.started)-time.Duration(h.asked.Load()) > quietTime
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -181,7 +181,7 @@
 			ctx = context.WithoutCancel(ctx)
 		}
 		e.end = e.request.Start.Add(e.patience())
-		ctx, cancel := context.WithDeadline(ctx, e.end)
+		ctx, cancel := timer.WithDeadline(ctx, e.opts.Timer, e.end)
 		defer cancel()
 		return next(ctx, e)
 	}
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"amaranthgate.example/amaranthgate/internal/dialer"
+	"amaranthgate.example/amaranthgate/timer"
 )
 
 // Bounds of pooled connections.
@@ -55,6 +56,7 @@
 type Pool struct {
 	opts   PoolOptions
 	dialer *net.Dialer
+	timer  timer.System
 
 	mu   sync.Mutex
 	idle map[string][]*pooled
@@ -228,7 +230,7 @@
 func (p *Pool) take(call *Call) *pooled {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.timer.Now()
 	list := p.idle[call.Address]
 	for len(list) > 0 {
 		c := list[len(list)-1]
@@ -356,7 +358,7 @@
 		return
 	}
 	r.conn.lifetime = lifetime(r.Header)
-	r.conn.rested = time.Now()
+	r.conn.rested = r.pool.timer.Now() // upstreams close idle connections also while this machine is suspended
 	if r.conn.lifetime <= 0 {
 		r.pool.discard(r.conn)
 		return
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -37,6 +37,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.rested = time.Now()
+	c.rested = p.timer.Now()
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
--- a/server/filters.go
+++ b/server/filters.go
@@ -14,6 +14,7 @@
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/scheduler"
+	"amaranthgate.example/amaranthgate/timer"
 )
 
 // identify finds the workspace, the class and the deadline.
@@ -35,7 +36,7 @@
 		if o := x.classify(); o.Reason != ReasonNone {
 			return o
 		}
-		ctx, cancel := context.WithDeadline(ctx, x.Deadline)
+		ctx, cancel := timer.WithDeadline(ctx, s.opts.Timer, x.Deadline)
 		defer cancel()
 		return next(ctx, x)
 	}
@@ -104,7 +105,7 @@
 		rec := &recorder{ResponseWriter: x.writer, limit: x.Snapshot.Document.Claims.KeptBytes}
 		x.writer = rec
 		// What was claimed is brought to its end even if the caller goes away.
-		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.Deadline)
+		ctx, cancel := timer.WithDeadline(context.WithoutCancel(ctx), s.opts.Timer, x.Deadline)
 		defer cancel()
 		o := next(ctx, x)
 		s.opts.Claims.Finish(claimer.Outcome{Key: req.Key, Nonce: req.Nonce, State: claimState(o), Answer: rec.answer(o)})
