Compare ways to place requests under which engines have ended

A request that may end its engine, before it is known: sent at once to the next best engine it ends two in one try, and it meets the requests that were beside it and are suspects as well.

--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -23,6 +23,7 @@
 			e.changesCommand(),
 			e.controlCommand(),
 			e.leavingCommand(),
+			e.endsCommand(),
 			{
 				Name:  "forward",
 				Usage: "what a host adds to a direct call of the same engine",
@@ -161,6 +162,30 @@
 	}
 }
 
+func (e *env) endsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "ends",
+		Usage: "what requests cost that end the engines that run them, in virtual time",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "`NUMBER` of hosts"},
+			&cli.IntFlag{Name: "engines", Value: 18, Usage: "`NUMBER` of engines"},
+			&cli.FloatFlag{Name: "rate", Value: 180, Usage: "`REQUESTS` per second that harm nobody"},
+			&cli.DurationFlag{Name: "for", Value: time.Minute, Usage: "simulated `TIME`"},
+			&cli.IntFlag{Name: "bad", Value: 1, Usage: "`NUMBER` of different requests that end their engine"},
+			&cli.IntFlag{Name: "callers", Value: 1, Usage: "`NUMBER` of callers that send each of them again and again"},
+			&cli.FloatFlag{Name: "crashes", Usage: "`ENGINES` that end by themselves, per second"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the workload"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			experimenter.PrintEnds(e.out, experimenter.Ends(experimenter.EndsOptions{
+				Hosts: c.Int("hosts"), Engines: c.Int("engines"), Rate: c.Float("rate"), For: c.Duration("for"),
+				Bad: c.Int("bad"), Callers: c.Int("callers"), Crashes: c.Float("crashes"), Seed: c.Uint64("seed"),
+			}))
+			return nil
+		},
+	}
+}
+
 func (e *env) leavingCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "leaving",
