Show operators which requests are barred, and let them lift a bar

'amaranthgate lift IDENTITY' (POST /quarantine/lift, with an operator's token) clears it at one host for all.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -36,6 +36,7 @@
 	Reason    string
 	Detail    string
 	Route     string
+	Identity  string // Identity names what was asked for: the same for each try of a caller.
 	Late      bool
 	Events    int
 	Waited    float64 // Waited is in milliseconds.
@@ -110,6 +111,7 @@
 	"Unknown":     "an upstream may have run the request, and gave no whole answer",
 	"Deadline":    "the caller's or the route's time was over",
 	"Interrupted": "the upstream's answer broke off after part of it was with the caller",
+	"Barred":      "upstreams have ended under the same request; it is sent to no more of them until an operator lifts that",
 	"CallerGone":  "the caller left before the answer",
 }
 
@@ -131,6 +133,7 @@
 		case l.Message == logger.RequestEnded:
 			ended = true
 			l.tell(&b)
+			ends(&b, lines, l)
 			context(&b, lines, l)
 		case l.Message == logger.UpstreamChosen:
 			chosen = l
@@ -231,6 +234,9 @@
 func (l *Line) tell(b *strings.Builder) {
 	fmt.Fprintf(b, "%s %s: status %d after %.0f ms, first byte after %.0f ms, route %s\n", l.Time.Format(time.RFC3339), l.source, l.Status, l.Took, l.First, l.Route)
 	fmt.Fprintf(b, "  cause: %s\n", l.Cause())
+	if l.Identity != "" {
+		fmt.Fprintf(b, "  identity: %s\n", l.Identity)
+	}
 	if l.Detail != "" {
 		fmt.Fprintf(b, "  last failure: %s\n", l.Detail)
 	}
@@ -240,6 +246,21 @@
 	}
 }
 
+// ends adds which upstreams have ended under the same request, at whichever host.
+func ends(b *strings.Builder, lines []Line, end *Line) {
+	if end.Identity == "" {
+		return
+	}
+	seen := make(map[string]bool)
+	for i := range lines {
+		l := &lines[i]
+		if l.Message == logger.UpstreamEnded && l.Identity == end.Identity && !seen[l.Upstream] && len(seen) < most {
+			seen[l.Upstream] = true
+			fmt.Fprintf(b, "  upstream ended under it: %s at %s, seen by %s\n", l.Upstream, l.Time.Format(time.RFC3339), l.source)
+		}
+	}
+}
+
 // context adds what the host said shortly before of the upstreams tried and of
 // what it depends on.
 func context(b *strings.Builder, lines []Line, end *Line) {
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -77,3 +77,19 @@
 	})
 	assert.Assert(t, strings.Contains(a.String(), "2 choices for prompts: 5000 tokens to be read, 1500 of them shared"), a.String())
 }
+
+// TestExplainBarred: a refused try is explained by what other tries of the same request did,
+// at other hosts.
+func TestExplainBarred(t *testing.T) {
+	f, err := os.Open("testdata/barred.txt")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	lines, err := Read(f, "")
+	assert.NilError(t, err)
+	story, ok := Explain(lines, "try-3")
+	assert.Assert(t, ok)
+	for _, w := range []string{"until an operator lifts that", "identity: 85b8c9e8", "u1@a", "u2@b", "u3@c", "seen by host-2"} {
+		assert.Assert(t, strings.Contains(story, w), "%q is not in\n%s", w, story)
+	}
+	assert.Assert(t, !strings.Contains(story, "u4@d"), story)
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -60,6 +60,7 @@
 			e.sendCommand(),
 			e.publishCommand(),
 			e.dumpCommand(),
+			e.liftCommand(),
 			e.explainCommand(),
 			e.accountCommand(),
 			e.emulateCommand(),
--- a/internal/commander/operate.go
+++ b/internal/commander/operate.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"time"
 
@@ -65,6 +66,28 @@
 	}
 }
 
+func (e *env) liftCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "lift",
+		Usage:     "let a request be sent to upstreams again under which upstreams had ended",
+		ArgsUsage: "IDENTITY",
+		Description: "IDENTITY is that of the line RequestBarred and of the state dump. One host is enough: it tells the others.\n" +
+			"If upstreams end under the request again, it is barred again.",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := "/quarantine/lift?" + url.Values{"identity": {c.Args().First()}}.Encode()
+			status, body, err := askOperators(ctx, c, http.MethodPost, path, nil)
+			if err != nil {
+				return err
+			}
+			if status != http.StatusNoContent {
+				return errors.Errorf("status %d: %s", status, bytes.TrimSpace(body))
+			}
+			return nil
+		},
+	}
+}
+
 func (e *env) publishCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "publish",
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -54,10 +54,11 @@
 // Proxy passes connections on to one address. A connection on which bytes were
 // dropped stays silent: passing on what follows would be another fault.
 type Proxy struct {
-	target   string
-	listener net.Listener
+	target  string
+	address string
 
 	mu       sync.Mutex
+	listener net.Listener // listener is nil while the proxy is stopped.
 	fault    Fault
 	sessions map[*session]struct{}
 }
@@ -82,13 +83,40 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, sessions: make(map[*session]struct{})}
-	go p.accept()
+	p := &Proxy{target: target, address: l.Addr().String(), listener: l, sessions: make(map[*session]struct{})}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns where the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Stop closes all connections and lets nobody listen, as when the target's process ends:
+// connections are refused.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	for s := range p.sessions {
+		s.close()
+	}
+}
+
+// Start listens again at the same address.
+func (p *Proxy) Start() error {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // Set replaces the fault. It holds for data that passes from then on.
 func (p *Proxy) Set(f Fault) {
@@ -106,14 +134,7 @@
 }
 
 // Close ends the proxy and all its connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for s := range p.sessions {
-		s.close()
-	}
-}
+func (p *Proxy) Close() { p.Stop() }
 
 func (p *Proxy) current() Fault {
 	p.mu.Lock()
@@ -121,9 +142,9 @@
 	return p.fault
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
