Tell neighbours at once which requests are barred

Symptom, by a test: with 40 hosts, three of which had each seen one end, a host that stood still kept the bar from all others for seconds, since it was the relay of its zone; and a bar that was lost on the way reached 5 of 40 hosts within 3 s by the digests of heartbeats, a hop in one to two seconds. Cause: news of ends went through relays only, and what was heard was not told on. Hosts that serve callers are told directly now, and a host that hears of a bar tells its neighbours. Ends too few for a bar are not told on: a loss of 24 engines leaves some 480 of them, which would go to each host eight times.

--- a/conductor/quarantine.go
+++ b/conductor/quarantine.go
@@ -29,17 +29,28 @@
 	told  time.Time // told is when the host was last told all.
 }
 
-// tellEnds tells all hosts what this one has just seen.
+// tellEnds tells all hosts what this one has just seen. In a large fleet those that serve
+// callers, and so may send such a request on, are told directly: a relay that stands still
+// would keep it from all others until their heartbeats show that they differ.
 func (n *Node) tellEnds() {
-	if words := n.opts.Quarantine.News(n.now); len(words) > 0 {
-		n.broadcast(&messenger.Message{Ended: words})
+	words := n.opts.Quarantine.News(n.now)
+	if len(words) == 0 {
+		return
+	}
+	m := &messenger.Message{Ended: words}
+	if !n.paths().small {
+		n.spread("", m)
 	}
+	n.broadcast(m)
 }
 
 // hearEnds takes in what another host knows, and tells it all if it knows something else.
 func (n *Node) hearEnds(now time.Time, from string, m *messenger.Message) {
 	if len(m.Ended) > 0 {
-		n.opts.Quarantine.Hear(now, m.Ended)
+		// Bars go from neighbour to neighbour: they are few, and all must know them in time.
+		if barred := n.opts.Quarantine.Hear(now, m.Ended); len(barred) > 0 && !n.paths().small {
+			n.sendAll(n.hosts.Neighbours(), from, &messenger.Message{Ended: barred})
+		}
 		n.tellEnds() // a host that has served such a request says so
 	}
 	if m.Digest == 0 {
--- a/messenger/message_test.go
+++ b/messenger/message_test.go
@@ -13,12 +13,14 @@
 
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/internal/faultproxy"
+	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
 // FuzzDecode feeds anything that a peer could send.
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(&Message{Digest: 1, Hosts: []tracker.HostRecord{{Host: "a"}}, Claims: []claimer.Message{{Range: 1, Request: &claimer.Request{Nonce: "n"}}}}))
+	f.Add(Encode(&Message{EndedDigest: 7, Ended: []quarantiner.Word{{Identity: quarantiner.Identity{1, 2}, Ends: []string{"a@b"}, Cleared: []string{"c"}, Age: time.Second}}}))
 	f.Add([]byte{0xa1, 0x02, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0x9f})
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/quarantiner/ledger.go
+++ b/quarantiner/ledger.go
@@ -138,19 +138,30 @@
 	}
 }
 
-// Hear takes in what another host knows. It is not told on: hosts that differ find out by
-// Digest.
-func (l *Ledger) Hear(now time.Time, words []Word) {
+// Hear takes in what another host knows, and returns what is known of requests that are
+// barred by it, to be told on. The rest need not be: hosts that differ find out by Digest.
+func (l *Ledger) Hear(now time.Time, words []Word) (barred []Word) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, w := range words {
 		if w.Age < w.life() {
+			free := !l.barred(w.Identity)
 			l.change(now.Add(-w.Age), w.Identity, func(r *record) bool { return r.merge(w) })
+			if free && l.barred(w.Identity) {
+				barred = append(barred, l.records[w.Identity].word(now, w.Identity))
+			}
 		}
 		if l.served.has(w.Identity) {
 			l.clear(now, w.Identity)
 		}
 	}
+	return barred
+}
+
+// barred tells whether a request is; l.mu is held.
+func (l *Ledger) barred(id Identity) bool {
+	r := l.records[id]
+	return r != nil && r.barred()
 }
 
 // change changes a record of which something was heard of at a time, and reports whether it
