Spend less on ends that stand alone

Most ends are of requests that were beside a crash and never come back. They are told once and no more now; what has more than one end is repaired as before. If the one word is lost, a bad request ends one upstream more.

--- a/exchanger/ended.go
+++ b/exchanger/ended.go
@@ -43,7 +43,7 @@
 // that breaks says so only if the upstream takes no new one either: resets, lost answers and
 // broken bodies of an upstream that lives are no sign of what its requests do to it.
 func (d *delivery) upstreamEnded(ctx context.Context, u follower.Upstream, r dispatcher.Result) bool {
-	return d.opts.Refuses != nil && broke(ctx, r) && d.opts.Refuses(ctx, u.Address)
+	return d.opts.Refuses != nil && broke(ctx, r) && d.opts.Refuses(u.Address)
 }
 
 // learn takes in what an attempt shows of the request, and returns what it shows of the
--- a/exchanger/ended_test.go
+++ b/exchanger/ended_test.go
@@ -4,7 +4,6 @@
 package exchanger
 
 import (
-	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,7 +45,7 @@
 			x := New(Options{
 				Beliefs: &beliefs, Placer: p, Sender: &scriptedSender{script: c.script}, Timer: timer.NewSystem(),
 				Budget:  retrier.NewShared(retrier.Allowance{Share: 1, Slack: 100}),
-				Refuses: func(context.Context, string) bool { return c.refuses },
+				Refuses: func(string) bool { return c.refuses },
 				Ended:   func(e Ended) { ended = append(ended, e) },
 			})
 			o := x.Handle(t.Context(), &Request{ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key"}, &recorder{})
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -52,7 +52,7 @@
 	// this exchanger alone.
 	Quarantine Quarantine
 	// Refuses tells that nobody listens at an address any more; nil never says so.
-	Refuses func(ctx context.Context, address string) bool
+	Refuses func(address string) bool
 	// Ended is told of each request whose upstream has ended with it under way; nil tells
 	// nobody.
 	Ended func(e Ended)
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"amaranthgate.example/amaranthgate/internal/dialer"
 	"amaranthgate.example/amaranthgate/timer"
@@ -57,6 +58,7 @@
 	opts   PoolOptions
 	dialer *net.Dialer
 	timer  timer.System
+	asking singleflight.Group // asking has the questions whether an address refuses.
 
 	mu   sync.Mutex
 	idle map[string][]*pooled
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -16,9 +16,15 @@
 const refusalTimeout = 300 * time.Millisecond
 
 // Refuses tells that nobody listens at an address any more: a process that was there has
-// ended. A connection that stands is kept for the next call.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+// ended. A connection that stands is kept for the next call. All that broke off there ask at
+// once, up to 29 requests of a host, and one connection answers them.
+func (p *Pool) Refuses(address string) bool {
+	answer, _, _ := p.asking.Do(address, func() (any, error) { return p.refuses(address), nil })
+	return answer == true
+}
+
+func (p *Pool) refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -17,7 +17,7 @@
 	p := NewPool(PoolOptions{})
 	s := newPoolServer(t, []poolAnswer{{Text: "200 OK|Content-Length: 0||"}})
 	address := s.listener.Addr().String()
-	assert.Assert(t, !p.Refuses(t.Context(), address))
+	assert.Assert(t, !p.Refuses(address))
 	reply, fail := p.Do(t.Context(), &Call{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 	assert.Assert(t, fail == nil)
 	reply.Close()
@@ -27,5 +27,5 @@
 	assert.NilError(t, err)
 	address = gone.Addr().String()
 	assert.NilError(t, gone.Close())
-	assert.Assert(t, p.Refuses(t.Context(), address))
+	assert.Assert(t, p.Refuses(address))
 }
--- a/quarantiner/ledger.go
+++ b/quarantiner/ledger.go
@@ -123,10 +123,13 @@
 
 // clear lets no end of a request count any more; l.mu is held.
 func (l *Ledger) clear(now time.Time, id Identity) bool {
-	if l.records[id] == nil || !l.change(now, id, (*record).clearAll) {
+	r := l.records[id]
+	if r == nil || !l.change(now, id, (*record).clearAll) {
 		return false
 	}
-	l.tell(id)
+	if r.repeated() {
+		l.tell(id)
+	}
 	return true
 }
 
@@ -247,11 +250,11 @@
 	return out
 }
 
-// Words returns all that is known, for hosts that know less.
+// Words returns what Digest is of, for hosts that know less.
 func (l *Ledger) Words(now time.Time) []Word {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.words(now, func(*record) bool { return true })
+	return l.words(now, (*record).repeated)
 }
 
 // Bars returns what is known of requests that are barred.
@@ -271,7 +274,8 @@
 	return out
 }
 
-// Digest is the same for ledgers that know the same, and 0 for one that knows nothing.
+// Digest is the same for ledgers that know the same of requests with more than one end, and 0
+// for one that knows of none.
 func (l *Ledger) Digest() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/quarantiner/word.go
+++ b/quarantiner/word.go
@@ -29,6 +29,11 @@
 
 func (r *record) empty() bool { return len(r.ends) == 0 && len(r.cleared) == 0 }
 
+// repeated tells that more than one end is known, counted or not. Of one alone hosts hear once
+// and not again: most are of requests that never come back, and if word of it is lost, a bad
+// request ends one upstream more.
+func (r *record) repeated() bool { return len(r.ends)+len(r.cleared) > 1 }
+
 // life is how long the record is kept after its last end.
 func (r *record) life() time.Duration { return life(r.ends) }
 
@@ -88,6 +93,9 @@
 // order of ends, nor on how many there are beyond the bar.
 func (r *record) digest(id Identity) uint64 {
 	sum := uint64(0)
+	if !r.repeated() {
+		return sum
+	}
 	if r.barred() {
 		sum = xxhash.Sum64String(string(id[:]))
 	} else {
