--- a/conductor/quarantine_test.go
+++ b/conductor/quarantine_test.go
@@ -49,6 +49,7 @@
 				s := c.nodes[i%(hosts-2)]
 				s.node.opts.Quarantine.Ended(c.now, id, fmt.Sprint("start-", i))
 				c.carry(s, s.node.Handle(c.now, EndsFound{}))
+				c.run(100 * time.Millisecond)
 			}
 			c.run(time.Second)
 			if hosts <= activator.AllServe {
