--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -30,6 +30,7 @@
 	Upstreams []follower.Upstream
 	Placement placer.Dump
 	Barred    []quarantiner.Word // Barred are requests that are sent to no more upstreams.
+	Repeated  []quarantiner.Word // Repeated are requests under which more than one upstream has ended, the barred ones among them.
 	Suspects  int                // Suspects are requests under which upstreams have ended, the barred ones among them.
 }
 
@@ -47,6 +48,7 @@
 		Upstreams: view.Upstreams,
 		Placement: h.placer.Dump(h.opts.Timer.Now()),
 		Barred:    h.quarantine.Bars(h.opts.Timer.Now()),
+		Repeated:  h.quarantine.Words(h.opts.Timer.Now()),
 		Suspects:  h.quarantine.Len(),
 	}
 	if view.Table != nil {
