Greet hosts again that were forgotten during a long cut

Callers of either side of a cut that lasted longer than hosts remember each other (30 s) were served by what that side knew, for up to 30 s after the cut: loads, limits, bars.

Cause: a connection that stands again is the sign that a host can be reached. The greeting that it caused went to the address in the host's record, and there was none any more.

Mend: the connection's address goes with the sign, so the greeting is sent in any case.

TestHostsMeetAfterLongCut, before: two hosts did not know each other 3 s after a cut of 60 s.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -98,6 +98,7 @@
 	firstStart bool              // firstStart tells hosts so.
 	apart      bool              // apart tells that hosts that start find nobody but themselves.
 	sought     int               // sought counts looks for unknown hosts.
+	cut        map[string]bool   // cut are hosts that cannot reach any that is not among them, nor be reached.
 	idle       bool              // idle tells that no host has work.
 	seen       func(PeerMessage) // seen, if set, is called with each message that arrives.
 	sent       map[string]int    // sent counts messages by sender.
@@ -245,13 +246,13 @@
 		case Send:
 			c.sent[s.name]++
 			to := c.byName[a.To]
-			if !to.down {
+			if c.reaches(s, to) {
 				to.inbox = append(to.inbox, PeerMessage{From: s.name, Message: a.Message})
 			}
 		case Spread:
 			c.sent[s.name] += len(a.To)
 			for _, t := range a.To {
-				if to := c.byName[t.Host]; !to.down {
+				if to := c.byName[t.Host]; c.reaches(s, to) {
 					to.inbox = append(to.inbox, PeerMessage{From: s.name, Message: a.Message})
 				}
 			}
@@ -282,4 +283,20 @@
 	}
 }
 
+func (c *cluster) reaches(from, to *simNode) bool {
+	return !to.down && c.cut[from.name] == c.cut[to.name]
+}
+
+// heal ends the cut. Connections that were kept trying stand again.
+func (c *cluster) heal() {
+	for _, s := range c.nodes {
+		for _, o := range c.nodes {
+			if !c.reaches(s, o) {
+				s.inbox = append(s.inbox, PeerUp{Host: o.name, Address: o.name})
+			}
+		}
+	}
+	c.cut = nil
+}
+
 func (c *cluster) set(s *simNode, a access) { s.access, s.changed = a, c.now }
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -37,7 +37,10 @@
 }
 
 // PeerUp says that a connection to another host was opened.
-type PeerUp struct{ Host string }
+type PeerUp struct {
+	Host    string
+	Address string // Address is that for other hosts.
+}
 
 // HostsFound names hosts that may be there: from settings or from the store.
 type HostsFound struct{ Hosts []tracker.HostRecord }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -168,7 +168,7 @@
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
 		Secret:  []byte(s.PeerSecret),
 		Receive: h.receive,
-		Up:      func(host string) { h.post(PeerUp{Host: host}) },
+		Up:      func(host, address string) { h.post(PeerUp{Host: host, Address: address}) },
 		Log:     opts.Log.Logger,
 	})
 	h.counters = newCounters(h)
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -95,11 +95,13 @@
 	}
 }
 
-// greet tells a host to which a connection was opened what it may lack.
-func (n *Node) greet(now time.Time, host string) {
+// greet tells a host to which a connection was opened what it may lack. It may have been
+// forgotten here, as this host there, if they were cut off from each other for long: without
+// this both sides of a cut of 60 s stayed apart until one looked for unknown hosts, up to 30 s.
+func (n *Node) greet(now time.Time, host, address string) {
 	t := n.paths()
 	n.lastFull[host] = now
-	n.send(host, n.greeting(now))
+	n.do(Send{To: host, Address: address, Message: n.greeting(now)})
 	if slices.Contains(t.active, host) && tracker.Place(t.active, n.opts.Self.Host, "teller/"+host) == 0 {
 		n.send(host, n.kept())
 	}
@@ -165,7 +167,9 @@
 		return
 	}
 	if n.paths().small {
-		n.greet(now, host)
+		if r, ok := n.hosts.Lookup(host); ok {
+			n.greet(now, host, r.Peers)
+		}
 		return
 	}
 	if now.Sub(since) > differTime {
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -126,7 +126,7 @@
 		n.peerMessage(now, ev)
 	case PeerUp:
 		n.hostsDirty = n.hosts.Heard(now, ev.Host) || n.hostsDirty
-		n.greet(now, ev.Host)
+		n.greet(now, ev.Host, ev.Address)
 	case HostsFound:
 		n.found = now
 		n.mergeHosts(now, "", ev.Hosts)
--- a/conductor/seek_test.go
+++ b/conductor/seek_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// TestHostsMeetAfterLongCut: hosts that were cut off from each other for so long that each
+// side has forgotten the other know each other soon after the cut.
+func TestHostsMeetAfterLongCut(t *testing.T) {
+	for _, hosts := range []int{2, 8, 60} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			c := newCluster(hosts)
+			c.run(5 * time.Second)
+			c.cut = make(map[string]bool)
+			for _, s := range c.nodes[:hosts/2] {
+				c.cut[s.name] = true
+			}
+			c.run(2 * DefaultTiming().Forget)
+			c.heal()
+			c.run(inTouch)
+			for _, s := range c.nodes {
+				assert.Equal(t, len(s.node.hosts.Live()), hosts, s.name)
+			}
+		})
+	}
+}
+
 // TestSeekingIsRare: of hosts that know each other one looks for others, ever more seldom,
 // and greets few of those that announced themselves and are gone.
 func TestSeekingIsRare(t *testing.T) {
--- a/messenger/mesh.go
+++ b/messenger/mesh.go
@@ -48,7 +48,7 @@
 	Self    Hello
 	Secret  []byte
 	Receive func(from string, m *Message) // Receive is called for each message, in order for each sender.
-	Up      func(host string)             // Up is called when a connection to a host was opened.
+	Up      func(host, address string)    // Up is called when a connection to a host was opened.
 	Log     zerolog.Logger
 }
 
@@ -186,7 +186,7 @@
 			continue
 		}
 		pause = firstPause
-		l.messenger.opts.Up(l.host)
+		l.messenger.opts.Up(l.host, l.address)
 		idle := l.write(conn)
 		_ = conn.CloseNow()
 		if idle {
--- a/runner/host.go
+++ b/runner/host.go
@@ -107,7 +107,7 @@
 		Self:    messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
 		Secret:  []byte(h.settings.PeerSecret),
 		Receive: func(from string, m *messenger.Message) { h.loop.post(controller.PeerMessage{From: from, Message: m}) },
-		Up:      func(host string) { h.loop.post(controller.PeerUp{Host: host}) },
+		Up:      func(host, _ string) { h.loop.post(controller.PeerUp{Host: host}) },
 		Log:     h.logger,
 	})
 	h.server = server.New(h.serverOptions(self))
