Forget hosts that are gone

Operators of fleets of three hosts or more saw each host that had ever ended in the state dump, as gone, for good; each was also dialled every 2 s by all that had known it, and its record passed on to all that start. Where machines are replaced by others of new names, that grows without bound.

Cause: each host forgets one that is gone in its own time, 30 s after it noticed. One that had done so had another digest than one that had not, was told all records, and took the gone host in again as news, which it then remembered for 30 s more.

Mend: hosts that are gone do not count in digests, and one that is not known is not taken in as gone. It holds because nothing else makes a forgotten host known but word that it lives.

TestHostsMeetAfterLongCut asks now that both sides have forgotten each other.

--- a/conductor/seek_test.go
+++ b/conductor/seek_test.go
@@ -65,6 +65,10 @@
 				c.cut[s.name] = true
 			}
 			c.run(2 * DefaultTiming().Forget)
+			for _, s := range c.nodes {
+				_, known := s.node.hosts.Lookup(c.nodes[hosts/2].name)
+				assert.Equal(t, known, !c.cut[s.name], s.name)
+			}
 			c.heal()
 			c.run(inTouch)
 			for _, s := range c.nodes {
--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -5,7 +5,7 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Digest returns a hash over the versions of all records. Hosts whose digests
+// Digest returns a hash over the versions of all records of hosts that may be there. Hosts whose digests
 // differ exchange their records.
 func (h *Hosts) Digest() uint64 {
 	h.All()
@@ -20,8 +20,10 @@
 	return sum
 }
 
+// digest leaves out hosts that are gone: each host forgets them in its own time, and one
+// that had done so was told of them again by another that had not, without end.
 func (r HostRecord) digest() uint64 {
-	if r.State == HostJoining {
+	if r.State == HostJoining || r.State == HostGone {
 		return 0
 	}
 	x := xxhash.Sum64String(r.Host) ^ r.Incarnation*31 ^ r.Version*17 ^ uint64(severity[r.State])
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -111,6 +111,9 @@
 		return h.refute(r)
 	}
 	e := h.records[r.Host]
+	if e == nil && r.State == HostGone {
+		return nil // it was forgotten here
+	}
 	if e == nil {
 		h.near = nil
 		h.changed()
