Count the ends of upstreams under copies that were sent at once

Mend: what may have met the same event is only a request that was sent on after the first end. In a joint crash that is how a request that harms nobody gets two ends (2 ms apart); a copy that was under way before the first end has ended its upstream by itself, or another copy there has. A bad request runs longer than the 20 ms before its upstream ends, so that some copy counts for each.

--- a/conductor/quarantine_test.go
+++ b/conductor/quarantine_test.go
@@ -47,7 +47,7 @@
 			frozen.paused = true
 			for i := range quarantiner.Bar {
 				s := c.nodes[i%(hosts-2)]
-				s.node.opts.Quarantine.Ended(c.now, id, fmt.Sprint("start-", i))
+				s.node.opts.Quarantine.Ended(c.now, id, fmt.Sprint("start-", i), c.now)
 				c.carry(s, s.node.Handle(c.now, EndsFound{}))
 				c.run(100 * time.Millisecond)
 			}
--- a/conductor/seek_test.go
+++ b/conductor/seek_test.go
@@ -39,7 +39,8 @@
 			c := startApart(tt.together, tt.apart)
 			bad := quarantiner.Identify(quarantiner.Parts{Target: "bad"})
 			for i := range quarantiner.Bar {
-				c.nodes[0].node.opts.Quarantine.Ended(c.now.Add(time.Duration(i)*time.Second), bad, fmt.Sprint(i))
+				at := c.now.Add(time.Duration(i) * time.Second)
+				c.nodes[0].node.opts.Quarantine.Ended(at, bad, fmt.Sprint(i), at)
 			}
 			c.run(inTouch)
 			for _, s := range c.nodes {
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -158,8 +158,9 @@
 	if d.stream != nil && d.stream.lastID != "" {
 		dir.LastEvent = d.stream.lastID
 	}
+	sent := d.opts.Timer.Now()
 	r := d.attempt(ctx, choice, dir)
-	choice.Ticket.Done(d.opts.Timer.Now(), d.learn(ctx, choice.Upstream, r))
+	choice.Ticket.Done(d.opts.Timer.Now(), d.learn(ctx, choice.Upstream, sent, r))
 	return r
 }
 
--- a/exchanger/ended.go
+++ b/exchanger/ended.go
@@ -47,11 +47,11 @@
 	return d.opts.Refuses != nil && broke(ctx, r) && d.opts.Refuses(u.Address)
 }
 
-// learn takes in what an attempt shows of the request, and returns what it shows of the
-// upstream.
-func (d *delivery) learn(ctx context.Context, u follower.Upstream, r dispatcher.Result) placer.Result {
+// learn takes in what an attempt that was sent at a time shows of the request, and returns
+// what it shows of the upstream.
+func (d *delivery) learn(ctx context.Context, u follower.Upstream, sent time.Time, r dispatcher.Result) placer.Result {
 	if d.upstreamEnded(ctx, u, r) {
-		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.outcome.Identity, u.Start())
+		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.outcome.Identity, u.Start(), sent)
 		if d.opts.Ended != nil {
 			d.opts.Ended(Ended{RequestID: d.request.ID, Identity: d.outcome.Identity, Upstream: u})
 		}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -61,7 +61,7 @@
 // Quarantine remembers under which requests upstreams have ended.
 type Quarantine interface {
 	Standing(now time.Time, id quarantiner.Identity) quarantiner.Verdict
-	Ended(now time.Time, id quarantiner.Identity, start string)
+	Ended(now time.Time, id quarantiner.Identity, start string, sent time.Time)
 	Served(now time.Time, id quarantiner.Identity)
 }
 
--- a/experimenter/endsmodel.go
+++ b/experimenter/endsmodel.go
@@ -59,6 +59,7 @@
 	try    *endsTry
 	engine *endsEngine
 	choice placer.Choice
+	sent   time.Time
 }
 
 func newEndsModel(o EndsOptions, way EndsWay) *endsModel {
--- a/experimenter/endsrun.go
+++ b/experimenter/endsrun.go
@@ -22,7 +22,7 @@
 		return
 	}
 	t.runs++
-	r := &endsRun{try: t, engine: e, choice: c}
+	r := &endsRun{try: t, engine: e, choice: c, sent: m.time()}
 	e.runs = append(e.runs, r)
 	if !t.bad {
 		m.after(time.Duration(m.rng.ExpFloat64()*float64(endsWork)), func() { m.served(r) })
@@ -76,7 +76,7 @@
 	for _, r := range lost {
 		t := r.try
 		r.choice.Ticket.Done(m.time(), placer.ResultUnreached)
-		t.host.ledger.Ended(m.time(), t.id, start)
+		t.host.ledger.Ended(m.time(), t.id, start, r.sent)
 		if !t.bad && !t.cut {
 			t.cut = true
 			m.result.Cut++
--- a/quarantiner/ledger.go
+++ b/quarantiner/ledger.go
@@ -15,11 +15,11 @@
 	// want, and the aim for what one bad request costs in all. Of 107 to 141 requests that
 	// had an engine end under them on a day with some 30 crashes, 3 to 7 had two, none three.
 	Bar = 3
-	// oneEvent is the time within which ends of several upstreams that one host sees are one
-	// event, such as a loss of power. A request is sent on to the next upstream within 4 ms of an end, and a bad one
-	// ran for 40 ms at least before its upstream ended. Of 4,422 requests that had an upstream
-	// end under them, on 36 days with some 30 crashes each, one was barred without this, and
-	// two of its three ends were 2 ms apart.
+	// oneEvent is the time within which an upstream to which a request was sent on after an end
+	// is taken to have ended with the first one, as at a loss of power. A request is sent on
+	// within 4 ms of an end, and a bad one ran for 40 ms at least before its upstream ended. Of
+	// 4,422 requests that had an upstream end under them, on 36 days with some 30 crashes each,
+	// one was barred without this, and two of its three ends were 2 ms apart.
 	oneEvent = 20 * time.Millisecond
 	// mostEnds bounds the ends that are remembered of one identity: as many as copies of it
 	// may end that are under way at once.
@@ -99,15 +99,16 @@
 	return Verdict{Standing: Suspect, Ends: slices.Clone(r.ends)}
 }
 
-// Ended takes in that a start of an upstream has ended with a request under way, as this host
-// has seen.
-func (l *Ledger) Ended(now time.Time, id Identity, start string) {
+// Ended takes in that a start of an upstream has ended, as this host has seen, with a request
+// under way that it was sent at a time. Copies of a bad request that are sent at once end their
+// upstreams at once: only what was sent on after an end may have met the same event.
+func (l *Ledger) Ended(now time.Time, id Identity, start string, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.served.has(id) {
 		return // one that ends upstreams was never served
 	}
-	if r := l.records[id]; r != nil && now.Sub(r.seen) < oneEvent {
+	if r := l.records[id]; r != nil && now.Sub(r.seen) < oneEvent && !sent.Before(r.seen) {
 		return
 	}
 	if l.change(now, id, func(r *record) bool { return r.add(start) }) {
--- a/quarantiner/ledger_test.go
+++ b/quarantiner/ledger_test.go
@@ -22,7 +22,7 @@
 
 type step struct {
 	Host  string            // Host is where it happens.
-	Do    string            // Do is "ended REQUEST START", "served REQUEST", "lift REQUEST" or "tell HOST".
+	Do    string            // Do is "ended REQUEST START" or "ended REQUEST START RUN", "served REQUEST", "lift REQUEST" or "tell HOST".
 	After duration.Duration // After is the time that passes before; a second if it is not set.
 	Want  string            // Want is what the host thinks of the request afterwards, if it names one.
 }
@@ -45,6 +45,17 @@
 	}
 }
 
+// sentAt is when the request of an end was sent: as long before as is said, or at the end of
+// the step before.
+func sentAt(t *testing.T, now time.Time, s step, verb []string) time.Time {
+	if len(verb) < 4 {
+		return now.Add(-cmp.Or(s.After.Std(), time.Second))
+	}
+	run, err := time.ParseDuration(verb[3])
+	assert.NilError(t, err)
+	return now.Add(-run)
+}
+
 func play(t *testing.T, steps []step) {
 	now := time.Unix(1000, 0)
 	hosts := map[string]*Ledger{}
@@ -61,7 +72,7 @@
 		verb := strings.Fields(s.Do)
 		switch verb[0] {
 		case "ended":
-			l.Ended(now, named(verb[1]), verb[2])
+			l.Ended(now, named(verb[1]), verb[2], sentAt(t, now, s, verb))
 		case "served":
 			l.Served(now, named(verb[1]))
 		case "lift":
@@ -99,7 +110,7 @@
 			case 0:
 				l.Lift(now, id)
 			default:
-				l.Ended(now, id, fmt.Sprint("start-", rapid.IntRange(0, 5).Draw(t, "start")))
+				l.Ended(now, id, fmt.Sprint("start-", rapid.IntRange(0, 5).Draw(t, "start")), now)
 			}
 			words = append(words, l.Words(now)...)
 		}
@@ -122,11 +133,11 @@
 	l := New(Options{})
 	for i := range Bar {
 		now = now.Add(time.Second)
-		l.Ended(now, named("bad"), fmt.Sprint(i))
+		l.Ended(now, named("bad"), fmt.Sprint(i), now)
 	}
 	for i := range 3 * mostRecords {
 		now = now.Add(time.Millisecond)
-		l.Ended(now, named(fmt.Sprint("request-", i)), "start")
+		l.Ended(now, named(fmt.Sprint("request-", i)), "start", now)
 	}
 	assert.Assert(t, l.Len() <= mostRecords)
 	assert.Equal(t, l.Standing(now, named("bad")).Standing, Barred)
@@ -148,7 +159,7 @@
 	now := time.Unix(1000, 0)
 	l := New(Options{})
 	for i := range 1000 {
-		l.Ended(now, named(fmt.Sprint(i)), "start")
+		l.Ended(now, named(fmt.Sprint(i)), "start", now)
 	}
 	id := named("innocent")
 	b.ReportAllocs()
