Stop dialling hosts that are gone

A host dialled each other one that it had ever sent something to every 2 s, for as long as it ran: where machines are replaced by others of new names, ever more of them. A look for unknown hosts would have added up to 16 a time.

Cause: a connection that nobody uses ended after a minute, one that could not be opened never.

Mend: after 10 minutes in which nothing was sent to it, a host that cannot be reached is no longer dialled. The next message dials it again. Until then both sides of a cut know each other within 3 s of its end; after a longer one the look for unknown hosts finds them within 30 s.

--- a/messenger/mesh.go
+++ b/messenger/mesh.go
@@ -36,6 +36,9 @@
 	firstPause   = 50 * time.Millisecond
 	longestPause = 2 * time.Second
 	idleTimeout  = time.Minute
+	// giveUpTime is how long a host that nobody sends to any more is dialled: as long as a cut
+	// may last after which hosts on both sides meet within one longestPause.
+	giveUpTime = 10 * time.Minute
 	// pingInterval and pingTimeout bound how long a connection may carry nothing to
 	// the other side without anybody noticing: when a middle box or a stopped
 	// process still acknowledges what is sent, the kernel sees no fault.
@@ -50,6 +53,7 @@
 	Receive func(from string, m *Message) // Receive is called for each message, in order for each sender.
 	Up      func(host, address string)    // Up is called when a connection to a host was opened.
 	Log     zerolog.Logger
+	GiveUp  time.Duration // GiveUp is how long a host that cannot be reached is dialled without a message for it; default 10 min.
 }
 
 // Messenger holds the connections of one host. It is safe for concurrent use.
@@ -78,6 +82,9 @@
 
 // New returns a messenger without connections.
 func New(opts Options) *Messenger {
+	if opts.GiveUp == 0 {
+		opts.GiveUp = giveUpTime
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.New(dialTimeout).DialContext}}
 	return &Messenger{opts: opts, http: client, ctx: ctx, cancel: cancel, links: make(map[string]*link)}
@@ -171,21 +178,25 @@
 	return l
 }
 
-// run keeps a connection open as long as there is something to send.
+// run keeps a connection open as long as there is something to send. A host that cannot be
+// reached is dialled on for a while, so that both know each other soon after a cut; not for
+// good, since machines are replaced by others of new names.
 func (l *link) run() {
 	defer l.remove()
-	pause := firstPause
+	pause, wanted := firstPause, time.Now()
 	for l.ctx.Err() == nil {
 		conn, err := l.dial()
 		if err != nil {
-			l.drain()
-			if !sleep(l.ctx, pause) {
+			if l.drain() > 0 {
+				wanted = time.Now()
+			}
+			if time.Since(wanted) > l.messenger.opts.GiveUp || !sleep(l.ctx, pause) {
 				return
 			}
 			pause = min(2*pause, longestPause)
 			continue
 		}
-		pause = firstPause
+		pause, wanted = firstPause, time.Now()
 		l.messenger.opts.Up(l.host, l.address)
 		idle := l.write(conn)
 		_ = conn.CloseNow()
@@ -203,14 +214,16 @@
 	}
 }
 
-// drain drops what waits: it would be stale by the time a connection stands.
-func (l *link) drain() {
+// drain drops what waits: it would be stale by the time a connection stands. It returns how
+// many messages that were.
+func (l *link) drain() (dropped int) {
 	for {
 		select {
 		case <-l.outbox:
 			l.messenger.dropped.Add(1)
+			dropped++
 		default:
-			return
+			return dropped
 		}
 	}
 }
--- a/messenger/message_test.go
+++ b/messenger/message_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"amaranthgate.example/amaranthgate/claimer"
 	"amaranthgate.example/amaranthgate/internal/faultproxy"
@@ -95,3 +96,19 @@
 	proxy.Set(faultproxy.Fault{Kind: faultproxy.Silence})
 	arrives(2)
 }
+
+// TestGoneHostIsGivenUp: a host that cannot be reached and to which nothing is sent is not
+// dialled for good, and is dialled again for the next message.
+func TestGoneHostIsGivenUp(t *testing.T) {
+	m := New(Options{Self: Hello{Host: "a"}, Secret: []byte("secret"), Log: zerolog.Nop(), GiveUp: 100 * time.Millisecond})
+	t.Cleanup(m.Close)
+	for sent := range uint64(2) {
+		m.Send("gone", "127.0.0.1:1", &Message{Digest: sent})
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if got := m.Traffic(); got.Links == 0 && got.Dropped == sent+1 {
+				return poll.Success()
+			}
+			return poll.Continue("the host is still dialled")
+		}, poll.WithTimeout(30*time.Second))
+	}
+}
