Count the end of an upstream under a request that was given up there

A caller with a short time that sends a request which ends engines, breaks off before the engine has ended and comes back to the next host ended one engine with each try: eight with eight.

Cause: an end was put down to requests whose connection it broke. The host had closed that of a caller who leaves, as that of an attempt that is given up as silent or for its time; the engine went on with the request and ended with nothing of this host under way.

Mend: what was given up is remembered for a second, with the start of its upstream. If that ends, as another request there shows, a refused connection, or another host's word, the request counts among those that were under way. It holds for ends within 0.4 s, as they were seen, of upstreams that are away for 1 s.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -162,6 +162,7 @@
 		Chosen:     h.recordChoice,
 		Quarantine: h.quarantine,
 		Refuses:    opts.Pool.Refuses,
+		Gone:       opts.Pool.Gone,
 		Ended:      h.recordEnded,
 	})
 	h.messenger = messenger.New(messenger.Options{
--- a/exchanger/ended.go
+++ b/exchanger/ended.go
@@ -57,12 +57,27 @@
 		}
 		return placer.ResultUnreached
 	}
-	if d.succeeded(r) {
+	switch {
+	case r.Failure != nil && r.Failure.NoListener:
+		d.opts.Quarantine.Gone(d.opts.Timer.Now(), u.Start())
+	case d.abandoned(ctx, r):
+		d.opts.Quarantine.Left(d.opts.Timer.Now(), d.outcome.Identity, u.Start())
+		d.watcher.left(u)
+	case d.succeeded(r):
 		d.opts.Quarantine.Served(d.opts.Timer.Now(), d.outcome.Identity)
 	}
 	return forPlacement(ctx, r)
 }
 
+// abandoned tells that this host has given the attempt up while it may have been under way:
+// its caller has left, its time is over, or the upstream fell silent.
+func (d *delivery) abandoned(ctx context.Context, r dispatcher.Result) bool {
+	if d.outcome.Reason == ReasonCallerGone {
+		return true
+	}
+	return r.Verdict == dispatcher.Maybe && r.Failure != nil && (ctx.Err() != nil || r.Failure.Cause == forwarder.CauseTimeout)
+}
+
 // succeeded tells that the request was answered whole and well. A failure, though whole, does
 // not say that the request was begun: an upstream may fail all it gets at once.
 func (d *delivery) succeeded(r dispatcher.Result) bool {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -53,6 +53,8 @@
 	Quarantine Quarantine
 	// Refuses tells that nobody listens at an address any more; nil never says so.
 	Refuses func(address string) bool
+	// Gone tells the same where connections that stand say enough; nil never says so.
+	Gone func(address string) bool
 	// Ended is told of each request whose upstream has ended with it under way; nil tells
 	// nobody.
 	Ended func(e Ended)
@@ -62,14 +64,17 @@
 type Quarantine interface {
 	Standing(now time.Time, id quarantiner.Identity) quarantiner.Verdict
 	Ended(now time.Time, id quarantiner.Identity, start string, sent time.Time)
+	Left(now time.Time, id quarantiner.Identity, start string)
+	Gone(now time.Time, start string)
 	Served(now time.Time, id quarantiner.Identity)
 }
 
 // Exchanger takes requests to their answers. It is safe for concurrent use.
 type Exchanger struct {
-	opts   Options
-	gate   *scheduler.Gate // gate holds requests that no upstream can begin yet.
-	handle dispatcher.Handler[*exchange, Outcome]
+	opts    Options
+	gate    *scheduler.Gate // gate holds requests that no upstream can begin yet.
+	handle  dispatcher.Handler[*exchange, Outcome]
+	watcher watcher
 }
 
 // New returns an Exchanger.
@@ -78,7 +83,9 @@
 		opts.Quarantine = quarantiner.New(quarantiner.Options{})
 	}
 	gate := scheduler.NewGate(func(it *scheduler.Item, _ int) bool { return it.Begin() })
-	return &Exchanger{opts: opts, gate: gate, handle: dispatcher.Chain(forward, informed, routed, identified, bounded)}
+	x := &Exchanger{opts: opts, gate: gate, handle: dispatcher.Chain(forward, informed, routed, identified, bounded)}
+	x.watcher.opts = &x.opts
+	return x
 }
 
 // exchange is one request on its way.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,6 +47,7 @@
 	Status     int           // Status is the upstream's status, if it answered.
 	RetryAfter time.Duration // RetryAfter is the upstream's advice, if any.
 	Detail     string
+	NoListener bool // NoListener says that the upstream's address refuses connections: its process has ended.
 }
 
 // Attempt is one try to get a request answered.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -197,7 +197,7 @@
 		if ctx.Err() != nil {
 			cause = CauseCaller
 		}
-		return nil, &Failure{Cause: cause, Ran: RanNo, Detail: err.Error()}
+		return nil, &Failure{Cause: cause, Ran: RanNo, Detail: err.Error(), NoListener: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	p.Opened.Add(1)
 	return newPooled(conn, call.Address), nil
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -23,6 +24,17 @@
 	return answer == true
 }
 
+// Gone is Refuses for a process that may have ended a while ago: its end has closed the
+// connections to it, so that one which stands says that it lives.
+func (p *Pool) Gone(address string) bool { return !p.stands(address) && p.Refuses(address) }
+
+// stands tells that a kept connection to an address is open.
+func (p *Pool) stands(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], quiet)
+}
+
 func (p *Pool) refuses(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // TestRefuses: a process that has ended refuses; one that is there is asked once, and the
@@ -29,3 +30,26 @@
 	assert.NilError(t, gone.Close())
 	assert.Assert(t, p.Refuses(address))
 }
+
+// TestGone: a connection that stands says that a process lives, without a new one; when it is
+// closed, the address is asked.
+func TestGone(t *testing.T) {
+	p := NewPool(PoolOptions{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.Assert(t, !p.Gone(address)) // opens one
+	assert.Assert(t, !p.Gone(address))
+	assert.Equal(t, p.Opened.Load(), uint64(1))
+	conn, err := l.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	assert.Assert(t, !p.Gone(address))
+	assert.NilError(t, conn.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.Gone(address) {
+			return poll.Success()
+		}
+		return poll.Continue("the close has not arrived")
+	})
+}
--- a/quarantiner/ledger.go
+++ b/quarantiner/ledger.go
@@ -33,6 +33,13 @@
 	// mostRecords bounds what is remembered: a loss of 60 upstreams with 64 requests each
 	// leaves 3,840 suspects. Records take some 300 bytes each.
 	mostRecords = 8192
+	// leftLife is how long after a request was given up its upstream's end counts for it: one
+	// that ends upstreams does so within 0.4 s, and the end shows when the next request is sent
+	// there.
+	leftLife = time.Second
+	// mostLeft bounds how many requests are remembered that were given up in that time. A host
+	// of the size to design for serves 18 a second.
+	mostLeft = 1024
 	// mostServed is how many identities of served requests are remembered at least, twice as
 	// many at most. A host of the size to design for serves 18 a second: 230 s.
 	mostServed = 4096
@@ -75,6 +82,14 @@
 	news    map[Identity]struct{} // news are identities of which the other hosts are to hear.
 	digest  uint64
 	served  recent
+	left    []departure // left are requests that were given up lately, in order.
+}
+
+// departure is a request that was given up while it was under way at a start of an upstream.
+type departure struct {
+	id    Identity
+	start string
+	at    time.Time
 }
 
 // New returns a ledger that knows nothing.
@@ -105,12 +120,54 @@
 func (l *Ledger) Ended(now time.Time, id Identity, start string, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.served.has(id) {
-		return // one that ends upstreams was never served
-	}
+	l.departed(now, map[string]bool{start: true})
 	if r := l.records[id]; r != nil && now.Sub(r.seen) < oneEvent && !sent.Before(r.seen) {
 		return
 	}
+	l.count(now, id, start)
+}
+
+// Left takes in that a request was given up here, by its caller or for its time, while it may
+// have been under way at a start of an upstream. If that ends soon, the request counts among
+// those that were: callers that break off and come again would else end one upstream after the
+// other unseen.
+func (l *Ledger) Left(now time.Time, id Identity, start string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if over := len(l.left) - mostLeft + 1; over > 0 {
+		l.left = l.left[over:]
+	}
+	l.left = append(l.left, departure{id: id, start: start, at: now})
+}
+
+// Gone takes in that a start of an upstream has ended, with no request of this host under way.
+func (l *Ledger) Gone(now time.Time, start string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.departed(now, map[string]bool{start: true})
+}
+
+// departed counts the ends of starts of upstreams for requests that were given up there just
+// before; l.mu is held.
+func (l *Ledger) departed(now time.Time, ended map[string]bool) {
+	fresh := slices.IndexFunc(l.left, func(d departure) bool { return now.Sub(d.at) < leftLife })
+	if fresh < 0 {
+		l.left = nil
+		return
+	}
+	l.left = l.left[fresh:]
+	for _, d := range l.left {
+		if ended[d.start] {
+			l.count(now, d.id, d.start)
+		}
+	}
+}
+
+// count counts an end that this host has seen; l.mu is held.
+func (l *Ledger) count(now time.Time, id Identity, start string) {
+	if l.served.has(id) {
+		return // one that ends upstreams was never served
+	}
 	if l.change(now, id, func(r *record) bool { return r.add(start) }) {
 		l.records[id].seen = now
 		l.tell(id)
@@ -157,6 +214,9 @@
 func (l *Ledger) Hear(now time.Time, words []Word) (barred []Word) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.left) > 0 {
+		l.departed(now, endsOf(words))
+	}
 	for _, w := range words {
 		if w.Age < w.life() {
 			free := !l.barred(w.Identity)
--- a/quarantiner/ledger_test.go
+++ b/quarantiner/ledger_test.go
@@ -22,7 +22,7 @@
 
 type step struct {
 	Host  string            // Host is where it happens.
-	Do    string            // Do is "ended REQUEST START" or "ended REQUEST START RUN", "served REQUEST", "lift REQUEST" or "tell HOST".
+	Do    string            // Do is "ended REQUEST START" or "ended REQUEST START RUN", "left REQUEST START", "gone REQUEST START", "served REQUEST", "lift REQUEST" or "tell HOST".
 	After duration.Duration // After is the time that passes before; a second if it is not set.
 	Want  string            // Want is what the host thinks of the request afterwards, if it names one.
 }
@@ -73,6 +73,10 @@
 		switch verb[0] {
 		case "ended":
 			l.Ended(now, named(verb[1]), verb[2], sentAt(t, now, s, verb))
+		case "left":
+			l.Left(now, named(verb[1]), verb[2])
+		case "gone":
+			l.Gone(now, verb[2])
 		case "served":
 			l.Served(now, named(verb[1]))
 		case "lift":
--- a/quarantiner/word.go
+++ b/quarantiner/word.go
@@ -18,6 +18,17 @@
 	Age      time.Duration `cbor:"4,keyasint,omitempty"` // Age is how long ago the last end was heard of.
 }
 
+// endsOf returns all starts of upstreams that words name as ended.
+func endsOf(words []Word) map[string]bool {
+	ends := make(map[string]bool)
+	for _, w := range words {
+		for _, start := range w.Ends {
+			ends[start] = true
+		}
+	}
+	return ends
+}
+
 // record is what is known of one identity.
 type record struct {
 	ends    []string // ends are in the order in which they were heard of.
