Doubt a weight version whose load ends engines

Where operators named a weight version whose load ends each engine, all engines of the model ended in turns, three at once, for as long as it was named: each came back with the weights of before, was behind, and was told to load the same again.

What an order does to an engine was remembered of the engine alone, whose next start is another one.

Mend: the renewer remembers of the version named under which starts of engines ended before they had shown what became of the order. With three ends, and no engine that has the version, one engine at a time is told to load it: the first at once, then after 10 s, 20 s, up to an hour. The holder of the lease tells the others. It holds because an engine that is back, under whichever ID, is ordered by the same rule; and a good version whose first engines ended by chance loses one load, since the first engine that has it clears it.

--- a/conductor/events.go
+++ b/conductor/events.go
@@ -188,6 +188,7 @@
 	NoteTakenBack      NoteKind = logger.ZoneTakenBack
 	NoteHostChanged    NoteKind = logger.HostChanged
 	NoteLapsesCounted  NoteKind = logger.LapsedEntriesRemoved
+	NoteVersionDoubted NoteKind = logger.VersionDoubted
 	NoteListingApplied NoteKind = logger.ListingApplied
 )
 
--- a/conductor/renewal.go
+++ b/conductor/renewal.go
@@ -7,6 +7,8 @@
 	"maps"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/renewer"
 	"amaranthgate.example/amaranthgate/tracker"
@@ -41,6 +43,12 @@
 			n.renewed(done)
 			continue
 		}
+		if d, ok := c.(renewer.Doubted); ok {
+			n.do(Note{What: NoteVersionDoubted, Key: d.Model, Err: errors.Errorf(
+				"%d engines have ended as they loaded version %d, the last %s; the next is ordered in %s",
+				len(d.Starts), d.Version, d.Starts[len(d.Starts)-1], d.Pause)})
+			continue
+		}
 		n.do(Renew{Command: c})
 		if _, ok := c.(renewer.Order); ok {
 			ordered = true
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -34,6 +34,7 @@
 	MessageRefused       = "MessageRefused"
 	NamingsUnnoted       = "NamingsUnnoted"
 	NamingsUnread        = "NamingsUnread"
+	VersionDoubted       = "VersionDoubted"
 	LeaseUnread          = "LeaseUnread"
 	LeaseWritten         = "LeaseWritten"
 	OrderGiven           = "OrderGiven"
@@ -51,6 +52,6 @@
 	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
-	NamingsUnnoted, NamingsUnread, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
+	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
 }
--- a/renewer/doc.go
+++ b/renewer/doc.go
@@ -15,6 +15,8 @@
 // least busy ones come first; those ordered, and those next in line, are named to
 // all hosts so that these send new work elsewhere.
 //
+// A version under which engines end as they load it is tried with one engine at a time.
+//
 // Renewer is pure: it does no I/O, starts no goroutine, and takes the time as an
 // argument.
 //
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -67,11 +67,20 @@
 	Born    int64  `cbor:"4,keyasint,omitempty"` // Born tells which start of the engine has it.
 }
 
+// Doubted says that engines have ended as they loaded a version that none has taken.
+type Doubted struct {
+	Model   string
+	Version uint64
+	Starts  []string
+	Pause   time.Duration // Pause is how long no engine is ordered.
+}
+
 func (ReadLease) command()  {}
 func (WriteLease) command() {}
 func (Order) command()      {}
 func (Ask) command()        {}
 func (Renewed) command()    {}
+func (Doubted) command()    {}
 
 // Status is what a host tells the others.
 type Status struct {
@@ -83,6 +92,7 @@
 	Loading []string                 `cbor:"5,keyasint,omitempty"` // Loading are engines that were ordered to load.
 	Next    []string                 `cbor:"8,keyasint,omitempty"` // Next are those that will be ordered next.
 	Renewed []Renewed                `cbor:"6,keyasint,omitempty"`
+	Doubts  []Doubt                  `cbor:"9,keyasint,omitempty"` // Doubts are versions under which engines have ended.
 }
 
 // Input is what a step depends on.
@@ -100,6 +110,8 @@
 	ordered time.Time // ordered is when the last order was sent.
 	again   time.Time // again is when another may be sent.
 	loading bool      // loading tells that an order was accepted, or may have been.
+	since   time.Time // since is when the first order was sent of which nothing was shown yet.
+	taken   bool      // taken tells that the engine has not shown yet what became of the last order.
 	calling bool      // calling tells that a call is under way.
 	asked   time.Time
 }
@@ -122,6 +134,8 @@
 	holder    time.Time            // holder is when another host last said that it holds the lease.
 	loading   map[string]time.Time // loading is until when the holder's word on engines that load counts.
 	soon      map[string]time.Time // soon is the same for those that are next.
+	alerts    []Command
+	doubts    map[string]*doubt // doubts has, by model, the named version if engines have ended under it.
 }
 
 // New returns a Renewer that knows nothing of the lease.
@@ -135,6 +149,7 @@
 		jobs:    make(map[string]*job),
 		loading: make(map[string]time.Time),
 		soon:    make(map[string]time.Time),
+		doubts:  make(map[string]*doubt),
 	}
 }
 
@@ -143,7 +158,7 @@
 	if r.started.IsZero() {
 		r.started = now
 	}
-	need := r.outdated(in.View)
+	need := r.outdated(now, in.View)
 	r.next = nil
 	if len(need) == 0 {
 		r.needed = time.Time{}
@@ -165,33 +180,36 @@
 		return r.acquire(now)
 	}
 	r.wasHeld = true
-	return append(r.renew(now), r.work(now, in, need)...)
+	out := append(r.renew(now), r.work(now, in, need)...)
+	out, r.alerts = append(out, r.alerts...), nil
+	return out
 }
 
 // outdated returns the engines that take work with old weights, and forgets jobs
 // of all others.
-func (r *Renewer) outdated(view *follower.View) []follower.Upstream {
+func (r *Renewer) outdated(now time.Time, view *follower.View) []follower.Upstream {
 	if view == r.settled {
 		return nil
 	}
 	var need []follower.Upstream
-	ids := make(map[string]bool)
+	there, behind := make(map[string]bool), make(map[string]bool)
 	for i := range view.Upstreams {
 		u := &view.Upstreams[i]
-		if u.Standing != follower.StandingReady {
-			continue
-		}
+		there[u.ID] = true
 		for model, has := range u.Weights {
-			if has < view.Named[model].Version {
+			r.proved(model, has)
+			if u.Standing == follower.StandingReady && has < view.Named[model].Version && !behind[u.ID] {
 				need = append(need, *u)
-				ids[u.ID] = true
-				r.job(u, model, view.Named[model].Version)
-				break
+				behind[u.ID] = true
+				r.job(now, u, model, view.Named[model].Version)
 			}
 		}
 	}
-	for id := range r.jobs {
-		if !ids[id] {
+	for id, j := range r.jobs {
+		if !there[id] {
+			r.lost(now, id, j) // one that ends comes back under another ID, or not at all
+		}
+		if !behind[id] {
 			delete(r.jobs, id)
 		}
 	}
@@ -201,15 +219,18 @@
 	return need
 }
 
-func (r *Renewer) job(u *follower.Upstream, model string, version uint64) {
+func (r *Renewer) job(now time.Time, u *follower.Upstream, model string, version uint64) {
 	j := r.jobs[u.ID]
+	if j != nil && j.born != u.Born {
+		r.lost(now, u.ID, j)
+	}
 	if j == nil || j.born != u.Born {
 		j = &job{born: u.Born}
 		r.jobs[u.ID] = j
 	}
 	if j.version != version || j.model != model {
 		j.model, j.version = model, version
-		j.again = time.Time{}
+		j.again, j.taken = time.Time{}, false
 	}
 }
 
@@ -220,9 +241,12 @@
 	})
 	atOnce := max(r.opts.AtOnce, int(r.opts.Share*float64(engines(in.View))))
 	var out []Command
-	loading := 0
+	loading, under := 0, make(map[string]int) // under counts by model those that may be loading
 	for _, u := range need {
 		j := r.jobs[u.ID]
+		if j.trying(now) {
+			under[j.model]++
+		}
 		if !j.loading {
 			continue
 		}
@@ -246,10 +270,18 @@
 			}
 			continue
 		}
-		if !r.mayOrder(now, u.ID, j) {
+		others := under[j.model]
+		if j.trying(now) {
+			others-- // it is ordered again
+		}
+		if !r.mayOrder(now, u.ID, j) || !r.mayLoad(now, j.model, j.version, others) {
 			continue
 		}
 		loading++
+		if !j.taken {
+			j.taken, j.since = true, now
+			under[j.model]++
+		}
 		j.loading, j.calling, j.ordered, j.asked = true, true, now, now
 		j.again = now.Add(orderAgain)
 		r.given[u.ID] = now
@@ -299,9 +331,9 @@
 		if j.version == o.Version {
 			return r.renewed(&o.Upstream, o.Model, o.Version)
 		}
-		j.loading, j.again = false, now
+		j.loading, j.taken, j.again = false, false, now
 	case OrderRefused:
-		j.loading = false
+		j.loading, j.taken = false, false
 		j.again = now.Add(refuseAgain)
 	}
 	return nil
@@ -318,7 +350,7 @@
 	case err != nil:
 		return nil
 	case version > 0 && version < j.version && !busy && now.Sub(j.ordered) > time.Second:
-		j.loading = false // an older order was carried out, or this one was lost
+		j.loading, j.taken = false, false // an older order was carried out, or this one was lost
 	case busy:
 		j.again = now.Add(orderAgain)
 	}
@@ -329,6 +361,7 @@
 }
 
 func (r *Renewer) renewed(u *follower.Upstream, model string, version uint64) []Command {
+	r.proved(model, version)
 	done := Renewed{ID: u.ID, Born: u.Born, Model: model, Version: version}
 	r.told = append(r.told, done)
 	return []Command{done}
--- a/renewer/status.go
+++ b/renewer/status.go
@@ -22,6 +22,7 @@
 			}
 		}
 		s.Next = append(s.Next, r.next...)
+		s.Doubts = r.doubtsNow(now)
 	}
 	if !holding && r.wasHeld {
 		// The hold has ended and nothing is sent under it any more: another host
@@ -59,6 +60,7 @@
 // Heard takes in what another host says.
 func (r *Renewer) Heard(now time.Time, s *Status) {
 	r.saw(now, s.Lease)
+	r.heardDoubts(now, s.Doubts)
 	if s.Holding {
 		r.holder = now
 	}
