--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -19,6 +19,9 @@
 // until the same request is served well, at whichever host: a bad one never is. A request that a
 // host served a while ago is not suspected by it at all.
 //
+// A request that was given up, as by a caller who leaves, may end its upstream a little later
+// with nothing under way there. It counts if that start ends within a second.
+//
 // Hosts tell each other Words, each the whole record of one identity. Merging them is a union
 // in which what is cleared stays cleared, so that their order and repeats do not matter.
 //
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -134,7 +134,7 @@
 	holder    time.Time            // holder is when another host last said that it holds the lease.
 	loading   map[string]time.Time // loading is until when the holder's word on engines that load counts.
 	soon      map[string]time.Time // soon is the same for those that are next.
-	alerts    []Command
+	alerts    []Command         // alerts are given out with the next step.
 	doubts    map[string]*doubt // doubts has, by model, the named version if engines have ended under it.
 }
 
--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -5,8 +5,8 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Digest returns a hash over the versions of all records of hosts that may be there. Hosts whose digests
-// differ exchange their records.
+// Digest returns a hash over the versions of all records of hosts that may be there. Hosts
+// whose digests differ exchange their records.
 func (h *Hosts) Digest() uint64 {
 	h.All()
 	return h.digest
