--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -134,8 +134,8 @@
 	holder    time.Time            // holder is when another host last said that it holds the lease.
 	loading   map[string]time.Time // loading is until when the holder's word on engines that load counts.
 	soon      map[string]time.Time // soon is the same for those that are next.
-	alerts    []Command         // alerts are given out with the next step.
-	doubts    map[string]*doubt // doubts has, by model, the named version if engines have ended under it.
+	alerts    []Command            // alerts are given out with the next step.
+	doubts    map[string]*doubt    // doubts has, by model, the named version if engines have ended under it.
 }
 
 // New returns a Renewer that knows nothing of the lease.
