Drop announcements of hosts that are gone for good

Where machines are replaced by others of new names, hosts that start would read ever more pages of announcements, 1.5 s each, before they find a host that is there, serve alone until then, and tell all others of hosts that do not exist.

Cause: a host writes its announcement when it starts, and nobody dropped it.

Mend: the first in rank, which reads all announcements from time to time, drops those of hosts that nobody of its group has known for 10 minutes, by the start that was announced, and only if no announcement was made since it read them. A host that was merely cut off for so long is not lost: the first in rank of its side finds its own announcement missing and writes it again.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -93,15 +95,17 @@
 	logs       map[follower.Feed][]follower.Record
 	first      map[follower.Feed]int64 // first is the first offset that is still there.
 	faults     []string
-	calls      int               // calls counts questions to the store.
-	use        float64           // use is how many cores each host uses.
-	firstStart bool              // firstStart tells hosts so.
-	apart      bool              // apart tells that hosts that start find nobody but themselves.
-	sought     int               // sought counts looks for unknown hosts.
-	cut        map[string]bool   // cut are hosts that cannot reach any that is not among them, nor be reached.
-	idle       bool              // idle tells that no host has work.
-	seen       func(PeerMessage) // seen, if set, is called with each message that arrives.
-	sent       map[string]int    // sent counts messages by sender.
+	calls      int                           // calls counts questions to the store.
+	use        float64                       // use is how many cores each host uses.
+	firstStart bool                          // firstStart tells hosts so.
+	apart      bool                          // apart tells that hosts that start find nobody but themselves.
+	sought     int                           // sought counts looks for unknown hosts.
+	cards      map[string]tracker.HostRecord // cards are the announcements.
+	cardsEnd   int64                         // cardsEnd counts changes of them.
+	cut        map[string]bool               // cut are hosts that cannot reach any that is not among them, nor be reached.
+	idle       bool                          // idle tells that no host has work.
+	seen       func(PeerMessage)             // seen, if set, is called with each message that arrives.
+	sent       map[string]int                // sent counts messages by sender.
 }
 
 const (
@@ -113,7 +117,7 @@
 
 // startCluster starts hosts that have run before, or that start for the first time.
 func startCluster(n int, firstStart bool) *cluster {
-	c := &cluster{firstStart: firstStart, now: time.Unix(5000, 0), byName: make(map[string]*simNode), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64), sent: make(map[string]int)}
+	c := &cluster{firstStart: firstStart, now: time.Unix(5000, 0), byName: make(map[string]*simNode), cards: make(map[string]tracker.HostRecord), logs: make(map[follower.Feed][]follower.Record), first: make(map[follower.Feed]int64), sent: make(map[string]int)}
 	for i := range n {
 		s := &simNode{name: fmt.Sprintf("host-%d", i+1), zone: fmt.Sprintf("zone-%d", i%3), access: accessOK}
 		c.nodes = append(c.nodes, s)
@@ -128,6 +132,7 @@
 	s.down, s.paused, s.waiting, s.inbox, s.version = false, false, nil, nil, 0
 	s.changed, s.reports = c.now, make(map[string]placer.Report)
 	self := tracker.HostRecord{Host: s.name, AvailabilityZone: s.zone, Incarnation: s.starts, State: tracker.HostLive, Peers: s.name}
+	c.announce(self)
 	s.node = NewNode(NodeOptions{
 		Self: self, Decoder: simDecoder{}, Timing: DefaultTiming(), FirstStart: c.firstStart,
 		Renewer: renewer.Options{Host: s.name, Term: 2 * time.Second, Turn: 3 * time.Second, Margin: 250 * time.Millisecond, AtOnce: 3},
@@ -147,15 +152,20 @@
 	}
 }
 
-// announced is what all hosts have announced, those that are down included.
+// announced is what hosts have announced, those that are down included.
 func (c *cluster) announced() []tracker.HostRecord {
 	var all []tracker.HostRecord
-	for _, o := range c.nodes {
-		all = append(all, tracker.HostRecord{Host: o.name, AvailabilityZone: o.zone, Incarnation: o.starts, State: tracker.HostLive, Peers: o.name})
+	for _, name := range slices.Sorted(maps.Keys(c.cards)) {
+		all = append(all, c.cards[name])
 	}
 	return all
 }
 
+func (c *cluster) announce(r tracker.HostRecord) {
+	c.cards[r.Host] = r
+	c.cardsEnd++
+}
+
 func (c *cluster) write(f follower.Feed, key, value string) {
 	log := c.logs[f]
 	c.logs[f] = append(log, follower.Record{Key: key, Value: []byte(value), Offset: int64(len(log))})
@@ -261,7 +271,16 @@
 			s.waiting = append(s.waiting, &simRead{read: a, asked: c.now, ends: c.now.Add(a.Wait), swallow: s.access == accessSilent})
 		case Seek:
 			c.sought++
-			s.inbox = append(s.inbox, HostsSought{Hosts: c.announced()})
+			s.inbox = append(s.inbox, HostsSought{Hosts: c.announced(), Whole: true, End: c.cardsEnd})
+		case Announce:
+			c.announce(s.node.opts.Self)
+		case Retract:
+			if a.End == c.cardsEnd {
+				for _, r := range a.Hosts {
+					delete(c.cards, r.Host)
+					c.cardsEnd++
+				}
+			}
 		case PublishView:
 			if t := a.View.Table; t != nil {
 				if t.Version() < s.version {
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -45,8 +45,12 @@
 // HostsFound names hosts that may be there: from settings or from the store.
 type HostsFound struct{ Hosts []tracker.HostRecord }
 
-// HostsSought is all that hosts have announced, some of them long ago.
-type HostsSought struct{ Hosts []tracker.HostRecord }
+// HostsSought is what hosts have announced, some of them long ago.
+type HostsSought struct {
+	Hosts []tracker.HostRecord
+	Whole bool  // Whole tells that all announcements were read.
+	End   int64 // End is the offset after the newest announcement when the first was read.
+}
 
 // WorkReported is what this host has under way, for the others.
 type WorkReported struct {
@@ -133,6 +137,15 @@
 // Seek asks the store for all announcements of hosts.
 type Seek struct{}
 
+// Announce writes this host's announcement again.
+type Announce struct{}
+
+// Retract drops announcements of hosts that are gone for good.
+type Retract struct {
+	Hosts []tracker.HostRecord
+	End   int64 // End is the offset after the newest announcement; later ones forbid it.
+}
+
 // PublishView gives traffic a new view.
 type PublishView struct{ View *follower.View }
 
@@ -197,6 +210,8 @@
 func (TakeStore) action()     {}
 func (Read) action()          {}
 func (Seek) action()          {}
+func (Announce) action()      {}
+func (Retract) action()       {}
 func (PublishView) action()   {}
 func (PublishHosts) action()  {}
 func (TakeReport) action()    {}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -36,9 +36,10 @@
 	Read(ctx context.Context, f follower.Feed, from int64, wait time.Duration) (follower.News, error)
 	// Announce writes what other hosts need to find this one.
 	Announce(ctx context.Context, host string, card []byte) error
-	// Announced returns a page of what hosts have announced, by name, from behind a
-	// name on, and where the next page begins; empty if none follows.
-	Announced(ctx context.Context, after string) (cards map[string][]byte, next string, err error)
+	// Announced returns a page of what hosts have announced, by name, from behind a name on.
+	Announced(ctx context.Context, after string) (tracker.Announcements, error)
+	// Retract drops an announcement if the newest of all ends at an offset.
+	Retract(ctx context.Context, name string, at int64) error
 	// Note keeps a value under a key, for hosts that start after a loss of all; Notes
 	// returns all of them.
 	Note(ctx context.Context, key string, value []byte) error
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -142,6 +142,10 @@
 		h.goDo(func() { h.read(a) })
 	case Seek:
 		h.goDo(h.seek)
+	case Announce:
+		h.goDo(h.announce)
+	case Retract:
+		h.goDo(func() { h.retract(a) })
 	case PublishView:
 		h.view.Store(a.View)
 		h.placer.Update(a.View)
--- a/conductor/meet.go
+++ b/conductor/meet.go
@@ -30,21 +30,21 @@
 	}
 }
 
-// announced is the name of this host's announcement. Names of larger hosts come first.
-func (h *Host) announced() string {
+// announcedAs is the name of a host's announcement. Names of larger hosts come first.
+func announcedAs(r tracker.HostRecord) string {
 	const mostCores, unit = 1000, 1000
-	size := mostCores*unit - int(unit*min(h.node.opts.Self.Cores, mostCores))
-	return fmt.Sprintf("%07d/%s", size, h.opts.Settings.Host)
+	size := mostCores*unit - int(unit*min(r.Cores, mostCores))
+	return fmt.Sprintf("%07d/%s", size, r.Host)
 }
 
 // findAfter reads the page of announcements that begins behind a name, as often as it
 // takes. It returns where the next page begins; empty if none follows.
 func (h *Host) findAfter(name string) string {
 	for h.ctx.Err() == nil {
-		cards, next, err := h.opts.Store.Announced(h.ctx, name)
+		page, err := h.opts.Store.Announced(h.ctx, name)
 		if err == nil {
-			h.post(HostsFound{Hosts: h.records(cards)})
-			return next
+			h.post(HostsFound{Hosts: h.records(page.Cards)})
+			return page.Next
 		}
 		h.log.Warn().Err(err).Msg(logger.HostsUnread)
 		pause(h.ctx, h.opts.Timing.Again)
@@ -59,7 +59,7 @@
 		panic("conductor: host record cannot be encoded: " + err.Error())
 	}
 	for h.ctx.Err() == nil {
-		if err = h.opts.Store.Announce(h.ctx, h.announced(), card); err == nil {
+		if err = h.opts.Store.Announce(h.ctx, announcedAs(h.node.opts.Self), card); err == nil {
 			return
 		}
 		h.log.Warn().Err(err).Msg(logger.HostsUnread)
@@ -70,19 +70,39 @@
 // seek reads all announcements once, for hosts that are known to none of those that this
 // one knows.
 func (h *Host) seek() {
-	var all []tracker.HostRecord
-	for next, first := "", true; first || next != ""; first = false {
+	var ev HostsSought
+	for next := ""; ; {
 		asked := h.opts.Timer.Now()
-		cards, after, err := h.opts.Store.Announced(h.ctx, next)
+		page, err := h.opts.Store.Announced(h.ctx, next)
 		h.counters.store("announced", asked, h.opts.Timer.Now(), err)
 		if err != nil {
 			h.log.Warn().Err(err).Msg(logger.HostsUnread)
 			break // the next look reads them again
 		}
-		all = append(all, h.records(cards)...)
-		next = after
+		if next == "" {
+			ev.End = page.End
+		}
+		ev.Hosts = append(ev.Hosts, h.records(page.Cards)...)
+		if next = page.Next; next == "" {
+			ev.Whole = true
+			break
+		}
+	}
+	h.post(ev)
+}
+
+// retract drops announcements of hosts that are gone for good, unless others were made since
+// they were read.
+func (h *Host) retract(a Retract) {
+	for i, r := range a.Hosts {
+		asked := h.opts.Timer.Now()
+		err := h.opts.Store.Retract(h.ctx, announcedAs(r), a.End+int64(i))
+		h.counters.store("retract", asked, h.opts.Timer.Now(), err)
+		if err != nil {
+			return // after the next look
+		}
+		h.log.Info().Str("Peer", r.Host).Msg(logger.HostRetracted)
 	}
-	h.post(HostsSought{Hosts: all})
 }
 
 // records returns the readable ones of announcements.
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -131,7 +131,7 @@
 		n.found = now
 		n.mergeHosts(now, "", ev.Hosts)
 	case HostsSought:
-		n.knock(now, ev.Hosts)
+		n.sought(now, ev)
 	case WorkReported:
 		n.reportWork(now, ev)
 	case StoreHeard:
--- a/conductor/seek.go
+++ b/conductor/seek.go
@@ -20,7 +20,8 @@
 // work, shares limits and remembers bad requests by itself, for as long as it runs.
 //
 // So the first in rank of each group reads the announcements again and greets those it does
-// not know. Each group has such a host, whatever it consists of.
+// not know. Each group has such a host, whatever it consists of. It also drops announcements of
+// hosts that are gone for good.
 
 const (
 	// seekFirst is how long after its start a host first looks for others that it does not
@@ -29,9 +30,13 @@
 	// seekLongest bounds the time between two looks; it doubles from look to look. Groups
 	// arise when hosts start, so that a look later on seldom finds any.
 	seekLongest = 30 * time.Second
-	// mostSought bounds how many hosts one look greets: one that answers tells of all others,
-	// and announcements of hosts that are gone stay.
+	// mostSought bounds how many hosts one look greets: one that answers tells of all others.
 	mostSought = 16
+	// announcedLife is how long a host must have been unknown before its announcement is
+	// dropped. Without that, where machines are replaced by others of new names, hosts that
+	// start would read ever more pages, 1.5 s each, before they find one that is there. A host
+	// that was only cut off announces itself again, as the first in rank of its side.
+	announcedLife = 10 * time.Minute
 )
 
 // seeks remembers when this host looks for others that it does not know.
@@ -39,12 +44,19 @@
 	pause time.Duration // pause is the time until the next look is due after this one.
 	due   time.Time
 	count int
+	// absent is since when announced hosts are unknown, and by which start.
+	absent map[string]absence
+}
+
+type absence struct {
+	incarnation uint64
+	since       time.Time
 }
 
 // seek asks for all announcements when that is due and up to this host.
 func (n *Node) seek(now time.Time) {
 	if n.seeks.due.IsZero() {
-		n.seeks = seeks{pause: seekFirst, due: now.Add(seekFirst)}
+		n.seeks = seeks{pause: seekFirst, due: now.Add(seekFirst), absent: make(map[string]absence)}
 	}
 	if now.Before(n.seeks.due) || tracker.Place(n.paths().serving.Hosts(), n.opts.Self.Host, "seeker") > 0 {
 		return
@@ -55,15 +67,47 @@
 	n.do(Seek{})
 }
 
-// knock greets hosts of the announcements that this host does not know. Only those that
-// answer are told on to others: the rest may be gone for long.
-func (n *Node) knock(now time.Time, announced []tracker.HostRecord) {
+// sought takes in all announcements.
+func (n *Node) sought(now time.Time, ev HostsSought) {
 	var strangers []tracker.HostRecord
-	for _, r := range announced {
-		if _, known := n.hosts.Lookup(r.Host); !known && r.Peers != "" {
+	announced := false
+	for _, r := range ev.Hosts {
+		_, known := n.hosts.Lookup(r.Host)
+		announced = announced || r.Host == n.opts.Self.Host
+		if !known && r.Peers != "" {
 			strangers = append(strangers, r)
 		}
 	}
+	if ev.Whole && !announced {
+		n.do(Announce{})
+	}
+	n.knock(now, strangers)
+	if gone := n.goneForGood(now, strangers); ev.Whole && len(gone) > 0 {
+		n.do(Retract{Hosts: gone, End: ev.End})
+	}
+}
+
+// goneForGood returns the hosts among unknown ones that have been unknown for long.
+func (n *Node) goneForGood(now time.Time, strangers []tracker.HostRecord) []tracker.HostRecord {
+	absent := make(map[string]absence, len(strangers))
+	var gone []tracker.HostRecord
+	for _, r := range strangers {
+		a, ok := n.seeks.absent[r.Host]
+		if !ok || a.incarnation != r.Incarnation {
+			a = absence{incarnation: r.Incarnation, since: now}
+		}
+		absent[r.Host] = a
+		if now.Sub(a.since) >= announcedLife {
+			gone = append(gone, r)
+		}
+	}
+	n.seeks.absent = absent
+	return gone
+}
+
+// knock greets unknown hosts. Only those that answer are told on to others: the rest may be
+// gone for long.
+func (n *Node) knock(now time.Time, strangers []tracker.HostRecord) {
 	if len(strangers) == 0 {
 		return
 	}
--- a/conductor/seek_test.go
+++ b/conductor/seek_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/tracker"
 )
 
 // inTouch is how long hosts may take to know each other: the time after which the users
@@ -84,10 +85,7 @@
 func TestSeekingIsRare(t *testing.T) {
 	const here, gone, minutes = 8, 100, 5
 	c := newCluster(here)
-	for i := range gone {
-		s := &simNode{name: fmt.Sprintf("gone-%d", i), down: true}
-		c.nodes, c.byName[s.name] = append(c.nodes, s), s
-	}
+	c.announceGone(gone)
 	c.run(minutes * time.Minute)
 	const doubling = 5 // doubling is the number of looks before the interval is the longest.
 	assert.Assert(t, c.sought <= minutes*int(time.Minute/seekLongest)+doubling, "%d looks", c.sought)
@@ -96,3 +94,38 @@
 		assert.Equal(t, len(s.node.hosts.Live()), here)
 	}
 }
+
+// announceGone adds announcements of hosts that have ended.
+func (c *cluster) announceGone(n int) {
+	for i := range n {
+		s := &simNode{name: fmt.Sprintf("gone-%d", i), down: true}
+		c.nodes, c.byName[s.name] = append(c.nodes, s), s
+		c.announce(tracker.HostRecord{Host: s.name, Incarnation: 1, State: tracker.HostLive, Peers: s.name})
+	}
+}
+
+// TestAnnouncementsOfGoneHostsAreDropped: announcements of hosts that nobody has known for
+// long are dropped, and no others.
+func TestAnnouncementsOfGoneHostsAreDropped(t *testing.T) {
+	const here, gone = 3, 100
+	c := newCluster(here)
+	c.announceGone(gone)
+	c.run(announcedLife - time.Minute)
+	assert.Equal(t, len(c.cards), here+gone)
+	c.run(3 * time.Minute)
+	assert.Equal(t, len(c.cards), here)
+}
+
+// TestCutHostsAnnounceThemselvesAgain: of two sides that each drop the other's announcements
+// during a long cut, enough stay for them to meet afterwards, without any connection that was
+// kept trying.
+func TestCutHostsAnnounceThemselvesAgain(t *testing.T) {
+	c := newCluster(4)
+	c.cut = map[string]bool{c.nodes[0].name: true, c.nodes[1].name: true}
+	c.run(announcedLife + 2*time.Minute)
+	c.cut = nil
+	c.run(seekLongest + inTouch)
+	for _, s := range c.nodes {
+		assert.Equal(t, len(s.node.hosts.Live()), 4, s.name)
+	}
+}
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -30,6 +30,7 @@
 	LapsedEntriesRemoved = "LapsedEntriesRemoved"
 	HostChanged          = "HostChanged"
 	HostsUnread          = "HostsUnread"
+	HostRetracted        = "HostRetracted"
 	HostRecordUnreadable = "HostRecordUnreadable"
 	MessageRefused       = "MessageRefused"
 	NamingsUnnoted       = "NamingsUnnoted"
@@ -51,7 +52,7 @@
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
 	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
-	HostChanged, HostsUnread, HostRecordUnreadable, MessageRefused,
+	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
 }
