Read before announcing, so that hosts that start together meet

Cause: hosts announced themselves before they read of others. All announcements are appended to one partition, which takes 250 a second and lets 2 s of them wait. 985 appends at once fill it; a host gave its call up after 1 s, while the store carried it out later, and appended again 0.25 s after that, at a fixed pace. So the partition stayed full, no host ever came to read, and each took itself for the whole fleet: it read all feeds, asked all 71 stores of kept context, and so on. What grew faster than the fleet: nothing; what held only while it was small is that 2 s of appends are enough for all hosts (500 of them).

Why it holds: a host reads first, and announces itself only while fewer than 48 others are announced; hosts of a first start read at times drawn over 1 s; pauses after failures grow and are drawn as well; an append may wait as long as the store lets it. 985 hosts make 76 appends, 2,000 make 162, where the partition holds 500 (introducer.TestHerdMeets); a store that turned all away for 20 s is met with half a call a host and second, and all meet within 6 s of its return. The first in rank has others announce themselves when introducers are gone. A host that knows nobody yet no longer counts as serving, and asks the store for nothing else.

Weighed: announcements spread over partitions (985 appends at once, and at twice the size again as many calls), the platform's seeds (three hosts that each get 985 connections, and that may be down).

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -152,6 +152,17 @@
 	}
 }
 
+// found is what a host that starts reads of announcements.
+func (c *cluster) found(s *simNode) HostsFound {
+	switch {
+	case s.access != accessOK:
+		return HostsFound{Err: errors.New("refused")}
+	case c.apart:
+		return HostsFound{Hosts: []tracker.HostRecord{s.node.opts.Self}}
+	}
+	return HostsFound{Hosts: c.announced()}
+}
+
 // announced is what hosts have announced, those that are down included.
 func (c *cluster) announced() []tracker.HostRecord {
 	var all []tracker.HostRecord
@@ -269,11 +280,14 @@
 		case Read:
 			c.calls++
 			s.waiting = append(s.waiting, &simRead{read: a, asked: c.now, ends: c.now.Add(a.Wait), swallow: s.access == accessSilent})
+		case Find:
+			s.inbox = append(s.inbox, c.found(s))
 		case Seek:
 			c.sought++
 			s.inbox = append(s.inbox, HostsSought{Hosts: c.announced(), Whole: true, End: c.cardsEnd})
 		case Announce:
 			c.announce(s.node.opts.Self)
+			s.inbox = append(s.inbox, Announced{})
 		case Retract:
 			if a.End == c.cardsEnd {
 				for _, r := range a.Hosts {
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -42,8 +42,15 @@
 	Address string // Address is that for other hosts.
 }
 
-// HostsFound names hosts that may be there: from settings or from the store.
-type HostsFound struct{ Hosts []tracker.HostRecord }
+// HostsFound is the end of a Find: a page of announcements of hosts that may be there.
+type HostsFound struct {
+	Hosts []tracker.HostRecord
+	Next  string // Next is where the next page begins; empty if none follows.
+	Err   error
+}
+
+// Announced is the end of an Announce.
+type Announced struct{ Err error }
 
 // HostsSought is what hosts have announced, some of them long ago.
 type HostsSought struct {
@@ -94,6 +101,7 @@
 func (PeerMessage) event()     {}
 func (PeerUp) event()          {}
 func (HostsFound) event()      {}
+func (Announced) event()       {}
 func (HostsSought) event()     {}
 func (WorkReported) event()    {}
 func (RenewalEnd) event()      {}
@@ -134,10 +142,13 @@
 	Wait time.Duration // Wait is how long the store may wait for a record.
 }
 
+// Find asks the store for the page of announcements that begins behind a name.
+type Find struct{ After string }
+
 // Seek asks the store for all announcements of hosts.
 type Seek struct{}
 
-// Announce writes this host's announcement again.
+// Announce writes this host's announcement.
 type Announce struct{}
 
 // Retract drops announcements of hosts that are gone for good.
@@ -209,6 +220,7 @@
 func (Spread) action()        {}
 func (TakeStore) action()     {}
 func (Read) action()          {}
+func (Find) action()          {}
 func (Seek) action()          {}
 func (Announce) action()      {}
 func (Retract) action()       {}
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -13,21 +13,22 @@
 
 // feed is how far a host knows one feed of the store.
 type feed struct {
-	known   bool      // known tells that a listing was taken in.
-	next    int64     // next is the offset after the last record taken in.
-	fresh   time.Time // fresh is when what is known was the newest.
-	reading bool
-	failing bool
-	again   time.Time // again is when the store may be asked after a failure.
-	asked   time.Time // asked is when another host was asked last.
-	behind  time.Time // behind is since when another host knows more.
-	newest  map[string]known
-	dropped map[string]int64 // dropped are keys whose records were dropped, with the offset of that.
-	since   int64            // since is the offset from which on dropped has all.
-	shared  handover
-	heard   bool                 // heard tells that another host has told a page since this one last read.
-	alone   bool                 // alone tells that none did between this host's last two readings.
-	noted   map[string]time.Time // noted is when a line was written about an unreadable record of a key.
+	known    bool      // known tells that a listing was taken in.
+	next     int64     // next is the offset after the last record taken in.
+	fresh    time.Time // fresh is when what is known was the newest.
+	reading  bool
+	failing  bool
+	failures int       // failures counts those in a row.
+	again    time.Time // again is when the store may be asked after a failure.
+	asked    time.Time // asked is when another host was asked last.
+	behind   time.Time // behind is since when another host knows more.
+	newest   map[string]known
+	dropped  map[string]int64 // dropped are keys whose records were dropped, with the offset of that.
+	since    int64            // since is the offset from which on dropped has all.
+	shared   handover
+	heard    bool                 // heard tells that another host has told a page since this one last read.
+	alone    bool                 // alone tells that none did between this host's last two readings.
+	noted    map[string]time.Time // noted is when a line was written about an unreadable record of a key.
 }
 
 func newFeed() *feed {
@@ -42,7 +43,7 @@
 
 // readFeed asks the store for more of a feed if that is this host's turn.
 func (n *Node) readFeed(now time.Time, name follower.Feed, f *feed) {
-	if f.reading || now.Before(f.again) || !f.known && n.othersTell(now) {
+	if f.reading || now.Before(f.again) || !f.known && n.othersTell(now, name) {
 		return
 	}
 	r := Read{Feed: name, Full: !f.known, From: f.next}
@@ -71,7 +72,7 @@
 	if f.failing {
 		n.do(Note{What: NoteStoreBack, Feed: ev.News.Feed, Age: now.Sub(f.fresh)})
 	}
-	f.failing = false
+	f.failing, f.failures = false, 0
 	n.state.Answered(now)
 	asOf := covered(now, ev)
 	f.alone, f.heard = !ev.News.Full && !f.heard, false
@@ -104,7 +105,8 @@
 		n.do(Note{What: NoteStoreLost, Feed: ev.News.Feed, Age: now.Sub(f.fresh), Err: ev.Err})
 	}
 	f.failing = true
-	f.again = now.Add(n.againTime(ev.News.Feed))
+	f.failures++
+	f.again = now.Add(n.againTime(ev.News.Feed, f.failures))
 	n.state.Failed()
 }
 
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -58,11 +58,11 @@
 	return n.opts.Timing.AskAll
 }
 
-// wantStores asks for all that a host knows of stores, wantKept for all that it knows of
-// kept context.
+// What one host asks of another besides pages.
 const (
-	wantStores = "Stores"
-	wantKept   = "Kept"
+	wantStores   = "Stores"   // wantStores asks for all that it knows of stores.
+	wantKept     = "Kept"     // wantKept asks for all that it knows of kept context.
+	wantAnnounce = "Announce" // wantAnnounce asks it to announce itself.
 )
 
 func (n *Node) askStores(now time.Time, host string) {
@@ -81,6 +81,9 @@
 	if slices.Contains(wants, wantKept) {
 		n.send(to, n.kept())
 	}
+	if slices.Contains(wants, wantAnnounce) {
+		n.do(Announce{})
+	}
 }
 
 // handOver tells another host what it lacks of feeds: what changed since, or all.
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -114,7 +114,6 @@
 	urgent    chan struct{} // urgent asks for a report at once.
 	eased     chan struct{} // eased asks to look whether upstreams can begin requests that wait.
 	leaving   atomic.Bool
-	met       atomic.Bool // met tells that another host has spoken.
 	keeper    atomic.Bool // keeper tells that this host is first in rank to free kept context.
 	open      atomic.Int64
 	started   time.Time
@@ -151,9 +150,10 @@
 	h.view.Store(&follower.View{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
 	h.unheard.Store(&map[string]bool{})
-	h.keeper.Store(true) // until it finds others
-	alone := activator.Select([]tracker.HostRecord{self}, nil)
-	h.serving.Store(&alone)
+	// Until the node says who serves, this host is none of them: one that took itself for the
+	// only one would ask all stores of kept context for their news, and 985 that start together
+	// asked each 985 times.
+	h.serving.Store(&activator.Selection{})
 	h.exchanger = exchanger.New(exchanger.Options{
 		Beliefs:    &h.view,
 		Placer:     h.placer,
@@ -178,7 +178,6 @@
 }
 
 func (h *Host) receive(from string, m *messenger.Message) {
-	h.met.Store(true)
 	h.post(PeerMessage{From: from, Message: m})
 }
 
@@ -209,7 +208,6 @@
 		}
 	}
 	h.goDo(h.loop)
-	h.goDo(h.meet)
 	h.goDo(h.keepStores)
 	h.goDo(h.reportUrgently)
 	h.goDo(h.reportEnds)
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -114,6 +114,7 @@
 
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
 	m := ev.Message
+	n.introducer.Met()
 	n.hostsDirty = n.hosts.Heard(now, ev.From) || n.hostsDirty
 	if n.delays.late(now, ev.From) {
 		m = m.WithNews(undated(m.News))
--- a/conductor/kept.go
+++ b/conductor/kept.go
@@ -64,7 +64,7 @@
 
 func (h *Host) watchStore(ctx context.Context, address string) {
 	var since, epoch int64
-	up := false
+	up, again := false, h.opts.Timing.Again
 	for ctx.Err() == nil {
 		news, next, err := h.askStore(ctx, address, since, epoch)
 		if ctx.Err() != nil {
@@ -77,9 +77,11 @@
 		if err != nil {
 			h.placer.StoreLost(address)
 			h.post(StoreHeard{Report: placer.StoreReport{Address: address, Lost: true}})
-			pause(ctx, h.opts.Timing.Again)
+			pause(ctx, again)
+			again = min(2*again, longestAgain)
 			continue
 		}
+		again = h.opts.Timing.Again
 		since, epoch = next, news.Epoch
 		h.placer.StoreHeard(h.opts.Timer.Now(), address, news)
 		h.post(StoreHeard{Report: placer.StoreReport{Address: address, News: news}})
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -140,6 +140,8 @@
 		}
 	case Read:
 		h.goDo(func() { h.read(a) })
+	case Find:
+		h.goDo(func() { h.find(a.After) })
 	case Seek:
 		h.goDo(h.seek)
 	case Announce:
--- a/conductor/meet.go
+++ b/conductor/meet.go
@@ -9,47 +9,55 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/internal/codec"
+	"amaranthgate.example/amaranthgate/introducer"
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
-// introduceTime is how long a host that has read some announcements waits for another
-// host to speak, before it reads more of them.
-const introduceTime = 1500 * time.Millisecond
-
-// meet announces this host and finds others. Hosts tell each other of all, so that one
-// page of announcements is enough where any of the hosts on it is there. The first has
-// the largest hosts, which serve callers. With pages of 50, 295 hosts that start together
-// read 295 pages instead of 1,770.
-func (h *Host) meet() {
-	h.announce()
-	for next := h.findAfter(""); next != ""; next = h.findAfter(next) {
-		if pause(h.ctx, introduceTime); h.met.Load() || h.ctx.Err() != nil {
-			return
+// meet takes the next step towards the other hosts.
+func (n *Node) meet(now time.Time) {
+	if n.introducer.Over() {
+		return
+	}
+	switch n.introducer.Next(now) {
+	case introducer.CallFind:
+		n.do(Find{After: n.introducer.After()})
+	case introducer.CallAnnounce:
+		n.do(Announce{})
+	case introducer.CallNone:
+		if n.introducer.Over() {
+			n.hostsDirty = true // a host that is alone learns here that it is
 		}
 	}
 }
 
-// announcedAs is the name of a host's announcement. Names of larger hosts come first.
+// hostsFound takes in a page of announcements.
+func (n *Node) hostsFound(now time.Time, ev HostsFound) {
+	n.introducer.Found(now, introducer.Page{Hosts: ev.Hosts, Next: ev.Next}, ev.Err)
+	if ev.Err != nil {
+		return
+	}
+	n.found = now
+	n.mergeHosts(now, "", ev.Hosts)
+}
+
+// announcedAs is the name of a host's announcement. Names of larger hosts come first: they
+// serve callers, and so hear of the other hosts first.
 func announcedAs(r tracker.HostRecord) string {
 	const mostCores, unit = 1000, 1000
 	size := mostCores*unit - int(unit*min(r.Cores, mostCores))
 	return fmt.Sprintf("%07d/%s", size, r.Host)
 }
 
-// findAfter reads the page of announcements that begins behind a name, as often as it
-// takes. It returns where the next page begins; empty if none follows.
-func (h *Host) findAfter(name string) string {
-	for h.ctx.Err() == nil {
-		page, err := h.opts.Store.Announced(h.ctx, name)
-		if err == nil {
-			h.post(HostsFound{Hosts: h.records(page.Cards)})
-			return page.Next
-		}
+// find reads the page of announcements that begins behind a name.
+func (h *Host) find(after string) {
+	asked := h.opts.Timer.Now()
+	page, err := h.opts.Store.Announced(h.ctx, after)
+	h.counters.store("announced", asked, h.opts.Timer.Now(), err)
+	if err != nil {
 		h.log.Warn().Err(err).Msg(logger.HostsUnread)
-		pause(h.ctx, h.opts.Timing.Again)
 	}
-	return ""
+	h.post(HostsFound{Hosts: h.records(page.Cards), Next: page.Next, Err: err})
 }
 
 // announce writes what other hosts need to find this one.
@@ -58,13 +66,13 @@
 	if err != nil {
 		panic("conductor: host record cannot be encoded: " + err.Error())
 	}
-	for h.ctx.Err() == nil {
-		if err = h.opts.Store.Announce(h.ctx, announcedAs(h.node.opts.Self), card); err == nil {
-			return
-		}
+	asked := h.opts.Timer.Now()
+	err = h.opts.Store.Announce(h.ctx, announcedAs(h.node.opts.Self), card)
+	h.counters.store("announce", asked, h.opts.Timer.Now(), err)
+	if err != nil {
 		h.log.Warn().Err(err).Msg(logger.HostsUnread)
-		pause(h.ctx, h.opts.Timing.Again)
 	}
+	h.post(Announced{Err: err})
 }
 
 // seek reads all announcements once, for hosts that are known to none of those that this
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -8,6 +8,7 @@
 
 	"amaranthgate.example/amaranthgate/activator"
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/introducer"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
@@ -72,6 +73,7 @@
 	began      time.Time // began is when this host first reported work to others.
 	uses       map[string]hostUse
 	gauge      activator.Gauge
+	introducer *introducer.Introducer
 	endsDiffer endsDiffer
 	seeks      seeks
 	lastStores time.Time // lastStores is when another host was asked for what it knows of stores.
@@ -105,6 +107,10 @@
 		others:   &placer.Report{},
 		sums:     &placer.Report{},
 		uses:     make(map[string]hostUse),
+		introducer: introducer.New(introducer.Options{
+			Host: opts.Self.Host, Peers: opts.Self.Peers, FirstStart: opts.FirstStart, Again: opts.Timing.Again,
+			Seed: tracker.Rank(opts.Self.Host, "introducer") + opts.Self.Incarnation,
+		}),
 
 		endsDiffer: make(endsDiffer),
 	}
@@ -128,8 +134,9 @@
 		n.hostsDirty = n.hosts.Heard(now, ev.Host) || n.hostsDirty
 		n.greet(now, ev.Host, ev.Address)
 	case HostsFound:
-		n.found = now
-		n.mergeHosts(now, "", ev.Hosts)
+		n.hostsFound(now, ev)
+	case Announced:
+		n.introducer.Announced(now, ev.Err)
 	case HostsSought:
 		n.sought(now, ev)
 	case WorkReported:
@@ -160,6 +167,7 @@
 func (n *Node) tick(now time.Time) {
 	n.wake(now)
 	n.beat(now)
+	n.meet(now)
 	n.seek(now)
 	if n.state.Expire(now) {
 		n.do(Note{What: NoteLapsesCounted, Feed: follower.FeedUpstreams})
--- a/conductor/readers.go
+++ b/conductor/readers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/follower"
+	"amaranthgate.example/amaranthgate/introducer"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -54,23 +55,47 @@
 // othersTell tells that a host that has just started can expect to hear from others
 // what the store has. 295 hosts that start at once would ask for it 590 times, and for
 // five pages or more each time.
-func (n *Node) othersTell(now time.Time) bool {
-	if n.opts.FirstStart && now.Sub(n.first) < acquaintTime {
-		return true
+func (n *Node) othersTell(now time.Time, name follower.Feed) bool {
+	if !n.introducer.Read() {
+		return now.Sub(n.first) < unreadTime
 	}
-	if n.found.IsZero() {
-		return now.Sub(n.first) < findTime
+	since, t := n.found, n.paths()
+	if acquainted := n.first.Add(acquaintTime); n.opts.FirstStart && since.Before(acquainted) {
+		since = acquainted
 	}
-	t := n.paths()
-	return !t.ours && now.Sub(n.found) < n.opts.Timing.StandbyStart+t.spread()
+	switch {
+	case !t.ours:
+		return now.Sub(since) < n.opts.Timing.StandbyStart+t.spread()
+	case t.small:
+		return now.Before(since)
+	}
+	return now.Sub(since) < n.firstTurn(t, name)
+}
+
+// firstTurn is how long an active host of a large fleet that starts waits to be told a feed: the
+// first in rank read it at once. A listing of 10,000 upstreams in pages of 200 is 50 calls, which
+// 50 active hosts would each make.
+func (n *Node) firstTurn(t *tree, name follower.Feed) time.Duration {
+	place := max(0, tracker.Place(t.active, n.opts.Self.Host, readerOf(name)))
+	if place < firstReaders {
+		return 0
+	}
+	return min(time.Duration(place)*firstStep, n.opts.Timing.StandbyStart)
 }
 
+const (
+	firstReaders = 2 // firstReaders is the number of active hosts that read a feed at once when they start.
+	firstStep    = 150 * time.Millisecond
+)
+
 // acquaintTime is how long hosts that all start for the first time wait to know how many
-// they are. The first of them find no announcements yet.
-const acquaintTime = 700 * time.Millisecond
+// they are: until all have read of others, and these were heard of.
+const acquaintTime = introducer.FirstSpread + 700*time.Millisecond
 
-// findTime is how long a host that starts waits for the list of the others.
-const findTime = 100 * time.Millisecond
+// unreadTime is how long a host that cannot read the announcements asks the store for nothing
+// else. It knows nobody, and takes itself for the first in rank of everything: 985 such hosts
+// would each read all that the store has.
+const unreadTime = 5 * time.Second
 
 // gatherTime is the least time between two questions, in which records come together.
 func (n *Node) gatherTime() time.Duration {
@@ -89,10 +114,16 @@
 	standbyAgain = 16 // standbyAgain is how many times longer hosts that stand by wait.
 )
 
-// againTime is the pause after a question that failed.
-func (n *Node) againTime(name follower.Feed) time.Duration {
+// longestAgain bounds the pause after questions that failed of a host that knows no other. Any
+// number of hosts may be in that state at once, after the store has been away at their start.
+const longestAgain = 2 * time.Second
+
+// againTime is the pause after a question that failed, the last of so many in a row.
+func (n *Node) againTime(name follower.Feed, failures int) time.Duration {
 	t, again := n.paths(), n.opts.Timing.Again
 	switch {
+	case t.small && len(n.hosts.Live()) == 1:
+		return min(again<<min(failures-1, 3), longestAgain)
 	case t.small:
 		return again
 	case !t.ours:
--- a/conductor/seek.go
+++ b/conductor/seek.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"amaranthgate.example/amaranthgate/introducer"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -26,7 +27,7 @@
 const (
 	// seekFirst is how long after its start a host first looks for others that it does not
 	// know: as long as hosts that found one are given to tell it of the rest.
-	seekFirst = introduceTime
+	seekFirst = 1500 * time.Millisecond
 	// seekLongest bounds the time between two looks; it doubles from look to look. Groups
 	// arise when hosts start, so that a look later on seldom finds any.
 	seekLongest = 30 * time.Second
@@ -81,12 +82,37 @@
 	if ev.Whole && !announced {
 		n.do(Announce{})
 	}
+	if ev.Whole {
+		n.replenish(ev.Hosts)
+	}
 	n.knock(now, strangers)
 	if gone := n.goneForGood(now, strangers); ev.Whole && len(gone) > 0 {
 		n.do(Retract{Hosts: gone, End: ev.End})
 	}
 }
 
+// replenish has hosts announce themselves when few of those that are announced are left: hosts
+// that start read of these, and announce themselves only while they are few.
+func (n *Node) replenish(announced []tracker.HostRecord) {
+	named := make(map[string]bool, len(announced))
+	for _, r := range announced {
+		named[r.Host] = true
+	}
+	live := n.hosts.Live()
+	missing := min(introducer.Introducers, len(live))
+	var others []string
+	for _, h := range live {
+		if named[h] || h == n.opts.Self.Host {
+			missing-- // this host announces itself if it is not named
+		} else {
+			others = append(others, h)
+		}
+	}
+	for _, h := range others[:max(0, min(missing, len(others)))] {
+		n.send(h, &messenger.Message{Wants: []string{wantAnnounce}})
+	}
+}
+
 // goneForGood returns the hosts among unknown ones that have been unknown for long.
 func (n *Node) goneForGood(now time.Time, strangers []tracker.HostRecord) []tracker.HostRecord {
 	absent := make(map[string]absence, len(strangers))
--- a/conductor/seek_test.go
+++ b/conductor/seek_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"amaranthgate.example/amaranthgate/introducer"
 	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -133,3 +134,19 @@
 		assert.Equal(t, len(s.node.hosts.Live()), 4, s.name)
 	}
 }
+
+// TestIntroducersAreReplenished: most hosts that were announced are not any more. Others announce
+// themselves until as many are as hosts that start shall find, and no more.
+func TestIntroducersAreReplenished(t *testing.T) {
+	const here = 2 * introducer.Introducers
+	c := newCluster(here)
+	c.idle = true
+	for _, s := range c.nodes[:here-5] {
+		delete(c.cards, s.name)
+	}
+	c.run(2 * seekFirst)
+	assert.Equal(t, len(c.cards), introducer.Introducers)
+	changes := c.cardsEnd
+	c.run(seekLongest)
+	assert.Equal(t, c.cardsEnd, changes)
+}
