Have two hosts read a listing, and the others ask those that know

What callers saw: nothing at 300 hosts; found in the model of 500 hosts, where 450 read the listing of 5,000 upstreams at their start (12,158 calls, 693 MB of the store's, the dearest bytes there are).

Cause: a host that stands by gave up waiting 1.2 s after it had found others, by its own clock. What it waits for goes from neighbour to neighbour, a heartbeat and a transfer each: that takes longer the more hosts there are.

Why it holds: two active hosts read at once; the others ask a host that says it is ready, of their own zone, another one for each; if nobody tells them they read one after the other, ten a second for the whole fleet (conductor.TestStartReadsFewListings). At twice the size: the same two listings; each active host tells twice as many, 66 at 10 active ones a zone.

Weighed: waiting longer in all hosts (only moves the herd), listings through relays (one host a zone would send 197 copies).

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -96,6 +96,7 @@
 	first      map[follower.Feed]int64 // first is the first offset that is still there.
 	faults     []string
 	calls      int                           // calls counts questions to the store.
+	wholes     int                           // wholes counts those for all that a feed has.
 	use        float64                       // use is how many cores each host uses.
 	firstStart bool                          // firstStart tells hosts so.
 	apart      bool                          // apart tells that hosts that start find nobody but themselves.
@@ -105,6 +106,7 @@
 	cut        map[string]bool               // cut are hosts that cannot reach any that is not among them, nor be reached.
 	idle       bool                          // idle tells that no host has work.
 	seen       func(PeerMessage)             // seen, if set, is called with each message that arrives.
+	to         *simNode                      // to is whom that message has reached.
 	sent       map[string]int                // sent counts messages by sender.
 }
 
@@ -199,6 +201,7 @@
 			s.inbox = nil
 			for _, ev := range inbox {
 				if m, ok := ev.(PeerMessage); ok && c.seen != nil {
+					c.to = s
 					c.seen(m)
 				}
 				c.carry(s, s.node.Handle(c.now, ev))
@@ -279,6 +282,9 @@
 			}
 		case Read:
 			c.calls++
+			if a.Full {
+				c.wholes++
+			}
 			s.waiting = append(s.waiting, &simRead{read: a, asked: c.now, ends: c.now.Add(a.Wait), swallow: s.access == accessSilent})
 		case Find:
 			s.inbox = append(s.inbox, c.found(s))
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -21,6 +21,8 @@
 	failures int       // failures counts those in a row.
 	again    time.Time // again is when the store may be asked after a failure.
 	asked    time.Time // asked is when another host was asked last.
+	handed   time.Time // handed is when a whole listing was told last; it may have been on the way for long.
+	asks     int       // asks counts questions for all of it.
 	behind   time.Time // behind is since when another host knows more.
 	newest   map[string]known
 	dropped  map[string]int64 // dropped are keys whose records were dropped, with the offset of that.
@@ -43,7 +45,10 @@
 
 // readFeed asks the store for more of a feed if that is this host's turn.
 func (n *Node) readFeed(now time.Time, name follower.Feed, f *feed) {
-	if f.reading || now.Before(f.again) || !f.known && n.othersTell(now, name) {
+	if !f.known {
+		n.askTeller(now, name, f)
+	}
+	if f.reading || now.Before(f.again) || !f.known && n.othersTell(now) {
 		return
 	}
 	r := Read{Feed: name, Full: !f.known, From: f.next}
@@ -52,7 +57,7 @@
 		switch {
 		case turn == 0 || n.paths().ours && f.goesOn(now):
 			r.Wait = n.opts.Timing.Wait // the store answers at the next record
-		case now.Sub(f.fresh) < turn:
+		case now.Sub(f.fresh) < turn || now.Sub(f.handed) < turn:
 			return
 		default:
 			f.heard = false // it takes over, and tells the others so at once
@@ -128,6 +133,7 @@
 		}
 	}
 	if news.Full {
+		f.handed = now
 		n.takeListing(now, news, f)
 	}
 	if news.Next > f.next {
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -9,6 +9,7 @@
 
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/messenger"
+	"amaranthgate.example/amaranthgate/tracker"
 )
 
 // offsets tells how far this host knows the feeds.
@@ -33,17 +34,69 @@
 		if f.behind.IsZero() {
 			f.behind = now
 		}
-		waits := f.known || n.paths().ours // a host that stands by asks nobody else
-		if waits && now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.askAgain(f) {
+		if now.Sub(f.behind) < n.opts.Timing.Behind || now.Sub(f.asked) < n.askAgain(f) || !f.known && !n.mayAsk(now) {
 			continue
 		}
-		f.asked = now
-		from := int64(allOfIt)
-		if f.known {
-			from = f.next
+		f.ask(n, now, name, host)
+	}
+}
+
+// ask asks another host for what this one lacks of a feed.
+func (f *feed) ask(n *Node, now time.Time, name follower.Feed, host string) {
+	f.asked = now
+	from := int64(allOfIt)
+	if f.known {
+		from = f.next
+	} else {
+		f.asks++
+	}
+	n.send(host, &messenger.Message{Lacks: map[follower.Feed]int64{name: from}})
+}
+
+// askTeller asks a host that is known to have all that the store has. Without it a listing goes
+// from neighbour to neighbour, a heartbeat and a transfer each, and between availability zones as
+// often as within them.
+func (n *Node) askTeller(now time.Time, name follower.Feed, f *feed) {
+	if n.paths().small || now.Sub(f.asked) < n.askAgain(f) {
+		return
+	}
+	if teller := n.teller(now); teller != "" {
+		f.ask(n, now, name, teller)
+	}
+}
+
+// teller returns the host to ask for all that the store has: one that is ready, of this host's
+// availability zone, and another one for each host that asks.
+func (n *Node) teller(now time.Time) string {
+	t := n.paths()
+	ready := n.ready(t.serving.Zones[n.opts.Self.AvailabilityZone])
+	if len(ready) == 0 && (t.ours || now.Sub(n.first) >= farTeller) {
+		ready = n.ready(t.active)
+	}
+	if len(ready) == 0 {
+		return ""
+	}
+	return ready[tracker.Rank(n.opts.Self.Host, "teller")%uint64(len(ready))]
+}
+
+// farTeller is how long after its start a host that stands by asks none of another zone.
+const farTeller = 3 * time.Second
+
+func (n *Node) ready(hosts []string) []string {
+	var out []string
+	for _, h := range hosts {
+		if r, ok := n.hosts.Lookup(h); ok && r.Ready && h != n.opts.Self.Host {
+			out = append(out, h)
 		}
-		n.send(host, &messenger.Message{Lacks: map[follower.Feed]int64{name: from}})
 	}
+	return out
+}
+
+// mayAsk tells that a host that knows nothing may ask another one that knows something: in a large
+// fleet those that stand by ask tellers.
+func (n *Node) mayAsk(now time.Time) bool {
+	t := n.paths()
+	return t.small || t.ours || now.Sub(n.first) >= farTeller
 }
 
 // allOfIt stands for the offset from which on a host that knows nothing lacks a feed.
@@ -55,9 +108,12 @@
 	if f.known || n.paths().small {
 		return n.opts.Timing.Ask
 	}
-	return n.opts.Timing.AskAll
+	return n.opts.Timing.AskAll << min(f.asks, mostDoublings)
 }
 
+// mostDoublings bounds how often the time to the next question for a whole listing doubles.
+const mostDoublings = 3
+
 // What one host asks of another besides pages.
 const (
 	wantStores   = "Stores"   // wantStores asks for all that it knows of stores.
--- a/conductor/readers.go
+++ b/conductor/readers.go
@@ -53,9 +53,10 @@
 }
 
 // othersTell tells that a host that has just started can expect to hear from others
-// what the store has. 295 hosts that start at once would ask for it 590 times, and for
-// five pages or more each time.
-func (n *Node) othersTell(now time.Time, name follower.Feed) bool {
+// what the store has. Of 500 hosts that started together 450 gave up waiting after 1.2 s and read
+// the listing of 5,000 upstreams, 26 calls and 1.7 MB each; so two read it at once, and the others
+// one after the other if nobody tells them.
+func (n *Node) othersTell(now time.Time) bool {
 	if !n.introducer.Read() {
 		return now.Sub(n.first) < unreadTime
 	}
@@ -63,29 +64,35 @@
 	if acquainted := n.first.Add(acquaintTime); n.opts.FirstStart && since.Before(acquainted) {
 		since = acquainted
 	}
-	switch {
-	case !t.ours:
-		return now.Sub(since) < n.opts.Timing.StandbyStart+t.spread()
-	case t.small:
+	if t.small {
 		return now.Before(since)
 	}
-	return now.Sub(since) < n.firstTurn(t, name)
+	return now.Sub(since) < n.firstTurn(t)
 }
 
-// firstTurn is how long an active host of a large fleet that starts waits to be told a feed: the
-// first in rank read it at once. A listing of 10,000 upstreams in pages of 200 is 50 calls, which
-// 50 active hosts would each make.
-func (n *Node) firstTurn(t *tree, name follower.Feed) time.Duration {
-	place := max(0, tracker.Place(t.active, n.opts.Self.Host, readerOf(name)))
+// firstTurn is how long a host of a large fleet that starts waits to be told what the store has.
+func (n *Node) firstTurn(t *tree) time.Duration {
+	if !t.ours {
+		return standbyTold + time.Duration(t.standby)*standbyStep
+	}
+	place := max(0, tracker.Place(t.active, n.opts.Self.Host, "reader/start"))
 	if place < firstReaders {
 		return 0
 	}
-	return min(time.Duration(place)*firstStep, n.opts.Timing.StandbyStart)
+	return activeTold + time.Duration(place)*activeStep
 }
 
 const (
-	firstReaders = 2 // firstReaders is the number of active hosts that read a feed at once when they start.
-	firstStep    = 150 * time.Millisecond
+	firstReaders = 2 // firstReaders is the number of active hosts that read the feeds at once when they start.
+	// activeTold is how long the other active hosts wait to be told, as long as two hosts may take
+	// for a listing of 10,000 upstreams and a narrow link to carry it; activeStep is added for each
+	// place.
+	activeTold = 1500 * time.Millisecond
+	activeStep = 100 * time.Millisecond
+	// standbyTold and standbyStep are the same for hosts that stand by. All of them together make
+	// one reading in standbyStep, however many they are.
+	standbyTold = 4 * time.Second
+	standbyStep = 100 * time.Millisecond
 )
 
 // acquaintTime is how long hosts that all start for the first time wait to know how many
--- a/conductor/standby_test.go
+++ b/conductor/standby_test.go
@@ -117,6 +117,44 @@
 	assert.Assert(t, c.calls <= most, "%d questions, at most %d are expected", c.calls, most)
 }
 
+// TestStartReadsFewListings: however many hosts start together, for the first time or after all
+// were killed, two of them read each feed whole. The others are told by hosts of their own
+// availability zone, so that few listings cross zones.
+func TestStartReadsFewListings(t *testing.T) {
+	for _, n := range []int{60, 200} {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprint(n, " ", first), func(t *testing.T) {
+				c := startCluster(n, true)
+				c.idle = true
+				c.write(follower.FeedOperator, "config", "version 1")
+				c.write(follower.FeedUpstreams, "u", "ready")
+				if !first {
+					c.run(8 * time.Second)
+					c.firstStart, c.wholes = false, 0
+					for _, s := range c.nodes {
+						c.start(s)
+					}
+				}
+				across := 0
+				c.seen = func(ev PeerMessage) {
+					for _, news := range ev.Message.News {
+						if news.Full && news.Feed == follower.FeedUpstreams && c.to.zone != c.byName[ev.From].zone {
+							across++
+						}
+					}
+				}
+				c.run(6 * time.Second)
+				for _, s := range c.nodes {
+					assert.Assert(t, s.node.view.Ready(), s.name)
+				}
+				assert.Assert(t, c.wholes <= 2*firstReaders, "%d listings", c.wholes)
+				active := len(c.nodes[0].node.paths().active)
+				assert.Assert(t, across <= 2*active, "%d listings to hosts of other zones", across)
+			})
+		}
+	}
+}
+
 // TestStoreAwayFromLargeFleet: the store turns all hosts away for a while. They ask few
 // questions meanwhile, and a change is known to all within 1.5 s of its return.
 func TestStoreAwayFromLargeFleet(t *testing.T) {
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -27,13 +27,10 @@
 	Gather time.Duration // Gather is the least time between two questions, in which records come together.
 	// GatherMany is Gather in a large fleet, where each page goes to all hosts.
 	GatherMany time.Duration
-	// StandbyStart is how long a host that stands by waits after its start for other
-	// hosts to tell it what they know, before it asks the store.
-	StandbyStart time.Duration
-	Again        time.Duration // Again is the pause after a call to the store that failed.
-	Behind       time.Duration // Behind is how long another host may know more before it is asked.
-	Ask          time.Duration // Ask is the interval between questions to other hosts for a page.
-	AskAll       time.Duration // AskAll is the same for a whole listing in a large fleet.
+	Again      time.Duration // Again is the pause after a call to the store that failed.
+	Behind     time.Duration // Behind is how long another host may know more before it is asked.
+	Ask        time.Duration // Ask is the interval between questions to other hosts for a page.
+	AskAll     time.Duration // AskAll is the same for a whole listing in a large fleet.
 
 	// Term is how long a hold on the renewals' lease lasts without renewal. When its
 	// holder dies, the next order comes a term, a turn of 3 s and a margin later, and
@@ -63,8 +60,7 @@
 		Step:   150 * time.Millisecond,
 		Gather: 100 * time.Millisecond,
 
-		GatherMany:   250 * time.Millisecond,
-		StandbyStart: 1200 * time.Millisecond,
+		GatherMany: 250 * time.Millisecond,
 
 		Again:  250 * time.Millisecond,
 		Behind: 150 * time.Millisecond,
