Keep digests, order and neighbours of hosts up to date

Cause: each record of a host that was news made its receiver sort all records, hash them for the digest, and choose its neighbours among all again: work in proportion to hosts for each of as many records. Why it holds: a record is taken out of the sums and put in; names stay sorted; a host beyond the last neighbour leaves them as they are; a look for silent hosts goes over neighbours and those that ail (tracker.TestRandomHosts compares with what is worked out from all).

--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -3,19 +3,18 @@
 
 package tracker
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Digest returns a hash over the versions of all records of hosts that may be there. Hosts
 // whose digests differ exchange their records.
 func (h *Hosts) Digest() uint64 {
-	h.All()
-	return h.digest
-}
-
-func digest(records []HostRecord) uint64 {
 	var sum uint64
-	for _, r := range records {
-		sum += r.digest()
+	for _, part := range h.sums {
+		sum += part
 	}
 	return sum
 }
@@ -37,13 +36,7 @@
 func (r HostRecord) bucket() int { return int(xxhash.Sum64String(r.Host) % buckets) }
 
 // Buckets returns a digest for each part of the records.
-func (h *Hosts) Buckets() []uint64 {
-	out := make([]uint64, buckets)
-	for _, r := range h.All() {
-		out[r.bucket()] += r.digest()
-	}
-	return out
-}
+func (h *Hosts) Buckets() []uint64 { return slices.Clone(h.sums[:]) }
 
 // Differing returns the records of the parts for which another host has another digest.
 func (h *Hosts) Differing(theirs []uint64) []HostRecord {
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,10 +36,13 @@
 	listed  map[string]connector.ListedHost
 	active  map[string]bool // active are the hosts that serve callers; nil if all do.
 
-	near   []string     // near caches Neighbours; nil when it must be worked out anew.
-	all    []HostRecord // all caches All.
-	live   []string     // live caches Live.
-	digest uint64       // digest caches Digest while all is cached.
+	near   []string        // near caches Neighbours; nil when it must be worked out anew.
+	edge   edge            // edge is what a host must lie within to be among them.
+	all    []HostRecord    // all caches All.
+	live   []string        // live caches Live.
+	order  []string        // order has the names of all records, sorted.
+	ailing map[string]bool // ailing are the hosts that are neither live nor leaving.
+	sums   [buckets]uint64 // sums are digests of parts of the records.
 }
 
 type hostEntry struct {
@@ -82,7 +84,12 @@
 		opts.Neighbours = 4
 	}
 	self.Version = max(self.Version, 1)
-	return &Hosts{opts: opts, self: self, records: make(map[string]*hostEntry), listed: make(map[string]connector.ListedHost)}
+	h := &Hosts{
+		opts: opts, self: self, order: []string{self.Host}, ailing: make(map[string]bool),
+		records: make(map[string]*hostEntry), listed: make(map[string]connector.ListedHost),
+	}
+	h.count(self)
+	return h
 }
 
 // Self returns this host's own record.
@@ -96,14 +103,73 @@
 		return h.self, false
 	}
 	next.Version++
-	h.self = next
-	h.changed()
+	h.setSelf(next)
 	return h.self, true
 }
 
 // changed drops what was worked out from the records.
 func (h *Hosts) changed() { h.all, h.live = nil, nil }
 
+// count takes a record into the digests. What a change costs must not grow with the number of
+// records: digests over all of 985 were a tenth of what hosts did while all of them started.
+func (h *Hosts) count(r HostRecord) { h.sums[r.bucket()] += r.digest() }
+
+func (h *Hosts) discount(r HostRecord) { h.sums[r.bucket()] -= r.digest() }
+
+func (h *Hosts) setSelf(r HostRecord) {
+	h.discount(h.self)
+	h.self = r
+	h.count(r)
+	h.changed()
+}
+
+// add takes in the record of a host that was not known.
+func (h *Hosts) add(now time.Time, r HostRecord) {
+	e := h.entry(now, r)
+	h.records[r.Host] = e
+	at, _ := slices.BinarySearch(h.order, r.Host)
+	h.order = slices.Insert(h.order, at, r.Host)
+	if h.edge.reaches(e) || h.active[r.Host] {
+		h.near = nil
+	}
+	h.count(r)
+	h.note(r)
+	h.changed()
+}
+
+// set replaces the record of a known host.
+func (h *Hosts) set(e *hostEntry, r HostRecord) {
+	if was := e.record; was.State == HostGone != (r.State == HostGone) || was.Peers != r.Peers {
+		h.near = nil
+	}
+	h.discount(e.record)
+	e.record = r
+	h.count(r)
+	h.note(r)
+	h.changed()
+}
+
+// drop forgets a host.
+func (h *Hosts) drop(name string) {
+	h.discount(h.records[name].record)
+	delete(h.records, name)
+	delete(h.ailing, name)
+	if at, found := slices.BinarySearch(h.order, name); found {
+		h.order = slices.Delete(h.order, at, at+1)
+	}
+	h.near = nil
+	h.changed()
+}
+
+// note remembers which hosts are to be looked at although they are no neighbours.
+func (h *Hosts) note(r HostRecord) {
+	if r.State == HostLive || r.State == HostLeaving {
+		delete(h.ailing, r.Host)
+		return
+	}
+	h.ailing[r.Host] = true
+}
+
 // Merge takes a record that a peer passed on. It returns the records that are
 // news to this host and must be passed on in turn.
 func (h *Hosts) Merge(now time.Time, r HostRecord) []HostRecord {
@@ -115,22 +181,16 @@
 		return nil // it was forgotten here
 	}
 	if e == nil {
-		h.near = nil
-		h.changed()
-		h.records[r.Host] = h.entry(now, r)
+		h.add(now, r)
 		return []HostRecord{r}
 	}
 	if !r.supersedes(e.record) {
 		return nil
 	}
-	h.changed()
 	if r.Incarnation > e.record.Incarnation {
 		e.heard = now
 	}
-	if e.record.State != r.State || e.record.Peers != r.Peers {
-		h.near = nil
-	}
-	e.record = r
+	h.set(e, r)
 	e.changed = now
 	return []HostRecord{r}
 }
@@ -142,13 +202,14 @@
 	if !r.supersedes(h.self) {
 		return nil
 	}
-	h.changed()
-	if r.Incarnation > h.self.Incarnation {
-		h.self.Incarnation = r.Incarnation + 1
-		return []HostRecord{h.self}
+	next := h.self
+	if r.Incarnation > next.Incarnation {
+		next.Incarnation = r.Incarnation + 1
+	} else {
+		next.Version = r.Version + 1
 	}
-	h.self.Version = r.Version + 1
-	return []HostRecord{h.self}
+	h.setSelf(next)
+	return []HostRecord{next}
 }
 
 // Heard notes that a host spoke to this one directly. It reports whether that was the
@@ -186,10 +247,7 @@
 			continue
 		}
 		if e == nil {
-			h.near = nil
-			h.changed()
-			r := HostRecord{Host: l.Host, State: HostJoining, AvailabilityZone: l.AvailabilityZone, Peers: l.Address}
-			h.records[l.Host] = h.entry(now, r)
+			h.add(now, HostRecord{Host: l.Host, State: HostJoining, AvailabilityZone: l.AvailabilityZone, Peers: l.Address})
 			continue
 		}
 		if l.State == connector.ListedLeaving && e.record.State == HostLive {
@@ -205,34 +263,33 @@
 // forgets those that are gone for long.
 func (h *Hosts) Tick(now time.Time) []HostRecord {
 	var news []HostRecord
-	near := make(map[string]bool)
-	for _, n := range h.Neighbours() {
-		near[n] = true
+	for _, name := range slices.Clone(h.Neighbours()) {
+		e := h.records[name]
+		if s := e.record.State; s != HostLive && s != HostLeaving {
+			continue
+		}
+		silent := now.Sub(e.heard) > h.patience(name)
+		again := now.Sub(e.doubted) > h.opts.Gone
+		if silent && again {
+			e.doubted = now
+			news = append(news, h.declare(now, e, HostSuspect))
+		}
 	}
-	for name, e := range h.records {
+	for name := range h.ailing {
+		e := h.records[name]
+		_, still := h.listed[name]
 		switch e.record.State {
-		case HostLive, HostLeaving:
-			silent := now.Sub(e.heard) > h.patience(name)
-			again := now.Sub(e.doubted) > h.opts.Gone
-			if near[name] && silent && again {
-				e.doubted = now
-				news = append(news, h.declare(now, e, HostSuspect))
-			}
 		case HostSuspect:
 			if now.Sub(e.changed) > h.opts.Gone {
 				news = append(news, h.declare(now, e, HostGone))
 			}
 		case HostGone:
-			if _, still := h.listed[name]; !still && now.Sub(e.changed) > h.opts.Forget {
-				h.near = nil
-				h.changed()
-				delete(h.records, name)
+			if !still && now.Sub(e.changed) > h.opts.Forget {
+				h.drop(name)
 			}
 		case HostJoining:
-			if _, still := h.listed[name]; !still {
-				h.near = nil
-				h.changed()
-				delete(h.records, name)
+			if !still {
+				h.drop(name)
 			}
 		}
 	}
@@ -248,11 +305,11 @@
 }
 
 func (h *Hosts) declare(now time.Time, e *hostEntry, s HostState) HostRecord {
-	h.near = nil
-	h.changed()
-	e.record.State = s
+	next := e.record
+	next.State = s
+	h.set(e, next)
 	e.changed = now
-	return e.record
+	return next
 }
 
 // Lookup returns what is known of a host.
@@ -270,22 +327,15 @@
 // not change it.
 func (h *Hosts) All() []HostRecord {
 	if h.all == nil {
-		h.all = h.sorted()
-		h.digest = digest(h.all)
+		h.all = make([]HostRecord, 0, len(h.order))
+		for _, name := range h.order {
+			r, _ := h.Lookup(name)
+			h.all = append(h.all, r)
+		}
 	}
 	return h.all
 }
 
-func (h *Hosts) sorted() []HostRecord {
-	out := make([]HostRecord, 0, len(h.records)+1)
-	out = append(out, h.self)
-	for _, e := range h.records {
-		out = append(out, e.record)
-	}
-	slices.SortFunc(out, func(a, b HostRecord) int { return strings.Compare(a.Host, b.Host) })
-	return out
-}
-
 // Live returns the names of the hosts that can take on duties, this one
 // included unless it is leaving, sorted. The caller must not change it.
 func (h *Hosts) Live() []string {
--- a/tracker/neighbours.go
+++ b/tracker/neighbours.go
@@ -3,7 +3,10 @@
 
 package tracker
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Neighbours returns the hosts that this one keeps connections to: all of them
 // in a small system, else its successors on a ring by hash, which keeps the
@@ -24,11 +27,13 @@
 		}
 	}
 	if len(there) < h.opts.FullMesh {
+		h.edge = widest
 		return names(there)
 	}
 	ring, rest := first(there, h.opts.Neighbours/2, func(e *hostEntry) uint64 { return e.ring })
 	picks, rest := first(rest, h.opts.Neighbours-len(ring), func(e *hostEntry) uint64 { return e.pick })
 	near := append(names(ring), names(picks)...)
+	h.edge = edge{ring: ring[len(ring)-1].ring, pick: picks[len(picks)-1].pick}
 	if !h.active[h.self.Host] {
 		return near
 	}
@@ -40,6 +45,15 @@
 	return near
 }
 
+// edge is how far the last neighbour is away, on the ring and by rendezvous. A host beyond it is
+// none: each of 985 hosts that is news need not be weighed against all others.
+type edge struct{ ring, pick uint64 }
+
+// widest lets any host be a neighbour.
+var widest = edge{ring: math.MaxUint64, pick: math.MaxUint64}
+
+func (e edge) reaches(o *hostEntry) bool { return o.ring <= e.ring || o.pick <= e.pick }
+
 // first divides entries into the n with the least keys, in order, and the others.
 func first(entries []*hostEntry, n int, key func(*hostEntry) uint64) (chosen, rest []*hostEntry) {
 	n = min(n, len(entries))
