Ask whom one greets for the hosts that one lacks

What callers saw: a host that was started again counted itself among those that serve, placed without most others' work and took too large a share of limits; seldom before, since each host read the announcements at its start, whoever had greeted it.

Cause: hosts of a large fleet tell whom they greet of themselves only, and digests of all; a host that starts knows few, takes the fleet for a small one, and neither asked for what it lacks nor was told. Held only while each start read a page of announcements. Cost at any size: 600 bytes a greeting, and the records that differ.

--- a/conductor/seek.go
+++ b/conductor/seek.go
@@ -147,15 +147,14 @@
 	}
 }
 
-// greeting is what a host may lack that has not heard of this one, or not for long.
+// greeting is what a host may lack that has not heard of this one, or not for long. It asks for what
+// this one lacks: a host that starts knows few others, and takes the fleet for a small one.
 func (n *Node) greeting(now time.Time) *messenger.Message {
 	m := &messenger.Message{Full: true, Digest: n.hosts.Digest(), Namings: n.state.Namings(now), Offsets: n.offsets(),
-		Ended: n.opts.Quarantine.Words(now), EndedDigest: n.opts.Quarantine.Digest()}
+		Ended: n.opts.Quarantine.Words(now), EndedDigest: n.opts.Quarantine.Digest(),
+		Hosts: []tracker.HostRecord{n.hosts.Self()}, Buckets: n.hosts.Buckets()}
 	if n.paths().small {
 		m.Hosts = n.hosts.All()
-	} else {
-		m.Hosts = []tracker.HostRecord{n.hosts.Self()}
-		m.Buckets = n.hosts.Buckets()
 	}
 	return m
 }
