Add a model of the control plane of many hosts

`amaranthgate experiment fleet` runs the deployed nodes on simulated links and a simulated store in one process: a first start, idle time, a configuration, a storm of changes of upstreams, hosts started again in a series, a zone lost, all killed. It counts calls and bytes of the store, messages and bytes within and between zones, by role, and the time until all agree; it draws messages by size. Left out: entries of upstreams that say nothing new, traffic, processor time.

--- a/conductor/node.go
+++ b/conductor/node.go
@@ -116,6 +116,9 @@
 	}
 }
 
+// Serves tells that callers are sent to this host.
+func (n *Node) Serves() bool { return n.paths().ours }
+
 // Handle takes an event in and returns what is to be done.
 func (n *Node) Handle(now time.Time, ev Event) []Action {
 	n.actions = nil
--- a/experimenter/doc.go
+++ b/experimenter/doc.go
@@ -13,6 +13,7 @@
 //	amaranthgate experiment control
 //	amaranthgate experiment decisions --deployment Association
 //	amaranthgate experiment ends --bad 3 --callers 2
+//	amaranthgate experiment fleet --hosts 100,300,985
 //
 // Each prints a table; figures belong into docs/MEASUREMENTS.md with the
 // command that gave them.
--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -24,6 +24,7 @@
 			e.controlCommand(),
 			e.leavingCommand(),
 			e.endsCommand(),
+			e.fleetCommand(),
 			{
 				Name:  "forward",
 				Usage: "what a host adds to a direct call of the same engine",
@@ -186,6 +187,47 @@
 	}
 }
 
+func (e *env) fleetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "fleet",
+		Usage: "what the control plane of many hosts costs, and how soon they agree, in virtual time",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "hosts", Value: []int{100, 300}, Usage: "`NUMBERS` of hosts"},
+			&cli.IntFlag{Name: "upstreams", Value: 10, Usage: "`NUMBER` of upstreams for each host"},
+			&cli.IntFlag{Name: "zones", Value: 5, Usage: "`NUMBER` of availability zones"},
+			&cli.IntFlag{Name: "large", Value: 3, Usage: "`NUMBER` of larger hosts in each of them"},
+			&cli.FloatFlag{Name: "link", Value: 20, Usage: "`MBPS` of the other hosts' links"},
+			&cli.IntFlag{Name: "series", Value: 10, Usage: "`NUMBER` of hosts that are started again in a series"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the model"},
+			&cli.StringFlag{Name: "plot", Usage: "`FILE` to draw messages to, svg or png"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var points []experimenter.FleetPoint
+			for _, hosts := range c.IntSlice("hosts") {
+				shown := time.Time{}
+				results := experimenter.Fleet(experimenter.FleetOptions{
+					Hosts: hosts, Upstreams: hosts * c.Int("upstreams"), Zones: c.Int("zones"), Large: c.Int("large"),
+					LinkMbps: c.Float("link"), Series: c.Int("series"), Seed: c.Uint64("seed"),
+					Progress: func(scene experimenter.FleetScene, virtual time.Duration) {
+						if time.Since(shown) > time.Second {
+							shown = time.Now()
+							fmt.Fprintf(e.err, "\r%d hosts, %s: %.1f s   ", hosts, scene, virtual.Seconds())
+						}
+					},
+				})
+				fmt.Fprintf(e.err, "\r%40s\r", "")
+				fmt.Fprintf(e.out, "%d hosts, %d upstreams\n", hosts, hosts*c.Int("upstreams"))
+				experimenter.PrintFleet(e.out, results)
+				points = append(points, experimenter.FleetPoint{Hosts: hosts, Results: results})
+			}
+			if path := c.String("plot"); path != "" {
+				return experimenter.WriteFleetPlot(path, points)
+			}
+			return nil
+		},
+	}
+}
+
 func (e *env) leavingCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "leaving",
