Tell changes of a list by merging, without a map

Cause: where most of 10,000 upstreams change at once, as when all of them register, three parts of each host built a map of all of them for each page, four times a second. Both lists are in order, so that merging them says the same (follower.TestRandomUpstreams).

--- a/follower/upstreams.go
+++ b/follower/upstreams.go
@@ -126,27 +126,32 @@
 // chunks, not with that of upstreams, if this list was made from the earlier one.
 func (l Upstreams) Since(earlier Upstreams) (put, gone []*Upstream) {
 	fresh, stale := differing(l.chunks, earlier.chunks)
-	if len(fresh)+len(stale) == 0 {
-		return nil, nil
-	}
-	was := make(map[string]*Upstream)
-	for _, c := range stale {
-		for _, u := range c.items {
-			was[u.ID] = u
+	now, was := items(fresh), items(stale)
+	for len(now) > 0 && len(was) > 0 {
+		order := strings.Compare(now[0].ID, was[0].ID)
+		if order < 0 || order == 0 && now[0] != was[0] {
+			put = append(put, now[0])
 		}
-	}
-	for _, c := range fresh {
-		for _, u := range c.items {
-			if was[u.ID] != u {
-				put = append(put, u)
-			}
-			delete(was, u.ID)
+		if order > 0 {
+			gone = append(gone, was[0])
+		}
+		if order <= 0 {
+			now = now[1:]
+		}
+		if order >= 0 {
+			was = was[1:]
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(was)) {
-		gone = append(gone, was[id])
+	return append(put, now...), append(gone, was...)
+}
+
+// items returns the upstreams of chunks that follow each other.
+func items(chunks []*chunk) []*Upstream {
+	var out []*Upstream
+	for _, c := range chunks {
+		out = append(out, c.items...)
 	}
-	return put, gone
+	return out
 }
 
 // differing returns the chunks of two lists that they do not share. A chunk that both have stands
