Take a source that has read a part lately

Cause: sources come from the engines that are noted for a part, and ties went to the one that had read it first, which is the first to drop it; before, to the first by name.

--- a/placer/sources.go
+++ b/placer/sources.go
@@ -3,6 +3,8 @@
 
 package placer
 
+import "slices"
+
 // source is an engine that is believed to keep the beginning of a prompt.
 type source struct {
 	target *target // target is nil if no engine keeps any of it.
@@ -14,8 +16,9 @@
 // first: the second serves where the first itself is to run it.
 type sources [2]source
 
-// mostKeepers bounds how many engines are asked for each part. Short first parts, which many
-// prompts begin with, are kept by thousands of engines: any of them does as a source.
+// mostKeepers bounds how many engines are looked at for each part. Short first parts, which many
+// prompts begin with, are kept by thousands of engines: any of them does as a source. Those that
+// were the last to read a part come first: they are the last to drop it.
 const mostKeepers = 64
 
 // sources finds the engines of a weight version that keep the most of a prompt, from the deepest
@@ -24,7 +27,7 @@
 	var s sources
 	for i := len(keys) - 1; i >= 0 && s[1].parts <= i; i-- {
 		of := p.keepers[keys[i]]
-		for _, t := range of[:min(mostKeepers, len(of))] {
+		for _, t := range slices.Backward(of[max(0, len(of)-mostKeepers):]) {
 			if !t.listed || t.upstream.Service != ask.Service || t.suspect(ask.now) ||
 				t.upstream.Weights[ask.Prompt.Model] != weights || s.has(t) {
 				continue
