Have few hosts read the lease, and standbys keep less garbage

Ruled out: that a host needs the lease before there is work: one that is to give orders reads it then. Why it holds: four hosts read it, however many there are (renewer.TestLeaseIsReadByFew).

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -107,6 +107,7 @@
 	// reporting keeps reports in the order in which they were made: one that is older
 	// would undo a newer part.
 	reporting sync.Mutex
+	garbage   int           // garbage is how much the heap may grow until it is collected.
 	senders   senders       // senders are the hosts that may send to upstreams, or lately might.
 	reports   int           // reports counts the ticks of reports.
 	ends      chan struct{} // ends asks to tell the other hosts under which requests upstreams have ended.
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -163,6 +163,7 @@
 		h.budget.SetHosts(h.sharers())
 		h.watchStores(h.view.Load())
 		h.opts.Pool.Divide(h.sharers())
+		h.collect(a.Serving)
 	case TakeReport:
 		h.placer.Heard(h.opts.Timer.Now(), a.From, a.Report)
 	case Renew:
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -25,13 +25,16 @@
 
 // Figures of a renewal.
 const (
-	placeDelay  = 700 * time.Millisecond  // placeDelay is what each host waits for the one before it to begin.
-	firstAsk    = 500 * time.Millisecond  // firstAsk is after an order; loads take 0.9 s and more.
-	askAgain    = 150 * time.Millisecond  // askAgain is the interval of questions while an engine loads.
-	orderAgain  = 2500 * time.Millisecond // orderAgain is after an order of which nothing was heard. It may yet be carried out, which does no harm.
-	refuseAgain = 300 * time.Millisecond  // refuseAgain is after an order that was refused.
-	holderLife  = 600 * time.Millisecond  // holderLife is the silence of a holder after which others look at the lease; it speaks every 100 ms.
-	statusLife  = time.Second             // statusLife is how long the holder's word on engines that load or are next counts.
+	// earlyReaders is the number of hosts, by place, that read the lease before there is work. If
+	// all did, 985 hosts that start would make as many calls to the store.
+	earlyReaders = 4
+	placeDelay   = 700 * time.Millisecond  // placeDelay is what each host waits for the one before it to begin.
+	firstAsk     = 500 * time.Millisecond  // firstAsk is after an order; loads take 0.9 s and more.
+	askAgain     = 150 * time.Millisecond  // askAgain is the interval of questions while an engine loads.
+	orderAgain   = 2500 * time.Millisecond // orderAgain is after an order of which nothing was heard. It may yet be carried out, which does no harm.
+	refuseAgain  = 300 * time.Millisecond  // refuseAgain is after an order that was refused.
+	holderLife   = 600 * time.Millisecond  // holderLife is the silence of a holder after which others look at the lease; it speaks every 100 ms.
+	statusLife   = time.Second             // statusLife is how long the holder's word on engines that load or are next counts.
 )
 
 // Command is something that the host is to do.
@@ -166,7 +169,7 @@
 	if len(need) == 0 {
 		r.needed = time.Time{}
 		clear(r.jobs)
-		if !r.lease.known && !r.lease.busy && now.Sub(r.lease.asked) > r.opts.Term {
+		if in.Place < earlyReaders && !r.lease.known && !r.lease.busy && now.Sub(r.lease.asked) > r.opts.Term {
 			// Seen early, an old record is known to have lapsed when work comes.
 			r.lease.busy, r.lease.asked = true, now
 			return []Command{ReadLease{}}
--- a/renewer/turns_test.go
+++ b/renewer/turns_test.go
@@ -104,3 +104,13 @@
 	assert.Equal(t, len(c.steps(turn.Sub(c.now), oneEngine(1, 3))), 0, "ordered within a turn of the holder that fell silent")
 	assert.Equal(t, len(c.steps(time.Second, oneEngine(1, 3))), 1)
 }
+
+// TestLeaseIsReadByFew: while no engine has old weights, the first hosts by place read the lease,
+// and no others.
+func TestLeaseIsReadByFew(t *testing.T) {
+	for place := range 3 * earlyReaders {
+		r := New(Options{Host: "a", Term: time.Second})
+		commands := r.Step(time.Unix(1000, 0), Input{View: &follower.View{}, Place: place})
+		assert.Equal(t, len(commands) > 0, place < earlyReaders, "place %d", place)
+	}
+}
