Ask for hosts that one lacks twice a second at most

Cause: a host that starts greets four others within milliseconds and asks each for what it lacks; each tells all hosts that it knows, 130 bytes a host, and so it goes in both directions. What grew faster than the fleet: every start costs eight lists of all hosts. Why it holds: one list a start; what is lacking then comes by comparing digests, as before.

--- a/conductor/node.go
+++ b/conductor/node.go
@@ -76,6 +76,7 @@
 	introducer *introducer.Introducer
 	endsDiffer endsDiffer
 	seeks      seeks
+	lastLacked time.Time // lastLacked is when a greeting last asked for the hosts that this one lacks.
 	lastStores time.Time // lastStores is when another host was asked for what it knows of stores.
 }
 
--- a/conductor/seek.go
+++ b/conductor/seek.go
@@ -147,12 +147,20 @@
 	}
 }
 
+// lackPause is the least time between two greetings that ask for what this host lacks. Hosts that
+// start together greet four others at once, and each would tell all that it knows.
+const lackPause = 500 * time.Millisecond
+
 // greeting is what a host may lack that has not heard of this one, or not for long. It asks for what
 // this one lacks: a host that starts knows few others, and takes the fleet for a small one.
 func (n *Node) greeting(now time.Time) *messenger.Message {
 	m := &messenger.Message{Full: true, Digest: n.hosts.Digest(), Namings: n.state.Namings(now), Offsets: n.offsets(),
 		Ended: n.opts.Quarantine.Words(now), EndedDigest: n.opts.Quarantine.Digest(),
-		Hosts: []tracker.HostRecord{n.hosts.Self()}, Buckets: n.hosts.Buckets()}
+		Hosts: []tracker.HostRecord{n.hosts.Self()}}
+	if now.Sub(n.lastLacked) >= lackPause {
+		n.lastLacked = now
+		m.Buckets = n.hosts.Buckets()
+	}
 	if n.paths().small {
 		m.Hosts = n.hosts.All()
 	}
