--- a/experimenter/fleetmodel.go
+++ b/experimenter/fleetmodel.go
@@ -4,11 +4,8 @@
 package experimenter
 
 import (
-	"container/heap"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -53,7 +50,7 @@
 	opts  FleetOptions
 	rng   *rand.Rand
 	now   time.Time
-	queue fleetQueueOf
+	queue fleetEvents
 	count int
 	hosts []*fleetHost
 	named map[string]*fleetHost
@@ -84,30 +81,6 @@
 	bytes    int
 }
 
-type fleetEvent struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type fleetQueueOf []fleetEvent
-
-func (q fleetQueueOf) Len() int { return len(q) }
-func (q fleetQueueOf) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q fleetQueueOf) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *fleetQueueOf) Push(x any)   { *q = append(*q, x.(fleetEvent)) }
-func (q *fleetQueueOf) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // fleetDecoder reads records of the model: a number as a configuration, and an upstream's entry,
 // of which only the last byte says something.
 type fleetDecoder struct{}
@@ -170,13 +143,6 @@
 	}
 }
 
-func (m *fleetModel) after(d time.Duration, do func()) { m.at(m.now.Add(d), do) }
-
-func (m *fleetModel) at(t time.Time, do func()) {
-	m.count++
-	heap.Push(&m.queue, fleetEvent{at: t, seq: m.count, do: do})
-}
-
 // play plays one scene and returns what it cost.
 func (m *fleetModel) play(scene FleetScene) FleetResult {
 	m.sum = FleetResult{Scene: scene, For: fleetLengths[scene]}
@@ -242,16 +208,6 @@
 	return time.Duration(m.rng.Int64N(int64(fleetStartSpread)))
 }
 
-func (m *fleetModel) until(t time.Time) {
-	for len(m.queue) > 0 && !m.queue[0].at.After(t) {
-		e := heap.Pop(&m.queue).(fleetEvent)
-		m.now = e.at
-		e.do()
-	}
-	m.now = t
-	clear(m.sizes)
-}
-
 // agree tells that all hosts know all that are there, which of them are active, the newest
 // configuration and all upstreams.
 func (m *fleetModel) agree() bool {
@@ -325,29 +281,6 @@
 	})
 }
 
-// every has a host handle an event again and again, as long as it lives.
-func (m *fleetModel) every(h *fleetHost, d time.Duration, ev func() conductor.Event) {
-	life := h.life
-	var next func()
-	next = func() {
-		if h.life == life {
-			m.handle(h, ev())
-			m.after(d, next)
-		}
-	}
-	m.after(time.Duration(m.rng.Int64N(int64(d))), next)
-}
-
-// later has a host handle an event, if it still lives then.
-func (m *fleetModel) later(h *fleetHost, t time.Time, ev func() conductor.Event) {
-	life := h.life
-	m.at(t, func() {
-		if h.life == life {
-			m.handle(h, ev())
-		}
-	})
-}
-
 func (m *fleetModel) handle(h *fleetHost, ev conductor.Event) {
 	for _, a := range h.node.Handle(m.now, ev) {
 		m.carry(h, a)
@@ -391,138 +324,3 @@
 		}
 	}
 }
-
-// send carries a message over both hosts' links. A connection is made before the first.
-func (m *fleetModel) send(from *fleetHost, name string, msg *messenger.Message) {
-	to := m.named[name]
-	if to == nil || to.node == nil {
-		return
-	}
-	size, ok := m.sizes[msg]
-	if !ok {
-		size = len(messenger.Encode(msg))
-		m.sizes[msg] = size
-	}
-	delay := fleetAcross
-	if from.zone == to.zone {
-		delay = fleetInZone
-	}
-	if from.linked[name] != to.life {
-		from.linked[name] = to.life
-		m.later(from, m.now.Add(3*delay), func() conductor.Event { return conductor.PeerUp{Host: name, Address: name} })
-	}
-	m.charge(from, to, size)
-	from.out = taken(m.now, from.out, size, from.mbps)
-	to.in = taken(from.out.Add(delay), to.in, size, to.mbps)
-	m.later(to, to.in, func() conductor.Event { return conductor.PeerMessage{From: from.name, Message: msg} })
-}
-
-func (m *fleetModel) charge(from, to *fleetHost, size int) {
-	m.sum.Messages++
-	if from.zone == to.zone {
-		m.sum.Within += size
-	} else {
-		m.sum.Between += size
-	}
-	for _, h := range []*fleetHost{from, to} {
-		h.messages++
-		h.bytes += size
-	}
-}
-
-// taken returns when a link has carried some bytes that come at a time.
-func taken(at, free time.Time, bytes int, mbps float64) time.Time {
-	if free.After(at) {
-		at = free
-	}
-	const bits = 8
-	return at.Add(time.Duration(float64(bytes) * bits / mbps * float64(time.Microsecond)))
-}
-
-// answer ends a host's calls to the store.
-func (m *fleetModel) answer(h *fleetHost, calls int, ev func() conductor.Event) {
-	m.sum.Calls += calls
-	m.later(h, m.now.Add(time.Duration(calls)*fleetAnswer), ev)
-}
-
-func (m *fleetModel) find(after string) conductor.HostsFound {
-	from, found := slices.BinarySearch(m.order, after)
-	if found {
-		from++
-	}
-	to := min(from+fleetPage, len(m.order))
-	var ev conductor.HostsFound
-	for _, name := range m.order[from:to] {
-		ev.Hosts = append(ev.Hosts, m.cards[name])
-	}
-	if to < len(m.order) {
-		ev.Next = m.order[to-1]
-	}
-	return ev
-}
-
-var errFleetBusy = errors.New("turned away")
-
-// announce appends a host's announcement, behind those that wait.
-func (m *fleetModel) announce(h *fleetHost) {
-	m.sum.Calls++
-	if m.free.Before(m.now) {
-		m.free = m.now
-	}
-	if m.free.Sub(m.now) > fleetQueue {
-		m.later(h, m.now.Add(fleetAnswer), func() conductor.Event { return conductor.Announced{Err: errFleetBusy} })
-		return
-	}
-	m.free = m.free.Add(fleetAppend)
-	card := tracker.HostRecord{Host: h.name, AvailabilityZone: h.zone, State: tracker.HostLive, Peers: h.name, Callers: h.name, Cores: h.cores, LinkMbps: h.mbps}
-	m.at(m.free, func() {
-		if at, found := slices.BinarySearch(m.order, h.name); !found {
-			m.order = slices.Insert(m.order, at, h.name)
-		}
-		m.cards[h.name] = card
-	})
-	m.later(h, m.free, func() conductor.Event { return conductor.Announced{} })
-}
-
-func (m *fleetModel) read(h *fleetHost, a conductor.Read) {
-	asked, life := m.now, h.life
-	if a.Full {
-		var listed map[string]follower.Record
-		log := m.logs[a.Feed]
-		listed = make(map[string]follower.Record, len(log))
-		for _, r := range log {
-			listed[r.Key] = r
-		}
-		m.answer(h, 1+len(listed)/fleetPage, func() conductor.Event {
-			news := follower.News{Feed: a.Feed, Full: true, Next: int64(len(log))}
-			for _, r := range listed {
-				news.Records = append(news.Records, r)
-				m.sum.StoreBytes += len(r.Value)
-			}
-			return conductor.FeedRead{News: news, Asked: asked, Wait: a.Wait}
-		})
-		return
-	}
-	m.sum.Calls++
-	answered := false
-	answer := func() {
-		if answered || h.life != life {
-			return
-		}
-		answered = true
-		m.later(h, m.now.Add(fleetAnswer), func() conductor.Event {
-			log := m.logs[a.Feed]
-			news := follower.News{Feed: a.Feed, From: a.From, Next: int64(len(log)), Records: log[min(a.From, int64(len(log))):]}
-			for _, r := range news.Records {
-				m.sum.StoreBytes += len(r.Value)
-			}
-			return conductor.FeedRead{News: news, Asked: asked, Wait: a.Wait}
-		})
-	}
-	if int64(len(m.logs[a.Feed])) > a.From {
-		answer()
-		return
-	}
-	m.reads[a.Feed] = append(m.reads[a.Feed], answer)
-	m.after(a.Wait, answer)
-}
