Call the entries of a pool its members

Cause: slot is the word for what an engine has for a request; an upstream's entry in a pool is none. Names only; go test ./placer passes as before.

--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -59,7 +59,7 @@
 }
 
 // these begins another list of candidates with all of a list.
-func (p *Placer) these(all []*slot) []*target {
+func (p *Placer) these(all []*member) []*target {
 	p.drawn = p.drawn[:0]
 	for _, s := range all {
 		p.drawn = append(p.drawn, p.look(s))
@@ -68,7 +68,7 @@
 }
 
 // draw begins another list of candidates with some of a list, drawn at random.
-func (p *Placer) draw(from []*slot, n int) []*target {
+func (p *Placer) draw(from []*member, n int) []*target {
 	p.drawn = p.drawn[:0]
 	for range min(n, len(from)) {
 		p.add(p.look(from[p.rng.IntN(len(from))]))
--- a/placer/candidates_test.go
+++ b/placer/candidates_test.go
@@ -131,9 +131,9 @@
 
 func assertPools(t *testing.T, p *Placer, v *follower.View) {
 	t.Helper()
-	assert.Equal(t, len(p.slots), v.Upstreams.Len())
+	assert.Equal(t, len(p.members), v.Upstreams.Len())
 	for key, x := range p.targets {
-		assert.Assert(t, p.slots[x.upstream.ID] == x.slot && x.key == key && x.slot.target == x)
+		assert.Assert(t, p.members[x.upstream.ID] == x.member && x.key == key && x.member.target == x)
 	}
 	for service, in := range p.pools {
 		want := make(map[string]bool)
--- a/placer/pace_test.go
+++ b/placer/pace_test.go
@@ -50,5 +50,5 @@
 	assert.Assert(t, play(a, later, 40, 1) >= 5)
 
 	b.Update(withFirst(v, func(u *follower.Upstream) { u.Born = 7 }))
-	assert.Equal(t, b.of(b.slots["e0"].key).slow.factor(start), 1.0)
+	assert.Equal(t, b.of(b.members["e0"].key).slow.factor(start), 1.0)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -48,7 +48,7 @@
 
 	mu        sync.Mutex
 	rng       *rand.Rand
-	slots     map[string]*slot   // slots are all known upstreams, by ID.
+	members   map[string]*member // members are all known upstreams, by ID.
 	targets   map[string]*target // targets are those that were looked at, by what Start names them.
 	pools     map[string]*pool   // pools has those of each service that take new work.
 	cell      int                // cell is this host's among the cells of its zone.
@@ -96,7 +96,7 @@
 		rng:     rand.New(rand.NewPCG(opts.Seed, 1)),
 		view:    &follower.View{},
 		targets: make(map[string]*target),
-		slots:   make(map[string]*slot),
+		members: make(map[string]*member),
 		pools:   make(map[string]*pool),
 		newest:  make(map[string]uint64),
 		working: make(map[*target]struct{}),
@@ -137,7 +137,7 @@
 		}
 	}
 	if !maps.Equal(view.Evacuated, before.Evacuated) {
-		for _, s := range p.slots {
+		for _, s := range p.members {
 			p.enlist(s, view.Takes(s.upstream))
 		}
 	}
@@ -150,7 +150,7 @@
 // of it are lost.
 func (p *Placer) put(view *follower.View, u *follower.Upstream) (lost []func()) {
 	key := u.Start()
-	s := p.slots[u.ID]
+	s := p.members[u.ID]
 	if s != nil && s.key != key {
 		if s.target != nil {
 			lost = s.target.lost()
@@ -160,8 +160,8 @@
 	}
 	switch {
 	case s == nil:
-		s = &slot{key: key, upstream: u, hash: xxhash.Sum64String(u.ID)}
-		p.slots[u.ID] = s
+		s = &member{key: key, upstream: u, hash: xxhash.Sum64String(u.ID)}
+		p.members[u.ID] = s
 	case s.upstream.Service != u.Service:
 		p.enlist(s, false)
 	}
@@ -178,12 +178,12 @@
 
 // drop forgets an upstream. What it still runs goes on.
 func (p *Placer) drop(id string) {
-	s := p.slots[id]
+	s := p.members[id]
 	if s == nil {
 		return
 	}
 	p.enlist(s, false)
-	delete(p.slots, id)
+	delete(p.members, id)
 	t := s.target
 	if t == nil {
 		return
@@ -194,8 +194,8 @@
 	delete(p.working, t)
 }
 
-func (p *Placer) newTarget(s *slot) *target {
-	t := &target{slot: s, eased: p.heard, tickets: make(map[*Ticket]struct{}), hold: firstHold, phase: p.phases[s.upstream.ID]}
+func (p *Placer) newTarget(s *member) *target {
+	t := &target{member: s, eased: p.heard, tickets: make(map[*Ticket]struct{}), hold: firstHold, phase: p.phases[s.upstream.ID]}
 	t.kept = keptSet{engine: t, keepers: p.keepers}
 	p.configure(t)
 	return t
@@ -265,7 +265,7 @@
 }
 
 func (p *Placer) setPhase(id string, phase renewer.Phase) {
-	if s := p.slots[id]; s != nil && s.target != nil {
+	if s := p.members[id]; s != nil && s.target != nil {
 		s.target.phase = phase
 	}
 }
--- a/placer/pool.go
+++ b/placer/pool.go
@@ -10,10 +10,10 @@
 	"amaranthgate.example/amaranthgate/follower"
 )
 
-// slot is an upstream of which no more is known than its entry says. A host that stands by has one
+// member is an upstream of which no more is known than its entry says. A host that stands by has one
 // for each of 10,000; what it would learn of their load takes four times the memory and is made as
 // they are looked at.
-type slot struct {
+type member struct {
 	key      string // key is what Start names it.
 	upstream *follower.Upstream
 	hash     uint64
@@ -27,14 +27,14 @@
 
 // pool is the upstreams of a service that take new work.
 type pool struct {
-	all   []*slot // all are in no order.
-	near  []*slot // near are those of them that belong to this host's cell.
-	ring  []*slot // ring has them by their hashes, but for those in added.
-	added []*slot // added are to be put into the ring.
+	all   []*member // all are in no order.
+	near  []*member // near are those of them that belong to this host's cell.
+	ring  []*member // ring has them by their hashes, but for those in added.
+	added []*member // added are to be put into the ring.
 }
 
 // enlist has an upstream take new work or not; p.mu is held.
-func (p *Placer) enlist(s *slot, takes bool) {
+func (p *Placer) enlist(s *member, takes bool) {
 	if s.listed == takes {
 		return
 	}
@@ -53,13 +53,13 @@
 }
 
 // owns tells that an upstream belongs to this host's cell.
-func (p *Placer) owns(s *slot) bool {
+func (p *Placer) owns(s *member) bool {
 	return s.near && s.hash%uint64(max(p.cells, 1)) == uint64(p.cell)
 }
 
 // divide works out anew which upstreams belong to this host's cell; p.mu is held.
 func (p *Placer) divide() {
-	for _, s := range p.slots {
+	for _, s := range p.members {
 		s.ours = p.owns(s)
 	}
 	for _, in := range p.pools {
@@ -70,21 +70,21 @@
 	}
 }
 
-func (l *pool) add(s *slot) {
+func (l *pool) add(s *member) {
 	s.place = len(l.all)
 	l.all = append(l.all, s)
 	l.added = append(l.added, s)
 	l.addNear(s)
 }
 
-func (l *pool) addNear(s *slot) {
+func (l *pool) addNear(s *member) {
 	if s.ours {
 		s.nearPlace = len(l.near)
 		l.near = append(l.near, s)
 	}
 }
 
-func (l *pool) remove(s *slot) {
+func (l *pool) remove(s *member) {
 	last := l.all[len(l.all)-1]
 	l.all[s.place], last.place = last, s.place
 	l.all = l.all[:len(l.all)-1]
@@ -103,7 +103,7 @@
 	}
 }
 
-func byHash(s *slot, hash uint64) int { return cmp.Compare(s.hash, hash) }
+func byHash(s *member, hash uint64) int { return cmp.Compare(s.hash, hash) }
 
 // fewAdded is the number up to which upstreams are put into the ring one by one.
 const fewAdded = 64
@@ -112,7 +112,7 @@
 func (l *pool) settle() {
 	if len(l.added) > fewAdded {
 		l.ring = append(l.ring, l.added...)
-		slices.SortFunc(l.ring, func(a, b *slot) int { return cmp.Compare(a.hash, b.hash) })
+		slices.SortFunc(l.ring, func(a, b *member) int { return cmp.Compare(a.hash, b.hash) })
 	} else {
 		for _, s := range l.added {
 			at, _ := slices.BinarySearchFunc(l.ring, s.hash, byHash)
@@ -124,7 +124,7 @@
 
 // homes returns the two upstreams that a part belongs to: those that follow its place on the ring
 // of all hashes.
-func (l *pool) homes(key PartKey) (first, second *slot) {
+func (l *pool) homes(key PartKey) (first, second *member) {
 	l.settle()
 	if len(l.ring) == 0 {
 		return nil, nil
@@ -134,7 +134,7 @@
 }
 
 // look returns what is known of an upstream's load; p.mu is held.
-func (p *Placer) look(s *slot) *target {
+func (p *Placer) look(s *member) *target {
 	if s.target == nil {
 		s.target = p.newTarget(s)
 		p.targets[s.key] = s.target
@@ -151,7 +151,7 @@
 		return t
 	}
 	for _, id := range []string{follower.IDOf(start), start} {
-		if s := p.slots[id]; s != nil && s.key == start {
+		if s := p.members[id]; s != nil && s.key == start {
 			return p.look(s)
 		}
 	}
--- a/placer/restart_test.go
+++ b/placer/restart_test.go
@@ -23,11 +23,11 @@
 	assert.Equal(t, open.Basis.Missing, 4000)
 	given := 0
 	open.Ticket.OnSilent(func() { given++ })
-	former := p.slots["e0"].key
+	former := p.members["e0"].key
 
 	p.Update(withFirst(v, func(u *follower.Upstream) { u.Born = 200 }))
 	assert.Equal(t, given, 1)
-	assert.Equal(t, p.Busy(p.slots["e0"].key), 0)
+	assert.Equal(t, p.Busy(p.members["e0"].key), 0)
 
 	p.Heard(start, "peer", Report{
 		Work:   map[string]Work{former: {Requests: 3, Memory: 50000}},
@@ -38,6 +38,6 @@
 	assert.Equal(t, verdict, Chosen)
 	assert.Equal(t, again.Basis.Missing, 16800)
 	assert.Equal(t, again.Basis.Work, Work{})
-	assert.Equal(t, p.Report().Work[p.slots["e0"].key].Requests, 1)
+	assert.Equal(t, p.Report().Work[p.members["e0"].key].Requests, 1)
 	assert.Equal(t, len(p.Changes().Work), 0)
 }
--- a/placer/target.go
+++ b/placer/target.go
@@ -31,7 +31,7 @@
 
 // target is an upstream with what is known of its load.
 type target struct {
-	*slot
+	*member
 	engine *matcher.Engine // engine is nil for plain services.
 
 	own     Work
