--- a/introducer/introducer.go
+++ b/introducer/introducer.go
@@ -17,8 +17,8 @@
 	Introducers = 48
 	// FirstSpread is the time over which hosts that all start for the first time read the
 	// announcements. Those that read before the first Introducers announcements are there
-	// announce themselves as well: of 2,000 hosts some 400 in 1 s, in the 1.6 s of appends
-	// that the store lets wait.
+	// announce themselves as well: of 2,000 hosts 162 in all (TestHerdMeets), 0.65 s of appends
+	// where the store lets 2 s wait.
 	FirstSpread = time.Second
 	// answerTime is how long hosts that were read of have to speak, before more are read of.
 	answerTime = 1500 * time.Millisecond
