--- /dev/null
+++ b/internal/auditor/doc.go
@@ -0,0 +1,20 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+// Package auditor checks, from what upstreams have recorded, whether hosts obey what upstreams say of
+// themselves in their answers.
+//
+// An upstream may declare the rate of requests that it accepts of all hosts together. Hosts that have
+// had such an answer for TellTime are bound by it: in any RateWindow that begins Settle or later after
+// the first declaration, they may send RateFactor times what the rate allows and RateSlack requests
+// more. A fault of a host excuses it until it has had another such answer after the fault.
+//
+// # Usage
+//
+//	a := auditor.New(auditor.Options{Settle: 3 * time.Second})
+//	a.Declare("engine-1", at, 2.7)
+//	a.Told("engine-1", "host-1", at)
+//	a.Arrived("engine-1", "host-1", at)
+//	a.Excuse("host-1", from, to)
+//	for _, violation := range a.Violations() { ... }
+package auditor
