Log what upstreams declare of their rate limits

Change: the adapter decodes the header of each answer of the expected instance, and the host logs RateLimitChanged and RateLimitMalformed, bounded like other lines about changes of state. Nothing acts on it yet.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -104,7 +104,8 @@
 	uncontacted atomic.Pointer[map[string]bool] // uncontacted are hosts known only from their announcements.
 	// reportMu keeps reports in order: an older report must not overwrite a newer one.
 	reportMu          sync.Mutex
-	gcPercent         int     // gcPercent is the garbage collector's target percentage.
+	gcPercent         int // gcPercent is the garbage collector's target percentage.
+	notices           notices
 	senders           senders // senders are the hosts that send to upstreams or recently did.
 	reportTicks       int
 	quarantineChanged chan struct{} // quarantineChanged signals changes for the other hosts.
@@ -161,6 +162,7 @@
 		Refuses:    opts.Pool.Refuses,
 		Terminated: opts.Pool.Terminated,
 		Ended:      h.logUpstreamEnded,
+		Noticed:    h.notice,
 	})
 	h.messenger = messenger.New(messenger.Options{
 		Self:      messenger.Hello{Host: self.Host, Incarnation: self.Incarnation},
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"amaranthgate.example/amaranthgate/dispatcher"
+	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/placer"
@@ -161,11 +162,20 @@
 		directions.LastEvent = d.stream.lastID
 	}
 	sent := d.opts.Timer.Now()
+	directions.OnNotice = func(n Notice) { d.notice(choice.Upstream, sent, n) }
 	r := d.attempt(ctx, choice, directions)
 	choice.Ticket.Done(d.opts.Timer.Now(), d.recordResult(ctx, choice.Upstream, sent, r))
 	return r
 }
 
+// notice passes on what an upstream said in its answer to a request.
+func (d *delivery) notice(u follower.Upstream, sent time.Time, n Notice) {
+	if d.opts.Noticed != nil {
+		n.Upstream, n.Sent, n.At = u, sent, d.opts.Timer.Now()
+		d.opts.Noticed(n)
+	}
+}
+
 // errStalled is the cause with which attempts at a stalled upstream are canceled.
 var errStalled = errors.New("exchanger: the upstream sent nothing for too long")
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -53,6 +53,8 @@
 	// Ended is called for each request whose upstream terminated while it was in progress;
 	// optional.
 	Ended func(e Ended)
+	// Noticed is called with what upstreams say of themselves in answers; optional.
+	Noticed func(n Notice)
 }
 
 // Quarantine records during which requests upstreams terminated, and decides which
--- /dev/null
+++ b/exchanger/notice.go
@@ -0,0 +1,24 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package exchanger
+
+import (
+	"time"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// Notice is what an upstream says of itself in the header of an answer.
+type Notice struct {
+	Upstream follower.Upstream
+	Sent     time.Time // Sent is when the request was sent, At when the header had been read.
+	At       time.Time
+	Rate     RateNotice
+}
+
+// RateNotice is what an answer says of the upstream's rate limit.
+type RateNotice struct {
+	PerSecond float64 // PerSecond is the limit in requests a second for all hosts together; 0 if there is none.
+	Malformed string  // Malformed is the text of a limit that cannot be decoded; it says nothing.
+}
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -125,6 +125,9 @@
 	FetchDeadline int64
 	Save          []string
 	LastEvent     string
+	// OnNotice is called when the header of the upstream's answer has been read, whether or not the
+	// upstream ran the request.
+	OnNotice func(n Notice)
 }
 
 // Sender sends attempts to upstreams.
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -16,6 +16,8 @@
 	RequestEnded         = "RequestEnded"
 	UpstreamEnded        = "UpstreamEnded"
 	RequestBarred        = "RequestBarred"
+	RateLimitChanged     = "RateLimitChanged"
+	RateLimitMalformed   = "RateLimitMalformed"
 	BarLifted            = "BarLifted"
 	BarUnnoted           = "BarUnnoted"
 	BarUnread            = "BarUnread"
@@ -50,7 +52,7 @@
 // Kinds lists all events.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
+	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, RateLimitChanged, RateLimitMalformed, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
