Share the rate limits that upstreams declare among all hosts

What was seen: an upstream that had declared 2.5 requests a second got 21 in 4 s of hosts that it had told, where 20 are allowed, and as many requests as before. Cause: no host read the declaration. The class: an upstream says something of itself in an answer, and nothing but that answer's request learns of it. Change: package throttler. The first hosts in rendezvous order for the instance own the limit, one for each request a second at most, each with an equal rate; a host sends only with a token, its own or one that an owner handed out; hosts that wait ask owners. Statements are ordered by what caused them, gossiped, and end with an answer without one or with the instance. The placer asks for each choice, so that retries, resumed streams and isolated requests count. A request whose turn can't come in time is refused at once, with the time until then. Why it works: the sum of all buckets and rates is bounded without agreement, and a host that begins to own a limit begins with an empty bucket, so that different views of the fleet add one share at most (throttler's package comment).

--- a/conductor/build.go
+++ b/conductor/build.go
@@ -20,6 +20,7 @@
 		Seed:             uint64(h.opts.Timer.Now().UnixNano()),
 		WeightsWithin:    s.Platform.WeightsWithin.Std(),
 		Cold:             placer.ColdLimit{Overage: s.Platform.ColdOverage, Slack: s.Platform.ColdSlack},
+		RateLimits:       h.throttler,
 		OnUrgent:         h.requestReport,
 		OnRoom:           h.signalCapacity,
 	})
@@ -52,6 +53,7 @@
 		Placements:   h.placer.Placements,
 		StoreReports: h.placer.StoreReports,
 		Quarantine:   h.quarantine,
+		Throttler:    h.throttler,
 		Updater: updater.Options{
 			Host:        s.Host,
 			Term:        h.opts.Timing.LeaseTerm,
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -36,6 +36,11 @@
 	})
 	c.set.NewGauge("amaranthgate_upstreams_known", func() float64 { return float64(h.view.Load().Upstreams.Len()) })
 	c.set.NewGauge("amaranthgate_suspects_known", func() float64 { return float64(h.quarantine.Len()) })
+	c.set.NewGauge("amaranthgate_upstreams_rate_limited", func() float64 { return float64(h.throttler.Limited()) })
+	c.set.NewGauge("amaranthgate_rate_permits_granted_total", func() float64 { return float64(h.throttler.Stats().Granted) })
+	c.set.NewGauge("amaranthgate_rate_permits_received_total", func() float64 { return float64(h.throttler.Stats().Received) })
+	c.set.NewGauge("amaranthgate_rate_permits_expired_total", func() float64 { return float64(h.throttler.Stats().Expired) })
+	c.set.NewGauge("amaranthgate_requests_rate_limited_upstream_total", func() float64 { return float64(h.throttler.Stats().Taken) })
 	c.set.NewGauge("amaranthgate_connections_opened_total", func() float64 { return float64(h.opts.Pool.Opened.Load()) })
 	c.set.NewGauge("amaranthgate_answers_crossed_total", func() float64 { return float64(h.opts.Pool.Crossed.Load()) })
 	c.set.NewGauge("amaranthgate_log_lines_left_out_total", func() float64 { return float64(h.log.Omitted()) })
@@ -80,6 +85,16 @@
 // barred counts a request that is barred from all upstreams.
 func (c *counters) barred() { c.set.GetOrCreateCounter("amaranthgate_bars_total").Inc() }
 
+// malformedRateLimit counts an answer with a rate limit that cannot be decoded.
+func (c *counters) malformedRateLimit() {
+	c.set.GetOrCreateCounter("amaranthgate_rate_limits_malformed_total").Inc()
+}
+
+// passedOver counts a request that was sent to another upstream because of a rate limit.
+func (c *counters) passedOver() {
+	c.set.GetOrCreateCounter("amaranthgate_rate_limits_avoided_total").Inc()
+}
+
 // storeCall counts and times a call to the platform's store.
 func (c *counters) storeCall(call string, started time.Time, now time.Time, err error) {
 	result := "ok"
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -12,6 +12,7 @@
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/tracker"
 	"amaranthgate.example/amaranthgate/updater"
 )
@@ -93,6 +94,13 @@
 // QuarantineRestored holds the bars that earlier hosts saved.
 type QuarantineRestored struct{ Entries []quarantiner.Entry }
 
+// RateLimitsStepped holds what the throttler has for other hosts: changed rate limits, and asks and
+// grants.
+type RateLimitsStepped struct {
+	Changes []throttler.Limit
+	Permits []throttler.Message
+}
+
 // DrainStarted reports that this host is about to end.
 type DrainStarted struct{}
 
@@ -110,6 +118,7 @@
 func (VersionAgesRestored) event()  {}
 func (QuarantineChanged) event()    {}
 func (QuarantineRestored) event()   {}
+func (RateLimitsStepped) event()    {}
 func (DrainStarted) event()         {}
 
 // Action is an output of a Node, to be executed by its host.
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -24,6 +24,7 @@
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/retrier"
+	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/timer"
 	"amaranthgate.example/amaranthgate/tracker"
 	"amaranthgate.example/amaranthgate/updater"
@@ -89,6 +90,7 @@
 	placer     *placer.Placer
 	budget     *retrier.SharedBudgets
 	quarantine *quarantiner.Ledger
+	throttler  *throttler.Throttler
 	exchanger  *exchanger.Exchanger
 	messenger  *messenger.Messenger
 	counters   *counters
@@ -104,8 +106,7 @@
 	uncontacted atomic.Pointer[map[string]bool] // uncontacted are hosts known only from their announcements.
 	// reportMu keeps reports in order: an older report must not overwrite a newer one.
 	reportMu          sync.Mutex
-	gcPercent         int // gcPercent is the garbage collector's target percentage.
-	notices           notices
+	gcPercent         int     // gcPercent is the garbage collector's target percentage.
 	senders           senders // senders are the hosts that send to upstreams or recently did.
 	reportTicks       int
 	quarantineChanged chan struct{} // quarantineChanged signals changes for the other hosts.
@@ -142,6 +143,7 @@
 		budget:            retrier.NewSharedBudgets(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
 	h.quarantine = quarantiner.New(quarantiner.Options{Changed: h.signalQuarantineChange, Barred: h.logBarred})
+	h.throttler = h.newThrottler()
 	h.placer = h.newPlacer()
 	self := h.self()
 	h.node = h.newNode(self)
@@ -212,8 +214,10 @@
 	h.spawn(h.admitWaiting)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
+	cancelThrottle := h.opts.Timer.Every(throttleInterval, h.throttle)
 	cancelAccount := h.opts.Timer.Every(time.Second, func(time.Time) { h.log.ReportOmitted() })
 	context.AfterFunc(h.ctx, cancelTick)
+	context.AfterFunc(h.ctx, cancelThrottle)
 	context.AfterFunc(h.ctx, cancelAccount)
 	context.AfterFunc(h.ctx, cancelReport)
 	h.log.Info().Str("Host", s.Host).Str("AvailabilityZone", s.AvailabilityZone).
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -34,7 +34,7 @@
 	fast, slow := n.neighboursByPace()
 	n.opts.Quarantine.Expire(now)
 	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.feedOffsets(),
-		EndedDigest: n.opts.Quarantine.Digest()}
+		EndedDigest: n.opts.Quarantine.Digest(), RateLimits: n.opts.Throttler.Limits()}
 	if now.Sub(n.lastStandbyHeartbeat) >= n.opts.Timing.HeartbeatStandby {
 		n.lastStandbyHeartbeat = now
 		n.sendAll(fast, "", m)
@@ -144,6 +144,7 @@
 	n.relay(ev.From, m)
 	n.answerBuckets(now, ev.From, m.Buckets)
 	n.receiveQuarantine(now, ev.From, m)
+	n.receiveRateLimits(now, ev.From, m)
 	if m.Digest != 0 {
 		n.compareDigest(now, ev.From, m.Digest)
 	}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -18,7 +18,9 @@
 func (h *Host) report(now time.Time) {
 	h.placer.Watch(now)
 	if now.Sub(h.started) > startupTime {
-		h.placer.SetColdHosts(h.senders.update(now, *h.hosts.Load(), *h.serving.Load()))
+		senders := h.senders.update(now, *h.hosts.Load(), *h.serving.Load())
+		h.placer.SetColdHosts(senders)
+		h.updateThrottler(now, senders)
 	}
 	h.reportTicks++
 	if !h.serving.Load().All && h.reportTicks%largeFleetReportTicks != 0 {
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -12,6 +12,7 @@
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/tracker"
 	"amaranthgate.example/amaranthgate/updater"
 )
@@ -35,6 +36,8 @@
 	// Quarantine tracks the requests under which upstreams have ended; it is shared with the
 	// request path.
 	Quarantine *quarantiner.Ledger
+	// Throttler holds the rate limits that upstreams declare; it is shared with the request path.
+	Throttler *throttler.Throttler
 }
 
 // Node is the control plane of one host. It is not safe for concurrent use.
@@ -86,6 +89,9 @@
 	if opts.Quarantine == nil {
 		opts.Quarantine = quarantiner.New(quarantiner.Options{})
 	}
+	if opts.Throttler == nil {
+		opts.Throttler = throttler.New(throttler.Options{Host: opts.Self.Host})
+	}
 	return &Node{
 		opts:  opts,
 		state: follower.New(),
@@ -160,6 +166,8 @@
 	case QuarantineRestored:
 		n.opts.Quarantine.Merge(now, ev.Entries)
 		n.broadcast(&messenger.Message{Ended: ev.Entries})
+	case RateLimitsStepped:
+		n.stepRateLimits(ev)
 	case DrainStarted:
 		n.markLeaving()
 	}
--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -4,42 +4,66 @@
 package conductor
 
 import (
-	"sync"
+	"time"
 
 	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/logger"
+	"amaranthgate.example/amaranthgate/throttler"
+	"amaranthgate.example/amaranthgate/tracker"
 )
 
-// notices is what upstreams last said of themselves to this host. The zero value is ready to use.
-type notices struct {
-	mu    sync.Mutex
-	rates map[string]float64 // rates are declared rate limits, by instance.
-}
-
-// changed records a declared rate limit and reports whether it differs from the last one.
-func (n *notices) changed(instance string, perSecond float64) (before float64, changed bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	before = n.rates[instance]
-	if before == perSecond {
-		return before, false
-	}
-	if n.rates == nil {
-		n.rates = make(map[string]float64)
-	}
-	n.rates[instance] = perSecond
-	return before, true
+func (h *Host) newThrottler() *throttler.Throttler {
+	return throttler.New(throttler.Options{
+		Host:    h.opts.Settings.Host,
+		Waiting: func() int { return h.exchanger.Waiting() },
+		Changed: h.logRateLimit,
+		Granted: h.signalCapacity,
+	})
 }
 
 // notice handles what an upstream says of itself in an answer.
 func (h *Host) notice(n exchanger.Notice) {
 	instance := n.Upstream.InstanceID()
 	if n.Rate.Malformed != "" {
+		h.counters.malformedRateLimit()
 		h.log.StateChange().Str("Upstream", instance).Str("Value", n.Rate.Malformed).Msg(logger.RateLimitMalformed)
 		return
 	}
-	if before, changed := h.notices.changed(instance, n.Rate.PerSecond); changed {
-		h.log.StateChange().Str("Upstream", instance).Float64("Before", before).Float64("PerSecond", n.Rate.PerSecond).
-			Msg(logger.RateLimitChanged)
+	h.throttler.Declare(n.At, n.Sent, instance, n.Rate.PerSecond)
+}
+
+// logRateLimit logs the change of an upstream's rate limit.
+func (h *Host) logRateLimit(c throttler.Change) {
+	h.log.StateChange().Str("Upstream", c.Instance).Float64("Before", c.Before).Float64("PerSecond", c.After).
+		Str("Source", string(c.Source)).Dur("Lasted", c.Lasted).Msg(logger.RateLimitChanged)
+	h.signalCapacity()
+}
+
+// throttleInterval is the interval at which hosts hand out and ask for allowances under rate limits.
+const throttleInterval = 20 * time.Millisecond
+
+// throttle exchanges allowances under rate limits with other hosts while there are any.
+func (h *Host) throttle(now time.Time) {
+	changes := h.throttler.TakeChanges()
+	var permits []throttler.Message
+	if h.throttler.Active() {
+		permits = h.throttler.Step(now)
+	}
+	if len(changes) > 0 || len(permits) > 0 {
+		h.post(RateLimitsStepped{Changes: changes, Permits: permits})
+	}
+}
+
+// updateThrottler tells the throttler which hosts share rate limits, and which upstreams exist.
+// senders are the hosts that send to upstreams or recently did.
+func (h *Host) updateThrottler(now time.Time, senders []string) {
+	serving := h.serving.Load()
+	var live []string
+	for _, r := range *h.hosts.Load() {
+		if r.State == tracker.HostLive && (serving.All || serving.Active[r.Host]) {
+			live = append(live, r.Host)
+		}
 	}
+	h.throttler.SetHosts(now, live, len(senders))
+	h.throttler.Retain(now, h.placer.Lists)
 }
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -14,6 +14,7 @@
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
@@ -31,7 +32,9 @@
 	Placement placer.Dump
 	Barred    []quarantiner.Entry // Barred are requests that are no longer sent to any upstream.
 	Repeated  []quarantiner.Entry // Repeated are requests under which several upstreams have ended.
-	Suspects  int                 // Suspects counts requests under which upstreams have ended.
+	// RateLimits are the rate limits that upstreams have declared.
+	RateLimits []throttler.Dump
+	Suspects   int // Suspects counts requests under which upstreams have ended.
 }
 
 // Dump returns the current state of the host.
@@ -49,6 +52,8 @@
 		Barred:    h.quarantine.Bars(h.opts.Timer.Now()),
 		Repeated:  h.quarantine.Entries(h.opts.Timer.Now()),
 		Suspects:  h.quarantine.Len(),
+
+		RateLimits: h.throttler.Dump(h.opts.Timer.Now()),
 	}
 	for u := range view.Upstreams.All() {
 		d.Upstreams = append(d.Upstreams, *u)
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -18,6 +18,9 @@
 // logChoice logs the upstream chosen for a request. It runs before the request is sent, so that the
 // line exists even if this host ends meanwhile.
 func (h *Host) logChoice(r *exchanger.Request, v *follower.View, c *placer.Choice) {
+	if c.Basis.Throttled > 0 {
+		h.counters.passedOver()
+	}
 	ev := h.log.Routine()
 	if !ev.Enabled() {
 		return
@@ -84,4 +87,7 @@
 		Dur("Behind", b.BacklogTime).Dur("Reading", b.PrefillTime).Dur("Fetching", b.FetchTime).Bool("Replaced", b.Replaced).
 		Int("Stored", b.StoredParts).Int("Saved", b.SavedParts).
 		Uint64("Weights", c.Weights).Hex("Shared", binary.BigEndian.AppendUint64(nil, uint64(b.SharedKey))).Dur("PeersAge", b.PeersAge)
+	if b.Throttled > 0 {
+		e.Int("Throttled", b.Throttled)
+	}
 }
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -32,6 +32,7 @@
 	stream   *streamProgress // stream is nil until the caller has part of a stream.
 	// placementReason says why no upstream was chosen; ReasonNone if attempts determine the reason.
 	placementReason Reason
+	retryAfter      time.Duration // retryAfter is when the caller may retry, if placementReason gives a time.
 }
 
 // dispatch makes attempts, and writes the final answer if none of them did.
@@ -125,10 +126,20 @@
 		d.gate.Started()
 	case scheduler.TooLate:
 		d.placementReason = ReasonOverloaded
+		if item.Wait > 0 {
+			d.placementReason, d.retryAfter = ReasonRateLimited, d.turnAfter(item)
+		}
 	}
 	return choice, verdict
 }
 
+// turnAfter returns the time after which the turn of a request like the item would come within its
+// deadline.
+func (d *delivery) turnAfter(it *scheduler.Item) time.Duration {
+	patience := it.Latest.Sub(d.opts.Timer.Now())
+	return min(max(it.Wait-patience, retryAfterFull), maxRateRetryAfter)
+}
+
 // Try implements dispatcher.Attempter.
 func (d *delivery) Try(ctx context.Context, choice placer.Choice) dispatcher.Result {
 	d.tried = append(d.tried, choice.Upstream.ID)
@@ -245,7 +256,7 @@
 	case tries.Ran() == forwarder.RanNo && d.placementReason == ReasonTooLarge:
 		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.placementReason}) // a retry would not help
 	case tries.Ran() == forwarder.RanNo && d.placementReason != ReasonNone:
-		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.placementReason, RetryAfter: retryAfterFull})
+		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.placementReason, RetryAfter: max(retryAfterFull, d.retryAfter)})
 	case tries.Ran() == forwarder.RanNo:
 		d.refuse(notRunRefusal(ending, tries))
 	case ending == dispatcher.Deadline:
--- a/exchanger/queue.go
+++ b/exchanger/queue.go
@@ -25,6 +25,9 @@
 		WorkspaceWeight: 1,
 		Cost:            1,
 		Latest:          e.deadline,
+		Group:           e.service,
+		Entered:         e.opts.Timer.Now(),
+		Rate:            func() (float64, bool) { return e.opts.Placer.LimitedRate(e.opts.Timer.Now(), ask) },
 	}
 	if e.workspace != nil {
 		it.Workspace = e.workspace.Name
--- a/experimenter/doc.go
+++ b/experimenter/doc.go
@@ -15,6 +15,7 @@
 //	amaranthgate experiment decisions --deployment Association
 //	amaranthgate experiment ends --bad 3 --callers 2
 //	amaranthgate experiment fleet --hosts 100,300,985
+//	amaranthgate experiment limit --hosts 8,300,985
 //
 // Each command prints a table.
 package experimenter
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -103,6 +103,7 @@
 	"NoKey":       "no workspace holds the key that was sent",
 	"NoUpstream":  "no upstream of the service accepted new work; the request has not run",
 	"Overloaded":  "no upstream could begin the request in time; it waited at the host and has not run",
+	"RateLimited": "all upstreams of the service have declared rate limits, and its turn would have come too late; it has not run",
 	"TooLarge":    "the prompt is larger than the memory of any engine; the request has not run",
 	"Full":        "every upstream that was asked refused; the request has not run",
 	"Unreached":   "no connection to an upstream could be opened; the request has not run",
--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -23,6 +23,7 @@
 			e.changesCommand(),
 			e.controlCommand(),
 			e.leavingCommand(),
+			e.limitCommand(),
 			e.endsCommand(),
 			e.fleetCommand(),
 			{
@@ -228,6 +229,36 @@
 	}
 }
 
+func (e *env) limitCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "limit",
+		Usage: "measure how hosts share and use the rate limit that an upstream declares, in virtual time",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "hosts", Value: []int{8, 300, 985}, Usage: "`NUMBERS` of hosts"},
+			&cli.FloatSliceFlag{Name: "limit", Value: []float64{2.7}, Usage: "limits in `REQUESTS` per second"},
+			&cli.FloatFlag{Name: "overload", Value: 10, Usage: "requests of all callers, as a `FACTOR` of the limit"},
+			&cli.DurationFlag{Name: "deadline", Value: 3 * time.Second, Usage: "`TIME` that a request waits at most"},
+			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "simulated `TIME`"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the simulation"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var results []experimenter.RateResult
+			for _, hosts := range c.IntSlice("hosts") {
+				for _, limit := range c.FloatSlice("limit") {
+					for _, scenario := range experimenter.RateScenarios {
+						results = append(results, experimenter.Rate(experimenter.RateOptions{
+							Scenario: scenario, Hosts: hosts, Limit: limit, Demand: c.Float("overload") * limit,
+							Deadline: c.Duration("deadline"), For: c.Duration("for"), Seed: c.Uint64("seed"),
+						}))
+					}
+				}
+			}
+			experimenter.PrintRate(e.out, results)
+			return nil
+		},
+	}
+}
+
 func (e *env) leavingCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "leaving",
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -14,6 +14,7 @@
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/replayer"
+	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/tracker"
 	"amaranthgate.example/amaranthgate/updater"
 )
@@ -53,7 +54,11 @@
 	// of all of them that the sender knows, sent with Digest.
 	Ended       []quarantiner.Entry `cbor:"30,keyasint,omitempty"`
 	EndedDigest uint64              `cbor:"31,keyasint,omitempty"`
-	FeedPages   []follower.FeedPage `cbor:"20,keyasint,omitempty"` // FeedPages holds pages of feeds that the sender has read.
+	// RateLimits holds the rate limits that upstreams have declared; Permits the asks for and grants of
+	// requests under them.
+	RateLimits []throttler.Limit   `cbor:"32,keyasint,omitempty"`
+	Permits    *throttler.Permits  `cbor:"33,keyasint,omitempty"`
+	FeedPages  []follower.FeedPage `cbor:"20,keyasint,omitempty"` // FeedPages holds pages of feeds that the sender has read.
 }
 
 // WithFeedPages returns a shallow copy of m in which FeedPages is replaced.
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -68,6 +68,8 @@
 	// SharedKey is the key of the last part that other requests may share; 0 if there is none.
 	SharedKey PartKey
 	PeersAge  time.Duration // PeersAge is the age of the oldest report of another host that was counted.
+	// Throttled is the number of upstreams that were passed over for their rate limits.
+	Throttled int
 }
 
 // Choice is the chosen upstream with its instructions.
@@ -110,14 +112,20 @@
 	if req.Wait = p.wait(now, req); req.Wait.Done != nil {
 		return Choice{}, AwaitPrefill
 	}
-	best, estimate, verdict := p.best(now, req)
+	var s shortlist
+	best, estimate, verdict := p.best(now, req, &s)
+	if verdict == Chosen && !p.limits.Take(now, best.instance) {
+		verdict = Busy
+		s.throttled = append(s.throttled, best)
+	}
 	if verdict != Chosen {
+		p.wantThrottled(now, &s)
 		return Choice{}, verdict
 	}
 	if best.backoff > 0 {
 		best.probing = true
 	}
-	c := Choice{Upstream: *best.upstream, Basis: Basis{Estimate: estimate, Work: best.work(), PeersAge: p.peersAge(now)}}
+	c := Choice{Upstream: *best.upstream, Basis: Basis{Estimate: estimate, Work: best.work(), PeersAge: p.peersAge(now), Throttled: len(s.throttled)}}
 	tk := &Ticket{placer: p, target: best, start: now, work: Work{Requests: 1}}
 	if req.Prompt != nil {
 		c.Weights = best.upstream.Weights[req.Prompt.Model]
@@ -148,12 +156,13 @@
 	busy      bool          // busy reports that a candidate will be able to begin the request later.
 	fallback  *target       // fallback is a candidate that is loading weights or has expired ones.
 	suspect   *target       // suspect is the suspect candidate with the earliest end of its backoff.
+	throttled []*target     // throttled are the candidates whose rate limits leave nothing for this host now.
 }
 
 // best returns the candidate with the least cost among those that can begin the request, and its
 // cost. The scan starts at a random candidate, so that hosts with equal knowledge do not all choose
 // the same one.
-func (p *Placer) best(now time.Time, req *PlacementRequest) (*target, time.Duration, Verdict) {
+func (p *Placer) best(now time.Time, req *PlacementRequest, s *shortlist) (*target, time.Duration, Verdict) {
 	pl := p.pools[req.Service]
 	if pl == nil {
 		return nil, 0, None
@@ -162,14 +171,13 @@
 		return nil, 0, Busy
 	}
 	if req.Isolation.requested() {
-		return p.chooseIsolated(now, req)
+		return p.chooseIsolated(now, req, s)
 	}
-	var s shortlist
-	p.considerAll(now, p.candidates(pl, req), req, &s)
+	p.considerAll(now, p.candidates(pl, req), req, s)
 	if s.best == nil && pl.large() {
-		p.considerAll(now, p.sample(pl.all, retrySamples), req, &s)
+		p.considerAll(now, p.sample(pl.all, retrySamples), req, s)
 	}
-	return p.pick(&s, req)
+	return p.pick(s, req)
 }
 
 // considerAll adds the eligible candidates to the shortlist.
@@ -192,6 +200,8 @@
 	switch {
 	case p.rationed(now, t):
 		s.busy = true
+	case p.throttled(now, t):
+		s.throttled = append(s.throttled, t)
 	case t.suspect(now):
 		if s.suspect == nil || t.suspectUntil.Before(s.suspect.suspectUntil) {
 			s.suspect = t
@@ -217,7 +227,7 @@
 		return nil, 0, Busy
 	case s.fallback != nil && p.admits(s.fallback, req):
 		return s.fallback, 0, Chosen
-	case s.fallback != nil:
+	case s.fallback != nil, len(s.throttled) > 0:
 		return nil, 0, Busy
 	case s.suspect != nil:
 		return s.suspect, 0, Chosen
--- a/placer/isolation.go
+++ b/placer/isolation.go
@@ -21,8 +21,8 @@
 // which is the same at all hosts and differs between requests, instead of by cost. Copies of a
 // crashing request then meet at one upstream, and requests that are suspects only because they ran
 // beside it go elsewhere.
-func (p *Placer) chooseIsolated(now time.Time, req *PlacementRequest) (*target, time.Duration, Verdict) {
-	var first, rest shortlist
+func (p *Placer) chooseIsolated(now time.Time, req *PlacementRequest, rest *shortlist) (*target, time.Duration, Verdict) {
+	var first shortlist
 	var maxRank uint64
 	for _, m := range p.pools[req.Service].all {
 		t := p.targetOf(m)
@@ -34,7 +34,7 @@
 		rank := rendezvous(PartKey(req.Isolation.Key), t.hash)
 		switch {
 		case single.best == nil:
-			p.consider(now, t, req, &rest)
+			p.consider(now, t, req, rest)
 		case first.best == nil || rank > maxRank:
 			first, maxRank = single, rank
 		}
@@ -42,5 +42,5 @@
 	if first.best != nil {
 		return p.pick(&first, req)
 	}
-	return p.pick(&rest, req)
+	return p.pick(rest, req)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,7 +27,9 @@
 	// is not set.
 	WeightsWithin time.Duration
 	Cold          ColdLimit // Cold limits what all hosts together send to a cold upstream.
-	Seed          uint64    // Seed is the seed of random sampling; it must differ between hosts.
+	// RateLimits are the rate limits that upstreams declare; nil if there are none.
+	RateLimits RateLimits
+	Seed       uint64 // Seed is the seed of random sampling; it must differ between hosts.
 	// OnRoom is called, if set, when an upstream may have more room than before. It must not block.
 	OnRoom func()
 	// OnUrgent is called, if set, when other hosts should get a report of a long prompt at once. It
@@ -35,13 +37,29 @@
 	OnUrgent func()
 }
 
+// RateLimits bounds the requests that this host sends to upstreams, by instance. It must be safe for
+// concurrent use.
+type RateLimits interface {
+	// Active reports whether any limit is in force.
+	Active() bool
+	// PerSecond returns the limit over all hosts; 0 if there is none.
+	PerSecond(instance string) float64
+	// Allows reports whether a request may be sent now. Take takes the allowance for one and reports
+	// whether there was one.
+	Allows(now time.Time, instance string) bool
+	Take(now time.Time, instance string) bool
+	// Want records that a request waits for an allowance.
+	Want(now time.Time, instance string)
+}
+
 // urgentTokens is the prefill from which a request is reported to other hosts at once, so that they
 // send short requests elsewhere.
 const urgentTokens = 1024
 
 // Placer chooses upstreams. It is safe for concurrent use.
 type Placer struct {
-	opts Options
+	opts   Options
+	limits RateLimits
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -88,8 +106,13 @@
 
 // New returns a Placer that knows no upstream.
 func New(opts Options) *Placer {
+	limits := opts.RateLimits
+	if limits == nil {
+		limits = noRateLimits{}
+	}
 	return &Placer{
 		opts:          opts,
+		limits:        limits,
 		hostHash:      xxhash.Sum64String(opts.Host),
 		rng:           rand.New(rand.NewPCG(opts.Seed, 1)),
 		view:          &follower.View{},
@@ -248,6 +271,18 @@
 	return 0
 }
 
+// Lists reports whether the current view has an upstream instance.
+func (p *Placer) Lists(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range []string{follower.UpstreamID(instance), instance} {
+		if m := p.members[id]; m != nil && m.instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
 // SetPhases sets the engines that load weights now or will soon.
 func (p *Placer) SetPhases(phases map[string]updater.Phase) {
 	p.mu.Lock()
--- a/scheduler/gate.go
+++ b/scheduler/gate.go
@@ -55,6 +55,9 @@
 	it.result = make(chan EnterResult, 1)
 	g.queue.Push(it)
 	g.grantWaiting()
+	if it.Rate != nil {
+		g.rejectHopeless(it.Entered)
+	}
 	g.waiting.Store(int64(g.queue.Len()))
 	g.mu.Unlock()
 	select {
@@ -83,6 +86,13 @@
 	}
 }
 
+// rejectHopeless rejects the items whose turn would come too late.
+func (g *Gate) rejectHopeless(now time.Time) {
+	for _, it := range g.queue.RemoveHopeless(now) {
+		it.result <- TooLate
+	}
+}
+
 // Started ends the counting of a granted request in the gate; see Enter.
 func (g *Gate) Started() {
 	g.mu.Lock()
@@ -105,6 +115,7 @@
 			it.result <- TooLate
 		}
 		g.queue.Demote(now)
+		g.rejectHopeless(now)
 	}
 	g.grantWaiting()
 	g.waiting.Store(int64(g.queue.Len()))
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -24,6 +24,15 @@
 	// Begin starts the request if there is capacity, and reports whether it did. It is
 	// for admission by more than class and rank, and may be nil.
 	Begin func() bool
+	// Group names the capacity that items compete for, such as a service.
+	Group string
+	// Rate returns the rate at which items like this one may be granted, in items a second, and false
+	// if it is not limited. It may be nil.
+	Rate func() (perSecond float64, limited bool)
+	// Entered is when the item was passed to Gate.Enter. It may be zero if Rate is nil.
+	Entered time.Time
+	// Wait is set if the item is rejected because its turn would come too late: the time until then.
+	Wait time.Duration
 
 	startTag float64
 	flow     *flow
