--- a/conductor/host.go
+++ b/conductor/host.go
@@ -214,10 +214,8 @@
 	h.spawn(h.admitWaiting)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
-	cancelThrottle := h.opts.Timer.Every(throttleInterval, h.throttle)
 	cancelAccount := h.opts.Timer.Every(time.Second, func(time.Time) { h.log.ReportOmitted() })
 	context.AfterFunc(h.ctx, cancelTick)
-	context.AfterFunc(h.ctx, cancelThrottle)
 	context.AfterFunc(h.ctx, cancelAccount)
 	context.AfterFunc(h.ctx, cancelReport)
 	h.log.Info().Str("Host", s.Host).Str("AvailabilityZone", s.AvailabilityZone).
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// admitWaiting resumes waiting requests when upstreams have room, and checks their deadlines at
-// each tick.
+// admitWaiting resumes waiting requests when upstreams have room. At each tick it checks their
+// deadlines, and exchanges allowances under rate limits with other hosts.
 func (h *Host) admitWaiting() {
 	tick := time.NewTicker(h.opts.Timing.Admit)
 	defer tick.Stop()
@@ -52,6 +52,7 @@
 		select {
 		case <-h.capacityFreed:
 		case <-tick.C:
+			h.throttle(h.opts.Timer.Now())
 			if h.exchanger.Waiting() == 0 {
 				continue
 			}
--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -39,9 +39,6 @@
 	h.signalCapacity()
 }
 
-// throttleInterval is the interval at which hosts hand out and ask for allowances under rate limits.
-const throttleInterval = 20 * time.Millisecond
-
 // throttle exchanges allowances under rate limits with other hosts while there are any.
 func (h *Host) throttle(now time.Time) {
 	changes := h.throttler.TakeChanges()
