--- a/experimenter/ratemodel.go
+++ b/experimenter/ratemodel.go
@@ -168,7 +168,7 @@
 		}
 		h.waiting = h.waiting[1:]
 		sent := m.now
-		m.after(rateLatency, func() { m.auditor.Arrived(rateUpstream, h.name, m.now) })
+		m.after(rateLatency, func() { m.auditor.Arrived(rateUpstream, h.name, sent, m.now) })
 		m.after(rateAnswer, func() { m.answer(h, sent) })
 	}
 }
--- a/internal/auditor/doc.go
+++ b/internal/auditor/doc.go
@@ -9,12 +9,20 @@
 // the first declaration, they may send RateFactor times what the rate allows and RateSlack requests
 // more. A fault of a host excuses it until it has had another such answer after the fault.
 //
+// An upstream may say that it is leaving: a host that has had such an answer forwards no request there
+// that its caller sent later than Drain after it. Only a restart or a pause of the host excuses it.
+//
+// An upstream that refuses a request may ask its host for rest: from TellTime after that to the end of
+// the rest, the host sends it at most MaxRestArrivals requests.
+//
 // # Usage
 //
 //	a := auditor.New(auditor.Options{Settle: 3 * time.Second})
 //	a.Declare("engine-1", at, 2.7)
 //	a.Told("engine-1", "host-1", at)
-//	a.Arrived("engine-1", "host-1", at)
+//	a.ToldLeaving("engine-1", "host-1", at)
+//	a.ToldRest("engine-1", "host-1", at, 3*time.Second)
+//	a.Arrived("engine-1", "host-1", sent, at)
 //	a.Excuse("host-1", from, to)
 //	for _, violation := range a.Violations() { ... }
 package auditor
--- a/internal/auditor/rate_test.go
+++ b/internal/auditor/rate_test.go
@@ -24,7 +24,10 @@
 	Name     string
 	Rates    [][2]float64
 	Told     [][]any
+	Leaving  [][]any
+	Rests    [][]any
 	Excuses  [][]any
+	Cuts     [][]any
 	Arrivals [][]any
 	Count    int
 	Broken   bool
@@ -50,9 +53,20 @@
 	for _, f := range c.Excuses {
 		a.Excuse(f[0].(string), at(f[1].(float64)), at(f[2].(float64)))
 	}
+	for _, f := range c.Leaving {
+		a.ToldLeaving("u", f[0].(string), at(f[1].(float64)))
+	}
+	for _, f := range c.Rests {
+		a.ToldRest("u", f[0].(string), at(f[1].(float64)), time.Duration(f[2].(float64))*time.Millisecond)
+	}
+	for _, f := range c.Cuts {
+		a.ExcuseCut(f[0].(string), at(f[1].(float64)), at(f[2].(float64)))
+	}
+	const transit = 3
 	for _, f := range c.Arrivals {
 		for i := range int(f[3].(float64)) {
-			a.Arrived("u", f[0].(string), at(f[1].(float64)+float64(i)*f[2].(float64)))
+			when := f[1].(float64) + float64(i)*f[2].(float64)
+			a.Arrived("u", f[0].(string), at(when-transit), at(when))
 		}
 	}
 }
@@ -68,11 +82,23 @@
 	}
 }
 
+func TestLeavingAndRestBounds(t *testing.T) {
+	for _, c := range readCases(t, "testdata/holds.jsonc") {
+		t.Run(c.Name, func(t *testing.T) {
+			a := New(Options{Drain: 2 * time.Second})
+			c.record(a)
+			assert.Equal(t, len(a.Violations()) > 0, c.Broken, "%v", a.Violations())
+			_, late := a.LatestAfterLeaving("u")
+			assert.Equal(t, late+a.RestArrivals("u"), c.Count)
+		})
+	}
+}
+
 func TestUse(t *testing.T) {
 	a := New(Options{})
 	a.Declare("u", at(0), 2)
 	for i := range 20 {
-		a.Arrived("u", "a", at(float64(500*i)))
+		a.Arrived("u", "a", at(float64(500*i)), at(float64(500*i)))
 	}
 	use := a.Use("u", at(0), at(10000))
 	assert.Assert(t, use > 0.99 && use < 1.01, "%v", use)
