Send nothing to upstreams that say in an answer that they are leaving

What was seen: while the store was away, requests reached an engine up to 4.2 s after an answer had told the host that sent them that the engine leaves; 2.0 s are allowed. Callers were served, but by an upstream that may end at any time. Cause: only the upstream's entry in the store was read, which says so when the store is back; what the answer said was ignored. The class is that of declared rate limits: what an upstream says of itself in an answer outlives the request. Change: the placer takes the instance off the list of those that take work, which every way to an upstream asks (retries, resumed streams, kept context, waiting requests, the last one left), until the instance ends or restarts. Peers are not told. Log line UpstreamLeaving, counter, state dump.

--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -24,6 +24,10 @@
 // notice handles what an upstream says of itself in an answer.
 func (h *Host) notice(n exchanger.Notice) {
 	instance := n.Upstream.InstanceID()
+	if n.Leaving && h.placer.MarkLeaving(instance) {
+		h.counters.upstreamLeaving()
+		h.log.StateChange().Str("Upstream", instance).Msg(logger.UpstreamLeaving)
+	}
 	if n.Rate.Malformed != "" {
 		h.counters.malformedRateLimit()
 		h.log.StateChange().Str("Upstream", instance).Str("Value", n.Rate.Malformed).Msg(logger.RateLimitMalformed)
--- a/exchanger/notice.go
+++ b/exchanger/notice.go
@@ -15,6 +15,7 @@
 	Sent     time.Time // Sent is when the request was sent, At when the header had been read.
 	At       time.Time
 	Rate     RateNotice
+	Leaving  bool // Leaving reports whether the upstream is leaving and accepts no new work.
 }
 
 // RateNotice is what an answer says of the upstream's rate limit.
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -16,6 +16,7 @@
 	RequestEnded         = "RequestEnded"
 	UpstreamEnded        = "UpstreamEnded"
 	RequestBarred        = "RequestBarred"
+	UpstreamLeaving      = "UpstreamLeaving"
 	RateLimitChanged     = "RateLimitChanged"
 	RateLimitMalformed   = "RateLimitMalformed"
 	BarLifted            = "BarLifted"
@@ -52,7 +53,7 @@
 // Kinds lists all events.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, RateLimitChanged, RateLimitMalformed, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
+	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, UpstreamLeaving, RateLimitChanged, RateLimitMalformed, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
--- a/placer/dump.go
+++ b/placer/dump.go
@@ -26,6 +26,7 @@
 	KeptTokens int
 	Slowness   float64   // Slowness is the ratio of observed to estimated time.
 	ColdUntil  time.Time // ColdUntil is until when the rate limit of cold upstreams applies.
+	Leaving    bool      // Leaving reports that it has said in an answer that it is leaving.
 }
 
 // StoreDump is the state of a KV cache store in a Dump.
@@ -48,7 +49,7 @@
 		d.Upstreams[id] = UpstreamDump{
 			Own: t.own, Others: t.peers, Failing: t.failureRate, Suspect: t.suspect(now), Renewing: t.phase,
 			KeptParts: len(t.cache.parts), KeptTokens: t.cache.tokens,
-			Slowness: t.slowness.factor(now), ColdUntil: p.coldUntil(t),
+			Slowness: t.slowness.factor(now), ColdUntil: p.coldUntil(t), Leaving: t.leaving,
 		}
 	}
 	for address, st := range p.stores {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -147,7 +147,7 @@
 	p.named, p.zoneReturns = view.Versions, view.EvacuationsEnded
 	put, gone := view.Upstreams.Since(before.Upstreams)
 	for _, u := range put {
-		callbacks = append(callbacks, p.put(view, u)...)
+		callbacks = append(callbacks, p.put(u)...)
 	}
 	for _, u := range gone {
 		p.drop(u.ID)
@@ -159,7 +159,7 @@
 	}
 	if !maps.Equal(view.Evacuated, before.Evacuated) {
 		for _, m := range p.members {
-			p.setListed(m, view.Accepts(m.upstream))
+			p.setListed(m, p.takesWork(m))
 		}
 	}
 	p.updateStores(view)
@@ -169,7 +169,7 @@
 
 // put applies an upstream that is new or has changed, and returns the callbacks of requests in
 // flight at an earlier instance.
-func (p *Placer) put(view *follower.View, u *follower.Upstream) (callbacks []func()) {
+func (p *Placer) put(u *follower.Upstream) (callbacks []func()) {
 	instance := u.InstanceID()
 	m := p.members[u.ID]
 	if m != nil && m.instance != instance {
@@ -187,7 +187,7 @@
 		p.setListed(m, false)
 	}
 	m.upstream, m.sameZone = u, u.AvailabilityZone == p.opts.AvailabilityZone
-	p.setListed(m, view.Accepts(u))
+	p.setListed(m, p.takesWork(m))
 	if m.target != nil {
 		p.configure(m.target)
 	}
@@ -275,12 +275,7 @@
 func (p *Placer) Lists(instance string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, id := range []string{follower.UpstreamID(instance), instance} {
-		if m := p.members[id]; m != nil && m.instance == instance {
-			return true
-		}
-	}
-	return false
+	return p.memberOf(instance) != nil
 }
 
 // SetPhases sets the engines that load weights now or will soon.
--- a/placer/pool.go
+++ b/placer/pool.go
@@ -21,6 +21,7 @@
 	inOwnCell bool    // inOwnCell reports that it belongs to this host's cell.
 	listed    bool    // listed reports that it is in its service's pool, since it takes new work.
 	target    *target // target is nil until it is needed.
+	leaving   bool    // leaving reports that it has said so in an answer.
 
 	index, cellIndex int // index and cellIndex are its positions in the pool's all and cell.
 }
@@ -150,9 +151,17 @@
 	if t := p.targets[instance]; t != nil {
 		return t
 	}
+	if m := p.memberOf(instance); m != nil {
+		return p.targetOf(m)
+	}
+	return nil
+}
+
+// memberOf returns the upstream of an instance; nil if there is none.
+func (p *Placer) memberOf(instance string) *member {
 	for _, id := range []string{follower.UpstreamID(instance), instance} {
 		if m := p.members[id]; m != nil && m.instance == instance {
-			return p.targetOf(m)
+			return m
 		}
 	}
 	return nil
