Send nothing to upstreams in the time of rest that they ask for

What was seen: an upstream that had turned a host away with 503 and asked for 3 s of rest got 3 and 4 requests from it in that time, where 2 are allowed. The callers' requests had failed at another upstream and were repeated there. Cause: Retry-After of a refusal served only for the caller's refusal; the upstream stayed a candidate, least preferred after failures, so that repeats reached it. Evidence: the recorded traces; reproduced with two hosts, one upstream that asks for 3 s and one that fails: 180 requests in times of rest; where both ask, 5 of one host in 2.5 s. Change: the placer passes over an upstream until the end of the latest rest that it asked this host for, for retries and the last one left too; the end of the instance ends it. If all are resting, requests are refused at once with the time until the first takes requests again; a refusal by one of several no longer hands its time to the caller, who can be served by another. 429 and answers of requests that ran count alike; a time that can't be read, or zero, changes nothing. Lines RestBegun, RestEnded, RestMalformed, counters, state dump, explain.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -37,6 +37,7 @@
 	c.set.NewGauge("amaranthgate_upstreams_known", func() float64 { return float64(h.view.Load().Upstreams.Len()) })
 	c.set.NewGauge("amaranthgate_suspects_known", func() float64 { return float64(h.quarantine.Len()) })
 	c.set.NewGauge("amaranthgate_upstreams_leaving", func() float64 { return float64(h.placer.Leaving()) })
+	c.set.NewGauge("amaranthgate_upstreams_resting", func() float64 { return float64(h.placer.Resting()) })
 	c.set.NewGauge("amaranthgate_upstreams_rate_limited", func() float64 { return float64(h.throttler.Limited()) })
 	c.set.NewGauge("amaranthgate_rate_permits_granted_total", func() float64 { return float64(h.throttler.Stats().Granted) })
 	c.set.NewGauge("amaranthgate_rate_permits_received_total", func() float64 { return float64(h.throttler.Stats().Received) })
@@ -91,6 +92,9 @@
 	c.set.GetOrCreateCounter("amaranthgate_upstreams_leaving_told_total").Inc()
 }
 
+// restBegun counts an upstream that asked this host for rest.
+func (c *counters) restBegun() { c.set.GetOrCreateCounter("amaranthgate_upstream_rests_total").Inc() }
+
 // malformedRateLimit counts an answer with a rate limit that cannot be decoded.
 func (c *counters) malformedRateLimit() {
 	c.set.GetOrCreateCounter("amaranthgate_rate_limits_malformed_total").Inc()
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -17,6 +17,7 @@
 // report sends the other hosts this one's load.
 func (h *Host) report(now time.Time) {
 	h.placer.Watch(now)
+	h.endRests(now)
 	if now.Sub(h.started) > startupTime {
 		senders := h.senders.update(now, *h.hosts.Load(), *h.serving.Load())
 		h.placer.SetColdHosts(senders)
--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -28,6 +28,7 @@
 		h.counters.upstreamLeaving()
 		h.log.StateChange().Str("Upstream", instance).Msg(logger.UpstreamLeaving)
 	}
+	h.noticeRest(n, instance)
 	if n.Rate.Malformed != "" {
 		h.counters.malformedRateLimit()
 		h.log.StateChange().Str("Upstream", instance).Str("Value", n.Rate.Malformed).Msg(logger.RateLimitMalformed)
@@ -36,6 +37,24 @@
 	h.throttler.Declare(n.At, n.Sent, instance, n.Rate.PerSecond)
 }
 
+// noticeRest handles an upstream that asks this host for rest.
+func (h *Host) noticeRest(n exchanger.Notice, instance string) {
+	switch {
+	case n.Rest.Malformed != "":
+		h.log.StateChange().Str("Upstream", instance).Str("Value", n.Rest.Malformed).Msg(logger.RestMalformed)
+	case n.Rest.For > 0 && h.placer.Rest(n.At, instance, n.At.Add(n.Rest.For)):
+		h.counters.restBegun()
+		h.log.StateChange().Str("Upstream", instance).Dur("For", n.Rest.For).Msg(logger.RestBegun)
+	}
+}
+
+// endRests logs the rests that have ended.
+func (h *Host) endRests(now time.Time) {
+	for _, instance := range h.placer.EndRests(now) {
+		h.log.StateChange().Str("Upstream", instance).Msg(logger.RestEnded)
+	}
+}
+
 // logRateLimit logs the change of an upstream's rate limit.
 func (h *Host) logRateLimit(c throttler.Change) {
 	h.log.StateChange().Str("Upstream", c.Instance).Float64("Before", c.Before).Float64("PerSecond", c.After).
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -90,4 +90,7 @@
 	if b.Throttled > 0 {
 		e.Int("Throttled", b.Throttled)
 	}
+	if b.Resting > 0 {
+		e.Int("Resting", b.Resting)
+	}
 }
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -130,6 +130,9 @@
 			d.placementReason, d.retryAfter = ReasonRateLimited, d.turnAfter(item)
 		}
 	}
+	if verdict == placer.None && !ask.RestEnds.IsZero() {
+		d.placementReason, d.retryAfter = ReasonResting, ask.RestEnds.Sub(d.opts.Timer.Now())
+	}
 	return choice, verdict
 }
 
@@ -258,7 +261,7 @@
 	case tries.Ran() == forwarder.RanNo && d.placementReason != ReasonNone:
 		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.placementReason, RetryAfter: max(retryAfterFull, d.retryAfter)})
 	case tries.Ran() == forwarder.RanNo:
-		d.refuse(notRunRefusal(ending, tries))
+		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: notRunReasons[ending], RetryAfter: max(retryAfterFull, d.untilRestEnds())})
 	case ending == dispatcher.Deadline:
 		d.refuse(Refusal{Status: http.StatusGatewayTimeout, Reason: ReasonDeadline})
 	default:
@@ -288,11 +291,12 @@
 	dispatcher.Refused:    ReasonFull,
 }
 
-// notRunRefusal returns the refusal of a request of which no attempt ran.
-func notRunRefusal(ending dispatcher.Ending, tries *dispatcher.Summary) Refusal {
-	r := Refusal{Status: http.StatusServiceUnavailable, Reason: notRunReasons[ending], RetryAfter: retryAfterFull}
-	if ending == dispatcher.Refused {
-		r.RetryAfter = max(r.RetryAfter, min(tries.Last.Failure.RetryAfter, maxRetryAfter))
+// untilRestEnds returns the time until the first upstream takes requests again if all are resting, and 0
+// otherwise.
+func (d *delivery) untilRestEnds() time.Duration {
+	now := d.opts.Timer.Now()
+	if ends := d.opts.Placer.RestEnds(now, d.ask()); !ends.IsZero() {
+		return ends.Sub(now)
 	}
-	return r
+	return 0
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -24,7 +24,6 @@
 	retryAfterNotReady = 200 * time.Millisecond
 	retryAfterFull     = 50 * time.Millisecond
 	retryAfterBarred   = time.Minute // an operator has to lift the bar
-	maxRetryAfter      = time.Second // maxRetryAfter limits the Retry-After of upstreams.
 	maxRateRetryAfter  = time.Minute // maxRateRetryAfter limits the time until the turn of a request under a rate limit.
 	maxTimeout         = 60 * time.Second
 )
--- a/exchanger/notice.go
+++ b/exchanger/notice.go
@@ -16,6 +16,7 @@
 	At       time.Time
 	Rate     RateNotice
 	Leaving  bool // Leaving reports whether the upstream is leaving and accepts no new work.
+	Rest     RestNotice
 }
 
 // RateNotice is what an answer says of the upstream's rate limit.
@@ -23,3 +24,9 @@
 	PerSecond float64 // PerSecond is the limit in requests a second for all hosts together; 0 if there is none.
 	Malformed string  // Malformed is the text of a limit that cannot be decoded; it says nothing.
 }
+
+// RestNotice is how long an upstream wants no requests from this host.
+type RestNotice struct {
+	For       time.Duration // For is 0 if it asks for none.
+	Malformed string        // Malformed is the text of a time that cannot be decoded; it says nothing.
+}
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -42,6 +42,7 @@
 	ReasonNoUpstream  Reason = "NoUpstream"  // ReasonNoUpstream means that no upstream accepts requests.
 	ReasonFull        Reason = "Full"        // ReasonFull means that the upstreams refused the request.
 	ReasonOverloaded  Reason = "Overloaded"  // ReasonOverloaded means that no upstream had room in time.
+	ReasonResting     Reason = "Resting"     // ReasonResting means that all upstreams want no requests for a time.
 	ReasonRateLimited Reason = "RateLimited" // ReasonRateLimited means that the upstreams' rate limits leave it no turn in time.
 	ReasonTooLarge    Reason = "TooLarge"    // ReasonTooLarge means that the prompt exceeds each engine's memory.
 	ReasonUnreached   Reason = "Unreached"   // ReasonUnreached means that no upstream could be reached.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -66,6 +66,9 @@
 	Replaced bool
 	Weights  uint64
 	PeersAge float64 // PeersAge is in milliseconds.
+
+	Throttled int // Throttled and Resting are the numbers of upstreams passed over for their own sake.
+	Resting   int
 }
 
 const maxLineBytes = 1 << 20
@@ -104,6 +107,7 @@
 	"NoUpstream":  "no upstream of the service accepted new work; the request has not run",
 	"Overloaded":  "no upstream could begin the request in time; it waited at the host and has not run",
 	"RateLimited": "all upstreams of the service have declared rate limits, and its turn would have come too late; it has not run",
+	"Resting":     "all upstreams of the service have asked this host for rest; it has not run",
 	"TooLarge":    "the prompt is larger than the memory of any engine; the request has not run",
 	"Full":        "every upstream that was asked refused; the request has not run",
 	"Unreached":   "no connection to an upstream could be opened; the request has not run",
@@ -243,6 +247,9 @@
 	for i, a := range l.Attempts {
 		fmt.Fprintf(b, "  attempt %d at %s: expected %.0f ms; %d requests and %d tokens waited there, %d to read, %d to fetch; other hosts' reports were %.0f ms old\n",
 			i+1, a.Upstream, a.Estimate, a.Requests, a.Pending, a.Missing, a.Moved, a.PeersAge)
+		if a.Throttled+a.Resting > 0 {
+			fmt.Fprintf(b, "    passed over: %d upstreams at their declared rate limits, %d that had asked for rest\n", a.Throttled, a.Resting)
+		}
 	}
 }
 
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -17,6 +17,9 @@
 	UpstreamEnded        = "UpstreamEnded"
 	RequestBarred        = "RequestBarred"
 	UpstreamLeaving      = "UpstreamLeaving"
+	RestBegun            = "RestBegun"
+	RestEnded            = "RestEnded"
+	RestMalformed        = "RestMalformed"
 	RateLimitChanged     = "RateLimitChanged"
 	RateLimitMalformed   = "RateLimitMalformed"
 	BarLifted            = "BarLifted"
@@ -53,7 +56,7 @@
 // Kinds lists all events.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, UpstreamLeaving, RateLimitChanged, RateLimitMalformed, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
+	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, RateLimitChanged, RateLimitMalformed, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -66,10 +66,10 @@
 	return !p.directReports && !t.inOwnCell && pl != nil && len(pl.all) > maxFullScan && len(pl.cell) >= minCellMembers
 }
 
-// anyAdmits reports whether any upstream of a pool could begin the request.
+// anyAdmits reports whether any upstream of a pool could begin the request, or wants none for a time.
 func (p *Placer) anyAdmits(pl *pool, req *PlacementRequest) bool {
 	for _, m := range pl.all {
-		if p.admits(p.targetOf(m), req) {
+		if t := p.targetOf(m); t.resting(req.now) || p.admits(t, req) {
 			return true
 		}
 	}
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -27,6 +27,9 @@
 	Due time.Time
 	// Wait is set if Choose returns AwaitPrefill.
 	Wait Wait
+	// RestEnds is set if Choose returns None because all upstreams want no requests for a time: when
+	// the first of them takes requests again.
+	RestEnds time.Time
 	// Objective is the target time to the first byte; 0 if there is none.
 	Objective time.Duration
 
@@ -70,6 +73,7 @@
 	PeersAge  time.Duration // PeersAge is the age of the oldest report of another host that was counted.
 	// Throttled is the number of upstreams that were passed over for their rate limits.
 	Throttled int
+	Resting   int // Resting is the number of upstreams that wanted no requests from this host.
 }
 
 // Choice is the chosen upstream with its instructions.
@@ -120,12 +124,15 @@
 	}
 	if verdict != Chosen {
 		p.wantThrottled(now, &s)
+		if verdict == None {
+			req.RestEnds = p.earliestRestEnd(now, req)
+		}
 		return Choice{}, verdict
 	}
 	if best.backoff > 0 {
 		best.probing = true
 	}
-	c := Choice{Upstream: *best.upstream, Basis: Basis{Estimate: estimate, Work: best.work(), PeersAge: p.peersAge(now), Throttled: len(s.throttled)}}
+	c := Choice{Upstream: *best.upstream, Basis: Basis{Estimate: estimate, Work: best.work(), PeersAge: p.peersAge(now), Throttled: len(s.throttled), Resting: s.resting}}
 	tk := &Ticket{placer: p, target: best, start: now, work: Work{Requests: 1}}
 	if req.Prompt != nil {
 		c.Weights = best.upstream.Weights[req.Prompt.Model]
@@ -156,6 +163,7 @@
 	busy      bool          // busy reports that a candidate will be able to begin the request later.
 	fallback  *target       // fallback is a candidate that is loading weights or has expired ones.
 	suspect   *target       // suspect is the suspect candidate with the earliest end of its backoff.
+	resting   int           // resting is the number of candidates that want no requests from this host.
 	throttled []*target     // throttled are the candidates whose rate limits leave nothing for this host now.
 }
 
@@ -198,6 +206,8 @@
 // consider adds a candidate to the shortlist.
 func (p *Placer) consider(now time.Time, t *target, req *PlacementRequest, s *shortlist) {
 	switch {
+	case t.resting(now):
+		s.resting++
 	case p.rationed(now, t):
 		s.busy = true
 	case p.throttled(now, t):
--- a/placer/dump.go
+++ b/placer/dump.go
@@ -26,6 +26,7 @@
 	KeptTokens int
 	Slowness   float64   // Slowness is the ratio of observed to estimated time.
 	ColdUntil  time.Time // ColdUntil is until when the rate limit of cold upstreams applies.
+	RestUntil  time.Time // RestUntil is until when it wants no requests from this host.
 	Leaving    bool      // Leaving reports that it has said in an answer that it is leaving.
 }
 
@@ -49,7 +50,7 @@
 		d.Upstreams[id] = UpstreamDump{
 			Own: t.own, Others: t.peers, Failing: t.failureRate, Suspect: t.suspect(now), Renewing: t.phase,
 			KeptParts: len(t.cache.parts), KeptTokens: t.cache.tokens,
-			Slowness: t.slowness.factor(now), ColdUntil: p.coldUntil(t), Leaving: t.leaving,
+			Slowness: t.slowness.factor(now), ColdUntil: p.coldUntil(t), Leaving: t.leaving, RestUntil: t.restUntil,
 		}
 	}
 	for address, st := range p.stores {
--- a/placer/ratelimit.go
+++ b/placer/ratelimit.go
@@ -46,7 +46,7 @@
 	sum := 0.0
 	for _, m := range pl.all {
 		t := p.targetOf(m)
-		if !p.eligible(t, req) || t.suspect(now) {
+		if !p.eligible(t, req) || t.suspect(now) || t.resting(now) {
 			continue
 		}
 		limit := p.limits.PerSecond(t.instance)
