Give stand-ins and proxies of tests ports that nobody else gets

What was seen: booking cases in which a stand-in got another case's calls, or no bookings came after its proxy had been away (known red, not traced). Cause: they listened on ports chosen by the operating system, which gives a port that was closed to the next one who asks, while hosts of the case before, or of a run that was killed, still dial it. Change: freeport.Listen returns a listener on a port of its own block, without a probe; stand-ins, proxies and emulated platforms use it.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -27,6 +27,7 @@
 	"amaranthgate.example/amaranthgate/connector"
 	"amaranthgate.example/amaranthgate/emulator"
 	"amaranthgate.example/amaranthgate/internal/duration"
+	"amaranthgate.example/amaranthgate/internal/freeport"
 	"amaranthgate.example/amaranthgate/internal/wire"
 	"amaranthgate.example/amaranthgate/loader"
 	"amaranthgate.example/amaranthgate/runner"
@@ -233,9 +234,9 @@
 	return h, nil
 }
 
-// serve serves a handler on a port chosen by the operating system.
+// serve serves a handler on a port that nobody else gets while this process is running.
 func (d *Deployment) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeport.Listen()
 	if err != nil {
 		return "", err
 	}
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"amaranthgate.example/amaranthgate/internal/duration"
+	"amaranthgate.example/amaranthgate/internal/freeport"
 )
 
 // Kind is a kind of fault.
@@ -75,9 +76,9 @@
 	}
 }
 
-// New starts a proxy on loopback, on a port chosen by the operating system.
+// New starts a proxy on loopback, on a port that nobody else gets, also while the proxy is stopped.
 func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeport.Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -47,10 +47,24 @@
 // Addresses returns n addresses that are not in use and that no earlier call has
 // returned, in this process or in another running one.
 func Addresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := Listen()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l.Addr().String())
+		_ = l.Close() // nothing was accepted there
+	}
+	return out, nil
+}
+
+// Listen listens on such an address. Listening on one that Addresses has returned may fail for a
+// moment: a process that is forked meanwhile holds the port until it executes its program.
+func Listen() (net.Listener, error) {
 	mu.Lock()
 	defer mu.Unlock()
-	var out []string
-	for len(out) < n {
+	for {
 		if current.next == current.end {
 			b, err := claimBlock()
 			if err != nil {
@@ -61,11 +75,9 @@
 		address := addressOf(current.next)
 		current.next++
 		if l, err := net.Listen("tcp4", address); err == nil {
-			_ = l.Close() // nothing was accepted there
-			out = append(out, address)
+			return l, nil
 		}
 	}
-	return out, nil
 }
 
 // claimBlock claims a random block that no running process has claimed.
