Keep restored bars in the store

What was seen: after a loss of all hosts, one that starts got a barred request and answered 502 instead of 503 (TestCrashingRequests/hosts_that_start, 3 of 60 rounds of three at once, each at the check after all hosts were lost, with three ends and the bar known before). Cause: the host that keeps saved state restores it as an event for the control loop, and removes from the store what no longer holds in the same step. If the loop has not applied the event yet, it removes the bars that it has just restored: the other hosts that start, and those after the next loss, find none. Change: what is restored is applied before anything is removed.

--- a/conductor/events.go
+++ b/conductor/events.go
@@ -91,7 +91,7 @@
 // QuarantineChanged reports that the quarantine has changes for the other hosts.
 type QuarantineChanged struct{}
 
-// QuarantineRestored holds the bars that earlier hosts saved.
+// QuarantineRestored holds the bars that earlier hosts saved, for the other hosts.
 type QuarantineRestored struct{ Entries []quarantiner.Entry }
 
 // RateLimitsStepped holds what the throttler has for other hosts: changed rate limits, and asks and
--- a/conductor/savedstate.go
+++ b/conductor/savedstate.go
@@ -45,6 +45,7 @@
 		h.post(VersionAgesRestored{VersionAges: ages})
 	}
 	if entries := n.bars.restore(h, saved); len(entries) > 0 {
+		h.quarantine.Merge(h.opts.Timer.Now(), entries) // before bars that no longer hold are removed
 		h.post(QuarantineRestored{Entries: entries})
 	}
 	return true
