Divide rate limits by the hosts of the last seconds only

Cause: the limit was divided by all hosts that had served in the last 30 s, the count of the cold limit, but only live ones hand out their part. Change: it is divided by the hosts that were live in the last 5 s, so that a host that is cut off from all others still does not take the whole at once.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -107,6 +107,7 @@
 	// reportMu keeps reports in order: an older report must not overwrite a newer one.
 	reportMu          sync.Mutex
 	gcPercent         int     // gcPercent is the garbage collector's target percentage.
+	owners            senders // owners are the hosts that share rate limits or recently did.
 	senders           senders // senders are the hosts that send to upstreams or recently did.
 	reportTicks       int
 	quarantineChanged chan struct{} // quarantineChanged signals changes for the other hosts.
@@ -134,6 +135,7 @@
 		log:               opts.Log,
 		events:            make(chan Event, eventQueue),
 		storeWatches:      make(map[string]context.CancelFunc),
+		owners:            make(senders),
 		senders:           make(senders),
 		ctx:               ctx,
 		cancel:            cancel,
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -19,9 +19,8 @@
 	h.placer.Watch(now)
 	h.endRests(now)
 	if now.Sub(h.started) > startupTime {
-		senders := h.senders.update(now, *h.hosts.Load(), *h.serving.Load())
-		h.placer.SetColdHosts(senders)
-		h.updateThrottler(now, senders)
+		h.placer.SetColdHosts(h.senders.update(now, *h.hosts.Load(), *h.serving.Load()))
+		h.updateThrottler(now)
 	}
 	h.reportTicks++
 	if !h.serving.Load().All && h.reportTicks%largeFleetReportTicks != 0 {
--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -74,9 +74,12 @@
 	}
 }
 
+// ownerTTL is how long a host that is no longer live keeps its share of rate limits, so that one that is
+// cut off from all others does not take the whole at once.
+const ownerTTL = 5 * time.Second
+
 // updateThrottler tells the throttler which hosts share rate limits, and which upstreams exist.
-// senders are the hosts that send to upstreams or recently did.
-func (h *Host) updateThrottler(now time.Time, senders []string) {
+func (h *Host) updateThrottler(now time.Time) {
 	serving := h.serving.Load()
 	var live []string
 	for _, r := range *h.hosts.Load() {
@@ -84,6 +87,6 @@
 			live = append(live, r.Host)
 		}
 	}
-	h.throttler.SetHosts(now, live, len(senders))
+	h.throttler.SetHosts(now, live, h.owners.add(now, live, ownerTTL))
 	h.throttler.Retain(now, h.placer.Lists)
 }
--- a/conductor/senders.go
+++ b/conductor/senders.go
@@ -37,3 +37,13 @@
 	maps.DeleteFunc(s, func(_ string, at time.Time) bool { return now.Sub(at) > senderTTL })
 	return slices.Sorted(maps.Keys(s))
 }
+
+// add records hosts, drops those that were last recorded longer than ttl ago, and returns the number of
+// those that are left.
+func (s senders) add(now time.Time, hosts []string, ttl time.Duration) int {
+	for _, name := range hosts {
+		s[name] = now
+	}
+	maps.DeleteFunc(s, func(_ string, at time.Time) bool { return now.Sub(at) > ttl })
+	return len(s)
+}
