Prove the sum of declared rate limits for all sizes, and stop telling old withdrawals

Cause: the package comment gave a margin that does not hold for small limits, and heartbeats told of withdrawn limits until their upstreams ended. Change: the comment states the bound for each owner; withdrawals are told for a minute.

--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -34,7 +34,7 @@
 	fast, slow := n.neighboursByPace()
 	n.opts.Quarantine.Expire(now)
 	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.feedOffsets(),
-		EndedDigest: n.opts.Quarantine.Digest(), RateLimits: n.opts.Throttler.Limits()}
+		EndedDigest: n.opts.Quarantine.Digest(), RateLimits: n.opts.Throttler.Limits(now)}
 	if now.Sub(n.lastStandbyHeartbeat) >= n.opts.Timing.HeartbeatStandby {
 		n.lastStandbyHeartbeat = now
 		n.sendAll(fast, "", m)
--- a/conductor/search.go
+++ b/conductor/search.go
@@ -151,7 +151,7 @@
 	m := &messenger.Message{Full: true, Digest: n.hosts.Digest(), VersionAges: n.state.VersionAges(now),
 		Offsets: n.feedOffsets(),
 		Ended:   n.opts.Quarantine.Entries(now), EndedDigest: n.opts.Quarantine.Digest(),
-		RateLimits: n.opts.Throttler.Limits(),
+		RateLimits: n.opts.Throttler.Limits(now),
 		Hosts:      []tracker.HostRecord{n.hosts.Self()}}
 	if now.Sub(n.lastBucketsSent) >= bucketsInterval {
 		n.lastBucketsSent = now
--- a/experimenter/ratemodel.go
+++ b/experimenter/ratemodel.go
@@ -265,7 +265,7 @@
 	h := &rateHost{model: m, name: fmt.Sprintf("host-%03d", len(m.hosts))}
 	m.hosts = append(m.hosts, h)
 	h.start()
-	h.throttler.Merge(m.now, m.hosts[0].throttler.Limits())
+	h.throttler.Merge(m.now, m.hosts[0].throttler.Limits(m.now))
 	for _, o := range m.hosts {
 		m.after(time.Duration(m.rng.Int64N(int64(rateDetect))), func() {
 			if o.throttler != nil {
--- a/throttler/doc.go
+++ b/throttler/doc.go
@@ -8,16 +8,16 @@
 // the upstream only with a token: an owner takes its own, any other host asks owners for theirs
 // while requests wait. Owners hand tokens to the hosts that ask, and to their own requests, in turn.
 //
-// A limit has at most one owner for each request a second, so that the tokens that owners accumulate
-// don't exceed the limit. Hosts with different views of the fleet may choose different owners. A host
-// that becomes an owner begins with an empty bucket, so that each owner too many adds its share of
-// the rate and one token at most. Tokens that are handed out expire within permitTTL. In any time t
-// all hosts together therefore send at most
+// A limit has at most one owner for each request a second, so that the tokens that owners save up stay
+// below the limit. Hosts with different views of the fleet may choose different owners. A host that
+// becomes an owner begins with an empty bucket, so that each owner too many adds its share of the rate
+// and one token at most. Tokens that are handed out expire within permitTTL. In any time t, each owner of
+// a rate r lets pass at most
 //
-//	limit * (t + permitTTL + maxIdle) + owners
+//	1 + r * (t + permitTTL + maxIdle)
 //
-// requests: for 4 s 4.4 times the limit and one for each owner, which is a fourth less than 1.5 times
-// the limit allows, even with one owner too many.
+// requests, so that in 4 s all hosts together send less than 1.5 times the limit allows and 5 more, also
+// with one owner too many.
 //
 // Hosts tell each other of limits. A statement replaces another if its upstream made it later, as
 // shown by an answer to a request that was sent after the earlier one was known.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -26,6 +26,8 @@
 	// unlistedTTL is how long a statement about an upstream that is not listed is kept. The statement
 	// may arrive before the upstream's entry, or a last one after its removal.
 	unlistedTTL = 30 * time.Second
+	// withdrawnTTL is how long hosts tell others that a limit was withdrawn.
+	withdrawnTTL = time.Minute
 	// maxLimits bounds the number of upstreams whose limits are kept.
 	maxLimits = 16384
 )
@@ -237,13 +239,16 @@
 	return changes
 }
 
-// Limits returns all statements, also of withdrawn limits, for hosts that may not know them.
-func (t *Throttler) Limits() []Limit {
+// Limits returns all statements for hosts that may not know them, also those of limits that were
+// withdrawn lately.
+func (t *Throttler) Limits(now time.Time) []Limit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Limit
 	for _, s := range t.limits {
-		out = append(out, s.Limit)
+		if s.limited() || now.Sub(s.since) <= withdrawnTTL {
+			out = append(out, s.Limit)
+		}
 	}
 	slices.SortFunc(out, func(a, b Limit) int { return cmp.Compare(a.Instance, b.Instance) })
 	return out
