Try an upstream in backoff rather than wait for one that is limited and in backoff

What callers would have seen: at a host to which all upstreams of a service look unreachable, requests waited to their deadline for the token of a limited one, where another upstream in backoff would have been tried. Cause: the rate limit was asked before the backoff, so that a limited upstream in backoff counted as one that will take the request. Change: the backoff is asked first; one that is limited too is passed over. Result: placer.TestSuspectLimitsHoldUpNothing failed before (the request waits).

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -210,12 +210,10 @@
 		s.resting++
 	case p.rationed(now, t):
 		s.busy = true
+	case t.suspect(now):
+		s.addSuspect(t, p.throttled(now, t))
 	case p.throttled(now, t):
 		s.throttled = append(s.throttled, t)
-	case t.suspect(now):
-		if s.suspect == nil || t.suspectUntil.Before(s.suspect.suspectUntil) {
-			s.suspect = t
-		}
 	case t.phase == updater.PhaseLoading || p.expired(now, t, req):
 		s.fallback = t
 	case !p.admits(t, req):
@@ -227,6 +225,13 @@
 	}
 }
 
+// addSuspect adds a suspect candidate, unless its rate limit forbids to try it.
+func (s *shortlist) addSuspect(t *target, throttled bool) {
+	if !throttled && (s.suspect == nil || t.suspectUntil.Before(s.suspect.suspectUntil)) {
+		s.suspect = t
+	}
+}
+
 // pick returns the best candidate of the shortlist. One that is loading, has expired weights or is
 // suspect is returned only if no other will be able to begin the request.
 func (p *Placer) pick(s *shortlist, req *PlacementRequest) (*target, time.Duration, Verdict) {
--- a/placer/ratelimit_test.go
+++ b/placer/ratelimit_test.go
@@ -88,3 +88,16 @@
 	_, verdict = p.Choose(start, isolated)
 	assert.Equal(t, verdict, Busy)
 }
+
+// TestSuspectLimitsHoldUpNothing guards against requests that wait for the rate limit of an upstream that
+// is in backoff, where another in backoff can be tried.
+func TestSuspectLimitsHoldUpNothing(t *testing.T) {
+	p, limits := limitedPlacer(testView(0, 1), map[string]float64{"p0": 2}, map[string]int{})
+	for _, id := range []string{"p0", "p1"} {
+		p.targetByInstance(id).markUnreachable(start)
+	}
+	c, verdict := p.Choose(start, plainRequest())
+	assert.Equal(t, verdict, Chosen)
+	assert.Equal(t, c.Upstream.ID, "p1")
+	assert.Equal(t, len(limits.wanted), 0)
+}
