--- a/conductor/events.go
+++ b/conductor/events.go
@@ -224,8 +224,10 @@
 const (
 	LogStoreLost          LogKind = logger.StoreLost
 	LogStoreBack          LogKind = logger.StoreBack
+	LogFeedReadRefused    LogKind = logger.FeedReadRefused
 	LogUnreadable         LogKind = logger.RecordUnreadable
 	LogRecordApplied      LogKind = logger.RecordApplied
+	LogRecordOutdated     LogKind = logger.RecordOutdated
 	LogZoneEvacuated      LogKind = logger.ZoneEvacuated
 	LogEvacuationEnded    LogKind = logger.ZoneTakenBack
 	LogHostChanged        LogKind = logger.HostChanged
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -4,6 +4,7 @@
 package conductor
 
 import (
+	"bytes"
 	"errors"
 	"time"
 
@@ -18,6 +19,7 @@
 	currentAt        time.Time // currentAt is when this copy was last known to be current.
 	reading          bool
 	failing          bool
+	refused          bool      // refused is set while the store does not have the offset of a read.
 	failures         int       // failures counts consecutive failures.
 	retryAt          time.Time // retryAt is the earliest time of the next read.
 	lastPeerRequest  time.Time // lastPeerRequest is when another host was last asked.
@@ -31,11 +33,12 @@
 	receivedPage     bool                 // receivedPage is set when a peer sent a page since the last read.
 	soleReader       bool                 // soleReader is set if none did between the last two reads.
 	unreadableLogged map[string]time.Time // unreadableLogged is when a key was last logged as unreadable.
+	outdatedLogged   map[string]time.Time // outdatedLogged is when a record of a key was last logged as outdated.
 }
 
 func newFeed() *feed {
 	return &feed{newest: make(map[string]keyRecord), dropped: make(map[string]int64),
-		unreadableLogged: make(map[string]time.Time)}
+		unreadableLogged: make(map[string]time.Time), outdatedLogged: make(map[string]time.Time)}
 }
 
 // keyRecord is the newest record of a key.
@@ -85,6 +88,7 @@
 	forwarded := n.applyPage(now, ev.Page, asOf)
 	f.retryAt = now.Add(n.readInterval())
 	if !ev.Page.Full {
+		f.refused = false
 		page := ev.Page
 		page.Age = now.Sub(asOf)
 		page.Records = forwarded
@@ -104,6 +108,10 @@
 
 func (n *Node) readFailed(now time.Time, f *feed, ev FeedRead) {
 	if errors.Is(ev.Err, follower.ErrCompacted) {
+		if !f.refused {
+			f.refused = true
+			n.emit(LogEvent{Kind: LogFeedReadRefused, Feed: ev.Page.Feed, Offset: ev.Page.From, Age: now.Sub(f.currentAt)})
+		}
 		f.loaded = false // the newest record of each key is still available
 		return
 	}
@@ -196,8 +204,17 @@
 	return true
 }
 
-// unreadableLogInterval is the least time between two log lines about unreadable records of one
-// key.
+// logOutdated logs a record that is older than the known one of its key. Lines are limited per key.
+func (n *Node) logOutdated(now time.Time, name follower.Feed, f *feed, r follower.Record) {
+	if now.Sub(f.outdatedLogged[r.Key]) < unreadableLogInterval {
+		return
+	}
+	f.outdatedLogged[r.Key] = now
+	n.emit(LogEvent{Kind: LogRecordOutdated, Feed: name, Key: r.Key, Offset: r.Offset})
+}
+
+// unreadableLogInterval is the least time between two log lines about unreadable or outdated records of
+// one key.
 const unreadableLogInterval = 10 * time.Second
 
 // recordLogEvent returns the log event of a record that changed the state.
@@ -231,6 +248,9 @@
 // second, which made 24,700 kB/s at the busiest of 299 hosts.
 func (n *Node) applyRecord(now time.Time, name follower.Feed, f *feed, r follower.Record) (forward bool) {
 	if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
+		if !bytes.Equal(old.Value, r.Value) {
+			n.logOutdated(now, name, f, r)
+		}
 		return false
 	}
 	change, err := n.opts.Decoder.Decode(name, r)
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -188,6 +188,7 @@
 	if len(r.Value) == 0 {
 		f.drop(r.Key, r.Offset)
 		delete(f.unreadableLogged, r.Key)
+		delete(f.outdatedLogged, r.Key)
 		return
 	}
 	next := keyRecord{Record: r, changed: r.Offset}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -239,6 +239,9 @@
 	if e.Err != nil {
 		ev = h.log.Warn().Err(e.Err)
 	}
+	if e.Kind == LogFeedReadRefused {
+		h.counters.feedReadRefused(e.Feed)
+	}
 	if e.Feed != "" {
 		ev = ev.Str("Feed", string(e.Feed)).Int64("Offset", e.Offset).Dur("Age", e.Age)
 	}
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -35,10 +35,12 @@
 	LinesLeftOut         = "LinesLeftOut"
 	StoreLost            = "StoreLost"
 	StoreBack            = "StoreBack"
+	FeedReadRefused      = "FeedReadRefused"
 	ListingApplied       = "ListingApplied"
 	RecordApplied        = "RecordApplied"
 	ZoneEvacuated        = "ZoneEvacuated"
 	ZoneTakenBack        = "ZoneTakenBack"
+	RecordOutdated       = "RecordOutdated"
 	RecordUnreadable     = "RecordUnreadable"
 	LapsedEntriesRemoved = "LapsedEntriesRemoved"
 	HostChanged          = "HostChanged"
@@ -64,7 +66,7 @@
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
 	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamFull, UpstreamHasRoom, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
-	StoreLost, StoreBack, ListingApplied, RecordApplied, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
+	StoreLost, StoreBack, FeedReadRefused, ListingApplied, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
