--- a/conductor/announcements.go
+++ b/conductor/announcements.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/internal/codec"
 	"amaranthgate.example/amaranthgate/introducer"
 	"amaranthgate.example/amaranthgate/logger"
@@ -87,7 +88,7 @@
 			break // the next search reads them again
 		}
 		if next == "" {
-			ev.End = page.End
+			ev.End = follower.Position{Era: page.Era, Offset: page.End}
 		}
 		ev.Hosts = append(ev.Hosts, h.decodeRecords(page.Records)...)
 		if next = page.Next; next == "" {
@@ -103,7 +104,8 @@
 func (h *Host) retract(a Retract) {
 	for i, r := range a.Hosts {
 		start := h.opts.Timer.Now()
-		err := h.opts.Store.Retract(h.ctx, announcementName(r), a.End+int64(i))
+		at := follower.Position{Era: a.End.Era, Offset: a.End.Offset + int64(i)}
+		err := h.opts.Store.Retract(h.ctx, announcementName(r), at)
 		h.counters.storeCall("retract", start, h.opts.Timer.Now(), err)
 		if err != nil {
 			return // the next search retries
--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -94,6 +94,7 @@
 	byName           map[string]*simNode
 	logs             map[follower.Feed][]follower.Record
 	oldest           map[follower.Feed]int64 // oldest is the first offset that the store still has.
+	era              uint64                  // era counts the losses of records.
 	violations       []string
 	calls            int     // calls counts reads from the store.
 	listingReads     int     // listingReads counts reads of whole feeds.
@@ -224,7 +225,7 @@
 func (c *cluster) answerReads(s *simNode) {
 	var pending []*simRead
 	for _, w := range s.waiting {
-		ev := FeedRead{Page: follower.FeedPage{Feed: w.read.Feed}, RequestedAt: w.start, Wait: w.read.Wait}
+		ev := FeedRead{Page: follower.FeedPage{Feed: w.read.Feed, Era: c.era, FromEra: w.read.From.Era}, RequestedAt: w.start, Wait: w.read.Wait}
 		log := c.logs[w.read.Feed]
 		silent := w.silent || s.access == accessSilent
 		w.silent = silent
@@ -238,14 +239,14 @@
 			ev.Err = errors.New("no answer")
 		case w.read.Full:
 			ev.Page = c.listing(w.read.Feed)
-		case w.read.From < c.oldest[w.read.Feed]:
+		case w.read.From.Offset < c.oldest[w.read.Feed] || w.read.From.Era != c.era || w.read.From.Offset > int64(len(log)):
 			ev.Err = follower.ErrCompacted
-		case int64(len(log)) <= w.read.From && c.now.Before(w.deadline):
+		case int64(len(log)) <= w.read.From.Offset && c.now.Before(w.deadline):
 			pending = append(pending, w)
 			continue
 		default:
-			ev.Page.From, ev.Page.Next = w.read.From, int64(len(log))
-			ev.Page.Records = log[min(w.read.From, int64(len(log))):]
+			ev.Page.From, ev.Page.Next = w.read.From.Offset, int64(len(log))
+			ev.Page.Records = inEra(c.era, log[w.read.From.Offset:])
 		}
 		s.inbox = append(s.inbox, ev)
 	}
@@ -253,9 +254,12 @@
 }
 
 func (c *cluster) listing(f follower.Feed) follower.FeedPage {
-	page := follower.FeedPage{Feed: f, Full: true, Next: int64(len(c.logs[f]))}
+	page := follower.FeedPage{Feed: f, Full: true, Next: int64(len(c.logs[f])), Era: c.era, FromEra: c.era}
+	if f == follower.FeedOperator {
+		page.History = inEra(c.era, c.logs[f][c.oldest[f]:])
+	}
 	newest := make(map[string]follower.Record)
-	for _, r := range c.logs[f] {
+	for _, r := range inEra(c.era, c.logs[f]) {
 		newest[r.Key] = r
 	}
 	for _, r := range newest {
@@ -266,6 +270,29 @@
 	return page
 }
 
+// lose makes the store lose the last records of each feed, up to n, and returns those of operators.
+func (c *cluster) lose(n int) []follower.Record {
+	c.era++
+	var lost []follower.Record
+	for f, log := range c.logs {
+		kept := max(0, len(log)-n)
+		if f == follower.FeedOperator {
+			lost = log[kept:]
+		}
+		c.logs[f], c.oldest[f] = slices.Clone(log[:kept]), min(c.oldest[f], int64(kept))
+	}
+	return lost
+}
+
+// inEra returns a copy of records with their era.
+func inEra(era uint64, records []follower.Record) []follower.Record {
+	out := slices.Clone(records)
+	for i := range out {
+		out[i].Era = era
+	}
+	return out
+}
+
 func (c *cluster) execute(s *simNode, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -292,12 +319,12 @@
 			s.inbox = append(s.inbox, c.found(s))
 		case ReadAllAnnouncements:
 			c.searches++
-			s.inbox = append(s.inbox, AllAnnouncementsRead{Hosts: c.announced(), Complete: true, End: c.announcementsEnd})
+			s.inbox = append(s.inbox, AllAnnouncementsRead{Hosts: c.announced(), Complete: true, End: follower.Position{Era: c.era, Offset: c.announcementsEnd}})
 		case Announce:
 			c.announce(s.node.opts.Self)
 			s.inbox = append(s.inbox, Announced{})
 		case Retract:
-			if a.End == c.announcementsEnd {
+			if a.End == (follower.Position{Era: c.era, Offset: c.announcementsEnd}) {
 				for _, r := range a.Hosts {
 					delete(c.announcements, r.Host)
 					c.announcementsEnd++
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -179,6 +179,11 @@
 	c.set.GetOrCreateGauge(fmt.Sprintf("amaranthgate_feed_current_timestamp_seconds{feed=%q}", string(f)), nil).Set(float64(at.UnixMilli()) / 1000)
 }
 
+// storeRestored counts a loss of records by the store.
+func (c *counters) storeRestored() {
+	c.set.GetOrCreateCounter("amaranthgate_store_losses_total").Inc()
+}
+
 // feedReadRefused counts a feed of which the store no longer had the offset to read from.
 func (c *counters) feedReadRefused(f follower.Feed) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_feed_reads_refused_total{feed=%q}", string(f))).Inc()
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -22,7 +22,9 @@
 type Event interface{ event() }
 
 // Tick is the periodic timer event.
-type Tick struct{}
+type Tick struct {
+	Era uint64 // Era is the newest era that the store has stated to this host.
+}
 
 // FeedRead is the result of a Read.
 type FeedRead struct {
@@ -57,8 +59,8 @@
 // AllAnnouncementsRead is the result of ReadAllAnnouncements. Some announcements may be long out of date.
 type AllAnnouncementsRead struct {
 	Hosts    []tracker.HostRecord
-	Complete bool  // Complete reports whether all announcements were read.
-	End      int64 // End is the offset after the newest announcement when the first page was read.
+	Complete bool              // Complete reports whether all announcements were read.
+	End      follower.Position // End is the position after the newest announcement when the first page was read.
 }
 
 // WorkReported is this host's load report for the others.
@@ -152,7 +154,7 @@
 type Read struct {
 	Feed follower.Feed
 	Full bool
-	From int64
+	From follower.Position
 	Wait time.Duration // Wait is how long the store may wait for a record.
 }
 
@@ -168,7 +170,7 @@
 // Retract removes the announcements of hosts that are gone.
 type Retract struct {
 	Hosts []tracker.HostRecord
-	End   int64 // End is the offset after the newest announcement; a later one prevents the removal.
+	End   follower.Position // End is the position after the newest announcement; a later one prevents the removal.
 }
 
 // PublishView publishes a new view to the request path.
@@ -214,8 +216,12 @@
 	Key    string
 	Reason string // Reason says what was invalid.
 	Offset int64
+	Era    uint64 // Era is that of Offset; 0 if the store states none.
 	Age    time.Duration
-	Err    error
+	Before follower.Position // Before is the last known position before a loss of records.
+	// Records is the number of records read after it.
+	Records int
+	Err     error
 }
 
 // LogKind is the message of a LogEvent.
@@ -224,6 +230,8 @@
 const (
 	LogStoreLost          LogKind = logger.StoreLost
 	LogStoreBack          LogKind = logger.StoreBack
+	LogStoreRestored      LogKind = logger.StoreRestored
+	LogFeedRecovered      LogKind = logger.FeedRecovered
 	LogFeedReadRefused    LogKind = logger.FeedReadRefused
 	LogUnreadable         LogKind = logger.RecordUnreadable
 	LogRecordApplied      LogKind = logger.RecordApplied
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -4,7 +4,6 @@
 package conductor
 
 import (
-	"bytes"
 	"errors"
 	"time"
 
@@ -14,9 +13,9 @@
 
 // feed is this host's copy of one feed of the store.
 type feed struct {
-	loaded           bool      // loaded is set once a listing was applied.
-	next             int64     // next is the offset after the last record applied.
-	currentAt        time.Time // currentAt is when this copy was last known to be current.
+	loaded           bool              // loaded is set once a listing was applied.
+	next             follower.Position // next is the position after the last record applied.
+	currentAt        time.Time         // currentAt is when this copy was last known to be current.
 	reading          bool
 	failing          bool
 	refused          bool      // refused is set while the store does not have the offset of a read.
@@ -27,24 +26,26 @@
 	listingRequests  int       // listingRequests counts requests to peers for the whole feed.
 	behindSince      time.Time // behindSince is since when another host has known more.
 	newest           map[string]keyRecord
-	dropped          map[string]int64 // dropped maps removed keys to the offsets of their removals.
-	droppedFrom      int64            // droppedFrom is the offset from which on dropped is complete.
+	dropped          map[string]follower.Position // dropped maps removed keys to the positions of their removals.
+	droppedFrom      follower.Position            // droppedFrom is the position from which on dropped is complete.
 	cached           cachedListing
 	receivedPage     bool                 // receivedPage is set when a peer sent a page since the last read.
 	soleReader       bool                 // soleReader is set if none did between the last two reads.
+	foundLoss        bool                 // foundLoss is set if a read by this host found that the store lost records.
+	unlistedUntil    map[string]time.Time // unlistedUntil are evacuations that the store lost, with when they end unless written again.
 	unreadableLogged map[string]time.Time // unreadableLogged is when a key was last logged as unreadable.
 	outdatedLogged   map[string]time.Time // outdatedLogged is when a record of a key was last logged as outdated.
 }
 
 func newFeed() *feed {
-	return &feed{newest: make(map[string]keyRecord), dropped: make(map[string]int64),
-		unreadableLogged: make(map[string]time.Time), outdatedLogged: make(map[string]time.Time)}
+	return &feed{newest: make(map[string]keyRecord), dropped: make(map[string]follower.Position),
+		unreadableLogged: make(map[string]time.Time), unlistedUntil: make(map[string]time.Time), outdatedLogged: make(map[string]time.Time)}
 }
 
 // keyRecord is the newest record of a key.
 type keyRecord struct {
 	follower.Record
-	changed int64 // changed is the offset of the key's last record that changed the state.
+	changed follower.Position // changed is the position of the key's last record that changed the state.
 }
 
 // readFeed reads more of a feed from the store if it is this host's turn.
@@ -55,10 +56,14 @@
 	if f.reading || now.Before(f.retryAt) || !f.loaded && n.awaitsPeers(now) {
 		return
 	}
-	r := Read{Feed: name, Full: !f.loaded, From: f.next}
+	r := Read{Feed: name, Full: !f.loaded || n.hasLost(f), From: f.next}
 	if f.loaded {
 		age := n.readAge(name)
 		switch {
+		case r.Full:
+			if age > 0 && !f.foundLoss && now.Sub(n.eraSince) < age {
+				return // another host reads, and sends what changed
+			}
 		case age == 0 || n.topology().selfActive && f.continuesReading(now):
 			r.Wait = n.opts.Timing.LongPoll // the store answers at the next record
 		case now.Sub(f.currentAt) < age || now.Sub(f.lastListing) < age:
@@ -74,9 +79,15 @@
 func (n *Node) handleFeedRead(now time.Time, ev FeedRead) {
 	f := n.feeds[ev.Page.Feed]
 	f.reading = false
-	if ev.Err != nil {
+	f.foundLoss = f.foundLoss || f.loaded && ev.Page.Era > n.era
+	n.observeEra(now, ev.Page.Era)
+	switch {
+	case ev.Err != nil:
 		n.readFailed(now, f, ev)
 		return
+	case ev.Page.Era < n.era: // an answer from before a loss of records
+		f.retryAt = now.Add(n.opts.Timing.RetryDelay)
+		return
 	}
 	if f.failing {
 		n.emit(LogEvent{Kind: LogStoreBack, Feed: ev.Page.Feed, Age: now.Sub(f.currentAt)})
@@ -85,15 +96,45 @@
 	n.state.StoreAnswered(now)
 	asOf := coveredUntil(now, ev)
 	f.soleReader, f.receivedPage = !ev.Page.Full && !f.receivedPage, false
+	before, wasLoaded := f.next, f.loaded
 	forwarded := n.applyPage(now, ev.Page, asOf)
 	f.retryAt = now.Add(n.readInterval())
-	if !ev.Page.Full {
+	page := ev.Page
+	page.Age = now.Sub(asOf)
+	switch {
+	case !page.Full:
 		f.refused = false
-		page := ev.Page
-		page.Age = now.Sub(asOf)
 		page.Records = forwarded
-		n.broadcast(&messenger.Message{FeedPages: []follower.FeedPage{page}})
+	case wasLoaded && before.Era < f.next.Era:
+		f.foundLoss = false
+		page = f.changesAcrossEras(page, before)
+	default:
+		return
+	}
+	n.broadcast(&messenger.Message{FeedPages: []follower.FeedPage{page}, Era: n.era})
+}
+
+// changesAcrossEras returns the page with what a listing of a new era changed since a position. Hosts that
+// know the feed up to exactly that position need not read the listing.
+func (f *feed) changesAcrossEras(listing follower.FeedPage, since follower.Position) follower.FeedPage {
+	page := listing
+	page.Full, page.From, page.FromEra = false, since.Offset, since.Era
+	page.Records = f.changesSince(follower.Position{Era: listing.Era})
+	if page.Feed == follower.FeedOperator {
+		page.Unlisted = f.keptFrom(listing.Era)
+	}
+	return page
+}
+
+// keptFrom returns the keys whose records are of earlier eras than the given one.
+func (f *feed) keptFrom(era uint64) []string {
+	var keys []string
+	for key, r := range f.newest {
+		if r.Era < era {
+			keys = append(keys, key)
+		}
 	}
+	return keys
 }
 
 // coveredUntil returns the time up to which an answer is complete. An empty answer after the full
@@ -110,9 +151,9 @@
 	if errors.Is(ev.Err, follower.ErrCompacted) {
 		if !f.refused {
 			f.refused = true
-			n.emit(LogEvent{Kind: LogFeedReadRefused, Feed: ev.Page.Feed, Offset: ev.Page.From, Age: now.Sub(f.currentAt)})
+			n.emit(LogEvent{Kind: LogFeedReadRefused, Feed: ev.Page.Feed, Offset: ev.Page.From, Era: ev.Page.FromEra, Age: now.Sub(f.currentAt)})
 		}
-		f.loaded = false // the newest record of each key is still available
+		f.loaded = n.hasLost(f) // else the newest record of each key is still available
 		return
 	}
 	if !f.failing {
@@ -127,17 +168,21 @@
 // applyPage applies a page and returns the records to forward to other hosts.
 func (n *Node) applyPage(now time.Time, page follower.FeedPage, asOf time.Time) (forwarded []follower.Record) {
 	f := n.feeds[page.Feed]
-	if !page.Full && (!f.loaded || page.From > f.next) {
-		return nil // records between the known ones and this page are missing
+	if f.loaded && page.Era < f.next.Era || !page.Full && !f.continuedBy(page) {
+		return nil
+	}
+	lost := f.loaded && f.next.Era < page.Era
+	for _, r := range page.History {
+		n.applyRecord(now, page.Feed, f, r, true)
 	}
 	for _, r := range page.Records {
-		if !page.Full && r.Offset < f.next {
+		if !page.Full && !lost && r.Position().Before(f.next) {
 			if f.changedState(page.Feed, r) {
 				forwarded = append(forwarded, r)
 			}
 			continue // already applied, and perhaps later records too
 		}
-		if n.applyRecord(now, page.Feed, f, r) {
+		if n.applyRecord(now, page.Feed, f, r, page.Full) {
 			forwarded = append(forwarded, r)
 		}
 	}
@@ -145,8 +190,16 @@
 		f.lastListing = now
 		n.applyListing(now, page, f)
 	}
-	if page.Next > f.next {
-		f.next, f.behindSince = page.Next, time.Time{}
+	if lost {
+		f.droppedFrom = page.End()
+		n.emit(LogEvent{Kind: LogFeedRecovered, Feed: page.Feed, Offset: page.Next, Era: page.Era, Before: f.next,
+			Records: len(page.Records), Age: now.Sub(n.eraSince)})
+	}
+	if page.Feed == follower.FeedOperator {
+		n.awaitRewrites(now, page, f)
+	}
+	if page.End().After(f.next) {
+		f.next, f.behindSince = page.End(), time.Time{}
 	}
 	if asOf.After(f.currentAt) {
 		f.currentAt = asOf
@@ -158,18 +211,30 @@
 	return forwarded
 }
 
+// continuedBy reports whether no record is missing between the known ones and a page. A page across a loss of
+// records has only what differs from the state before it, so that this state must be known.
+func (f *feed) continuedBy(page follower.FeedPage) bool {
+	switch {
+	case !f.loaded:
+		return false
+	case page.AcrossEras():
+		return page.Start() == f.next
+	}
+	return page.Era == f.next.Era && page.From <= f.next.Offset
+}
+
 // changedState reports whether a record that is already applied changed the state. It must be
 // forwarded with the page that covers it: a host that missed it would otherwise advance past it.
 func (f *feed) changedState(name follower.Feed, r follower.Record) bool {
-	if name != follower.FeedUpstreams || f.dropped[r.Key] >= r.Offset {
+	if name != follower.FeedUpstreams || !f.dropped[r.Key].Before(r.Position()) {
 		return true
 	}
 	old, ok := f.newest[r.Key]
-	return ok && old.changed >= r.Offset
+	return ok && !old.changed.Before(r.Position())
 }
 
 func (n *Node) applyListing(now time.Time, page follower.FeedPage, f *feed) {
-	f.loaded, f.droppedFrom = true, page.Next
+	f.loaded, f.droppedFrom = true, page.End()
 	listed := make(map[string]bool, len(page.Records))
 	for _, r := range page.Records {
 		listed[r.Key] = true
@@ -179,12 +244,17 @@
 		return // other operator settings stay in force until replaced
 	}
 	for key, r := range f.newest {
-		if !listed[key] && r.Offset < page.Next {
-			f.drop(key, page.Next-1)
+		if !listed[key] && r.Position().Before(page.End()) {
+			f.drop(key, lastPosition(page))
 		}
 	}
-	n.emit(LogEvent{Kind: LogListingApplied, Feed: page.Feed, Offset: page.Next})
-	n.viewDirty = n.state.Replace(now, listed, page.Next) || n.viewDirty
+	n.emit(LogEvent{Kind: LogListingApplied, Feed: page.Feed, Offset: page.Next, Era: page.Era})
+	n.viewDirty = n.state.Replace(now, listed, page.End()) || n.viewDirty
+}
+
+// lastPosition returns the position of the last record that a page covers.
+func lastPosition(page follower.FeedPage) follower.Position {
+	return follower.Position{Era: page.Era, Offset: page.Next - 1}
 }
 
 // skipUnreadable skips a record and reports whether to forward it. An upstream whose newest entry
@@ -192,8 +262,8 @@
 func (n *Node) skipUnreadable(now time.Time, name follower.Feed, f *feed, r follower.Record, err error) (forward bool) {
 	dropped := false
 	if name == follower.FeedUpstreams {
-		f.drop(r.Key, r.Offset)
-		dropped = n.state.Drop(r.Key, r.Offset)
+		f.drop(r.Key, r.Position())
+		dropped = n.state.Drop(r.Key, r.Position())
 		n.viewDirty = n.viewDirty || dropped
 	}
 	if !dropped && now.Sub(f.unreadableLogged[r.Key]) < unreadableLogInterval {
@@ -210,7 +280,7 @@
 		return
 	}
 	f.outdatedLogged[r.Key] = now
-	n.emit(LogEvent{Kind: LogRecordOutdated, Feed: name, Key: r.Key, Offset: r.Offset})
+	n.emit(LogEvent{Kind: LogRecordOutdated, Feed: name, Key: r.Key, Offset: r.Offset, Era: r.Era})
 }
 
 // unreadableLogInterval is the least time between two log lines about unreadable or outdated records of
@@ -219,7 +289,7 @@
 
 // recordLogEvent returns the log event of a record that changed the state.
 func recordLogEvent(name follower.Feed, r follower.Record, change follower.Change) LogEvent {
-	ev := LogEvent{Kind: LogRecordApplied, Feed: name, Key: r.Key, Offset: r.Offset}
+	ev := LogEvent{Kind: LogRecordApplied, Feed: name, Key: r.Key, Offset: r.Offset, Era: r.Era}
 	if e := change.Evacuation; e != nil {
 		ev.Kind, ev.Key = LogZoneEvacuated, e.AvailabilityZone
 		if e.Ended {
@@ -230,39 +300,85 @@
 }
 
 // endEvacuations ends the evacuations that are missing from a listing of the operators' feed: their
-// records were removed while this host did not read the feed.
+// records were removed while this host did not read the feed. Records of an earlier era may have been lost
+// instead.
 func (n *Node) endEvacuations(now time.Time, page follower.FeedPage, f *feed, listed map[string]bool) {
 	for key, record := range f.newest {
-		dropped := follower.Record{Key: key, Offset: page.Next - 1}
-		if listed[key] || record.Offset >= dropped.Offset {
+		dropped := follower.Record{Key: key, Offset: page.Next - 1, Era: page.Era}
+		if listed[key] || !record.Position().Before(dropped.Position()) {
 			continue
 		}
-		if change, err := n.opts.Decoder.Decode(page.Feed, dropped); err == nil && change.Evacuation != nil {
-			n.applyRecord(now, page.Feed, f, dropped)
+		if change, err := n.opts.Decoder.Decode(page.Feed, dropped); err != nil || change.Evacuation == nil {
+			continue
+		}
+		if record.Era == page.Era {
+			n.applyRecord(now, page.Feed, f, dropped, true)
+		}
+	}
+}
+
+// rewriteTimeout is how long operators may take to write again what the store lost.
+const rewriteTimeout = 10 * time.Second
+
+// awaitRewrites has evacuations whose records the store lost end after rewriteTimeout unless they are written again.
+func (n *Node) awaitRewrites(now time.Time, page follower.FeedPage, f *feed) {
+	keys := page.Unlisted
+	if page.Full {
+		keys = f.keptFrom(page.Era)
+	}
+	for _, key := range keys {
+		change, err := n.opts.Decoder.Decode(page.Feed, follower.Record{Key: key})
+		if err == nil && change.Evacuation != nil && f.unlistedUntil[key].IsZero() {
+			f.unlistedUntil[key] = now.Add(rewriteTimeout)
+		}
+	}
+}
+
+// endUnwritten ends the evacuations that the store lost and operators did not write again in time.
+func (n *Node) endUnwritten(now time.Time, name follower.Feed, f *feed) {
+	for key, until := range f.unlistedUntil {
+		record, known := f.newest[key]
+		switch {
+		case !known || record.Era == f.next.Era:
+			delete(f.unlistedUntil, key)
+		case now.After(until):
+			delete(f.unlistedUntil, key)
+			n.applyRecord(now, name, f, follower.Record{Key: key, Offset: f.next.Offset - 1, Era: f.next.Era}, true)
 		}
 	}
 }
 
 // applyRecord applies a record and reports whether to forward it. Upstreams rewrite their entries
 // all the time, so unchanged entries are not forwarded: 3,000 upstreams write 2,500 records a
-// second, which made 24,700 kB/s at the busiest of 299 hosts.
-func (n *Node) applyRecord(now time.Time, name follower.Feed, f *feed, r follower.Record) (forward bool) {
-	if old, ok := f.newest[r.Key]; ok && old.Offset >= r.Offset {
-		if !bytes.Equal(old.Value, r.Value) {
-			n.logOutdated(now, name, f, r)
-		}
+// second, which made 24,700 kB/s at the busiest of 299 hosts. After a loss the first entry of each upstream
+// is forwarded nevertheless, since hosts may differ in what they knew before it.
+func (n *Node) applyRecord(now time.Time, name follower.Feed, f *feed, r follower.Record, listed bool) (forward bool) {
+	old, known := f.newest[r.Key]
+	if known && !old.Position().Before(r.Position()) && !retained(name, old, r) {
 		return false
 	}
 	change, err := n.opts.Decoder.Decode(name, r)
 	if err != nil {
 		return n.skipUnreadable(now, name, f, r, err)
 	}
-	changed := n.state.Apply(now, change, r.Offset)
-	f.store(r, changed)
+	effect := n.state.Apply(now, change, r.Position())
+	if effect == follower.EffectOutdated {
+		n.logOutdated(now, name, f, r)
+		return false
+	}
+	changed := effect == follower.EffectChanged
+	f.store(r, changed || known && !listed && old.changed.Era < r.Era)
 	if changed {
 		n.emit(recordLogEvent(name, r, change))
 		n.viewDirty = true
 		return true
 	}
-	return name != follower.FeedUpstreams || len(r.Value) == 0 // unchanged upstream entries are not forwarded
+	// Unchanged upstream entries are not forwarded.
+	return name != follower.FeedUpstreams || len(r.Value) == 0 || f.newest[r.Key].changed == r.Position()
+}
+
+// retained reports whether a record is one that another host kept when the store lost it. It may be newer than
+// the one that the store has.
+func retained(name follower.Feed, known keyRecord, r follower.Record) bool {
+	return name == follower.FeedOperator && r.Era < known.Era
 }
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -12,12 +12,12 @@
 	"amaranthgate.example/amaranthgate/tracker"
 )
 
-// feedOffsets returns up to which offset this host knows each feed.
+// feedOffsets returns up to which offset this host knows each feed in the newest era.
 func (n *Node) feedOffsets() map[follower.Feed]int64 {
 	out := make(map[follower.Feed]int64, len(n.feeds))
 	for name, f := range n.feeds {
-		if f.loaded {
-			out[name] = f.next
+		if f.loaded && !n.hasLost(f) {
+			out[name] = f.next.Offset
 		}
 	}
 	return out
@@ -25,10 +25,10 @@
 
 // compareOffsets requests records from a host that has known more for some time: this host's own
 // read may be stuck on a broken connection.
-func (n *Node) compareOffsets(now time.Time, host string, offsets map[follower.Feed]int64) {
-	for name, theirs := range offsets {
-		f := n.feeds[name]
-		if f == nil || f.loaded && theirs <= f.next {
+func (n *Node) compareOffsets(now time.Time, host string, era uint64, offsets map[follower.Feed]int64) {
+	for name, offset := range offsets {
+		f, theirs := n.feeds[name], follower.Position{Era: era, Offset: offset}
+		if f == nil || f.loaded && !theirs.After(f.next) {
 			continue
 		}
 		if f.behindSince.IsZero() {
@@ -46,12 +46,12 @@
 func (f *feed) requestFrom(n *Node, now time.Time, name follower.Feed, host string) {
 	f.lastPeerRequest = now
 	from := int64(wholeFeed)
-	if f.loaded {
-		from = f.next
+	if f.loaded && !n.hasLost(f) {
+		from = f.next.Offset
 	} else {
 		f.listingRequests++
 	}
-	n.send(host, &messenger.Message{FeedRequests: map[follower.Feed]int64{name: from}})
+	n.send(host, &messenger.Message{FeedRequests: map[follower.Feed]int64{name: from}, Era: n.era})
 }
 
 // requestListing asks a ready host of this zone for a whole feed, rather than waiting until a
@@ -144,14 +144,14 @@
 
 // sendMissing sends another host what it lacks of feeds: the changes since an offset, or the whole
 // feed.
-func (n *Node) sendMissing(now time.Time, to string, lacks map[follower.Feed]int64) {
-	for name, from := range lacks {
-		f := n.feeds[name]
+func (n *Node) sendMissing(now time.Time, to string, era uint64, lacks map[follower.Feed]int64) {
+	for name, offset := range lacks {
+		f, from := n.feeds[name], follower.Position{Era: era, Offset: offset}
 		if f == nil || !f.loaded {
 			continue
 		}
-		if from >= f.droppedFrom {
-			page := follower.FeedPage{Feed: name, FromMemory: true, From: from, Next: f.next,
+		if offset != wholeFeed && era == f.next.Era && !from.Before(f.droppedFrom) {
+			page := follower.FeedPage{Feed: name, FromMemory: true, From: offset, FromEra: era, Next: f.next.Offset, Era: era,
 				Age: now.Sub(f.currentAt), Records: f.changesSince(from)}
 			n.send(to, &messenger.Message{FeedPages: []follower.FeedPage{page}})
 			continue
@@ -175,7 +175,7 @@
 	if f.cached.message != nil && now.Sub(f.cached.made) < listingTTL {
 		return f.cached.message
 	}
-	page := follower.FeedPage{Feed: name, Full: true, Next: f.next, Age: now.Sub(f.currentAt) + listingTTL}
+	page := follower.FeedPage{Feed: name, Full: true, Next: f.next.Offset, Era: f.next.Era, Age: now.Sub(f.currentAt) + listingTTL}
 	for _, r := range f.newest {
 		page.Records = append(page.Records, r.Record)
 	}
@@ -186,12 +186,12 @@
 // store keeps the newest record of a key, for hosts that request it.
 func (f *feed) store(r follower.Record, changed bool) {
 	if len(r.Value) == 0 {
-		f.drop(r.Key, r.Offset)
+		f.drop(r.Key, r.Position())
 		delete(f.unreadableLogged, r.Key)
 		delete(f.outdatedLogged, r.Key)
 		return
 	}
-	next := keyRecord{Record: r, changed: r.Offset}
+	next := keyRecord{Record: r, changed: r.Position()}
 	if old, ok := f.newest[r.Key]; ok && !changed {
 		next.changed = old.changed
 	}
@@ -204,26 +204,26 @@
 const maxDropped = 4096
 
 // drop removes the record of a key.
-func (f *feed) drop(key string, offset int64) {
+func (f *feed) drop(key string, at follower.Position) {
 	delete(f.newest, key)
 	if len(f.dropped) >= maxDropped {
 		clear(f.dropped)
-		f.droppedFrom = offset + 1
+		f.droppedFrom = follower.Position{Era: at.Era, Offset: at.Offset + 1}
 	}
-	f.dropped[key] = offset
+	f.dropped[key] = at
 }
 
-// changesSince returns the records and removals that changed the state at or after an offset.
-func (f *feed) changesSince(from int64) []follower.Record {
+// changesSince returns the records and removals that changed the state at or after a position.
+func (f *feed) changesSince(from follower.Position) []follower.Record {
 	var out []follower.Record
 	for _, r := range f.newest {
-		if r.changed >= from {
+		if !r.changed.Before(from) {
 			out = append(out, r.Record)
 		}
 	}
-	for key, offset := range f.dropped {
-		if offset >= from {
-			out = append(out, follower.Record{Key: key, Offset: offset})
+	for key, at := range f.dropped {
+		if !at.Before(from) {
+			out = append(out, follower.Record{Key: key, Offset: at.Offset, Era: at.Era})
 		}
 	}
 	return out
@@ -233,9 +233,10 @@
 func (n *Node) receivePages(now time.Time, pages []follower.FeedPage) {
 	for _, page := range pages {
 		f, ok := n.feeds[page.Feed]
-		if !ok || page.Full && f.loaded && page.Next <= f.next {
+		if !ok || page.Full && f.loaded && !page.End().After(f.next) {
 			continue
 		}
+		n.observeEra(now, page.Era)
 		if !page.Full && !page.FromMemory {
 			f.receivedPage = true
 			n.state.StoreAnswered(now) // the store has answered another host, so it is reachable
--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -102,7 +102,7 @@
 			}
 			cl.run(2 * time.Second)
 			n := cl.nodes[1].node
-			next := n.feeds[c.feed].next
+			next := n.feeds[c.feed].next.Offset
 			page := follower.FeedPage{Feed: c.feed, From: next, Next: next + 1, Records: []follower.Record{{Key: c.key, Value: []byte(c.value), Offset: next}}}
 			n.Handle(cl.now, PeerMessage{From: "host-1", Message: &messenger.Message{FeedPages: []follower.FeedPage{page}}})
 			forwarded := 0
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -33,24 +33,28 @@
 // Store is the platform's store.
 type Store interface {
 	Decoder
+	// Era returns the newest era that an answer of the store has stated; 0 if none has.
+	Era() uint64
+	// Newest returns the newest record of each key of a feed, and Read the records from a position on. A
+	// page has the era of the store's answer, also with an error if there was an answer.
 	Newest(ctx context.Context, f follower.Feed) (follower.FeedPage, error)
-	Read(ctx context.Context, f follower.Feed, from int64, wait time.Duration) (follower.FeedPage, error)
+	Read(ctx context.Context, f follower.Feed, from follower.Position, wait time.Duration) (follower.FeedPage, error)
 	// Announce writes this host's announcement, by which other hosts find it.
 	Announce(ctx context.Context, host string, record []byte) error
 	// Announced returns the page of announcements, ordered by name, that begins after a name.
 	Announced(ctx context.Context, after string) (tracker.Announcements, error)
-	// Retract removes an announcement if the newest of all announcements ends at offset at.
-	Retract(ctx context.Context, name string, at int64) error
+	// Retract removes an announcement if the newest of all announcements ends at a position.
+	Retract(ctx context.Context, name string, at follower.Position) error
 	// Save saves a value under a key, for hosts that start after the whole fleet was down. Saved
 	// returns all saved values.
 	Save(ctx context.Context, key string, value []byte) error
 	Saved(ctx context.Context) (map[string][]byte, error)
-	// Lease returns the newest record of a lease and the offset after it; end is 0 if there is
+	// Lease returns the newest record of a lease and the position after it; its offset is 0 if there is
 	// none.
-	Lease(ctx context.Context, name string) (record []byte, end int64, err error)
-	// WriteLease writes a lease's record if the newest one ends at offset at, and reports a
+	Lease(ctx context.Context, name string) (record []byte, end follower.Position, err error)
+	// WriteLease writes a lease's record if the newest one ends at a position, and reports a
 	// conflict otherwise.
-	WriteLease(ctx context.Context, name string, at int64, record []byte) (conflict bool, err error)
+	WriteLease(ctx context.Context, name string, at follower.Position, record []byte) (conflict bool, err error)
 }
 
 // Engines sends orders to engines.
@@ -223,7 +227,7 @@
 	h.spawn(h.sendUrgentReports)
 	h.spawn(h.reportQuarantine)
 	h.spawn(h.admitWaiting)
-	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{}) })
+	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{Era: h.opts.Store.Era()}) })
 	cancelReport := h.opts.Timer.Every(h.opts.Timing.Report, h.report)
 	cancelAccount := h.opts.Timer.Every(time.Second, func(now time.Time) {
 		h.log.ReportOmitted()
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -34,7 +34,7 @@
 	}
 	fast, slow := n.neighboursByPace()
 	n.opts.Quarantine.Expire(now)
-	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.feedOffsets(),
+	m := &messenger.Message{Digest: n.hosts.Digest(), Offsets: n.feedOffsets(), Era: n.era,
 		EndedDigest: n.opts.Quarantine.Digest(), RateLimits: n.opts.Throttler.Limits(now)}
 	if now.Sub(n.lastStandbyHeartbeat) >= n.opts.Timing.HeartbeatStandby {
 		n.lastStandbyHeartbeat = now
@@ -45,7 +45,7 @@
 	}
 	if t := n.topology(); !t.small && t.isRelay(n.opts.Self.Host) && now.Sub(n.lastRelayed) >= maxRelaySilence {
 		n.lastRelayed = now
-		n.sendAll(t.members, "", &messenger.Message{Offsets: m.Offsets})
+		n.sendAll(t.members, "", &messenger.Message{Offsets: m.Offsets, Era: m.Era})
 	}
 }
 
@@ -122,15 +122,16 @@
 		// A host that counts this one among its neighbours must receive messages from it, or suspects it.
 		n.send(ev.From, &messenger.Message{Echo: true})
 	}
+	n.observeEra(now, m.Era)
 	n.mergeHosts(now, ev.From, m.Hosts)
 	n.notifySuspect(ev.From)
 	n.answerSnapshotRequests(ev.From, m.SnapshotRequests)
-	n.sendMissing(now, ev.From, m.FeedRequests)
+	n.sendMissing(now, ev.From, m.Era, m.FeedRequests)
 	n.receivePages(now, m.FeedPages)
 	if len(m.VersionAges) > 0 {
 		n.viewDirty = n.state.MergeVersionAges(now, m.VersionAges) || n.viewDirty
 	}
-	n.compareOffsets(now, ev.From, m.Offsets)
+	n.compareOffsets(now, ev.From, m.Era, m.Offsets)
 	if m.Renewal != nil {
 		n.updater.HandleStatus(now, m.Renewal)
 		for _, done := range m.Renewal.Renewed {
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -239,12 +239,21 @@
 	if e.Err != nil {
 		ev = h.log.Warn().Err(e.Err)
 	}
-	if e.Kind == LogFeedReadRefused {
-		h.counters.feedReadRefused(e.Feed)
-	}
 	if e.Feed != "" {
 		ev = ev.Str("Feed", string(e.Feed)).Int64("Offset", e.Offset).Dur("Age", e.Age)
 	}
+	if e.Era > 0 {
+		ev = ev.Uint64("Era", e.Era)
+	}
+	switch e.Kind {
+	case LogFeedReadRefused:
+		h.counters.feedReadRefused(e.Feed)
+	case LogStoreRestored:
+		h.counters.storeRestored()
+		ev = ev.Uint64("Before", e.Before.Era)
+	case LogFeedRecovered:
+		ev = ev.Stringer("Before", e.Before).Int("Records", e.Records)
+	}
 	if e.Host != "" {
 		ev = ev.Str("Peer", e.Host)
 	}
--- a/conductor/namings_test.go
+++ b/conductor/namings_test.go
@@ -36,7 +36,7 @@
 	now := time.Unix(1000, 0)
 	const after = 12 * time.Second
 	state := follower.New()
-	state.Apply(now, follower.Change{Weights: &follower.Weights{Model: "m", Version: 3}}, 1)
+	state.Apply(now, follower.Change{Weights: &follower.Weights{Model: "m", Version: 3}}, follower.Position{Offset: 1})
 	salt := func(weights uint64) string { return placer.Salt{Model: "m", Weights: weights}.String() }
 	for _, weights := range []uint64{1, 2, 3} {
 		assert.Assert(t, inUse(state.View(), now, salt(weights), after), "the ages are unknown")
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -58,6 +58,8 @@
 	viewDirty            bool
 	hostsDirty           bool
 	now                  time.Time // now is the time of the current event.
+	era                  uint64    // era is the newest known era of the store.
+	eraSince             time.Time // eraSince is when this host learned of it.
 	lastTick             time.Time
 	stalledAt            time.Time // stalledAt is when a tick last found that this process had stalled.
 	lastHeartbeat        time.Time
@@ -141,6 +143,7 @@
 	}
 	switch ev := ev.(type) {
 	case Tick:
+		n.observeEra(now, ev.Era)
 		n.tick(now)
 	case FeedRead:
 		n.handleFeedRead(now, ev)
@@ -194,6 +197,7 @@
 		n.viewDirty = true
 	}
 	for name, f := range n.feeds {
+		n.endUnwritten(now, name, f)
 		n.readFeed(now, name, f)
 	}
 	n.renew(now)
--- a/conductor/reports.go
+++ b/conductor/reports.go
@@ -35,7 +35,7 @@
 	t, r := n.topology(), ev.Report
 	if t.small {
 		n.sendToNeighbours("", &messenger.Message{Report: &r, Renewal: n.updater.Status(now),
-			Offsets: n.feedOffsets()})
+			Offsets: n.feedOffsets(), Era: n.era})
 		return
 	}
 	n.broadcastRenewalStatus(now)
@@ -44,7 +44,7 @@
 	}
 	direct := &messenger.Message{Report: &r, CoresInUse: ev.CoresInUse}
 	if !ev.Urgent {
-		direct.Offsets = n.feedOffsets()
+		direct.Offsets, direct.Era = n.feedOffsets(), n.era
 	}
 	targets := n.rampedTargets(now, t.reportTargets())
 	n.sendAll(targets, "", direct)
@@ -139,9 +139,9 @@
 	addRecent(remoteSum, now, n.remoteReports, nil)
 	t := n.topology()
 	n.sendAll(t.relays, "", &messenger.Message{Report: zoneSum, Zone: n.opts.Self.AvailabilityZone,
-		Offsets: n.feedOffsets()})
+		Offsets: n.feedOffsets(), Era: n.era})
 	if len(t.cells) == 1 {
-		n.sendAll(t.members, "", &messenger.Message{Report: remoteSum, Zone: outsideCell, Offsets: n.feedOffsets()})
+		n.sendAll(t.members, "", &messenger.Message{Report: remoteSum, Zone: outsideCell, Offsets: n.feedOffsets(), Era: n.era})
 		return
 	}
 	for _, cell := range t.cells {
@@ -152,7 +152,7 @@
 		}
 		addRecent(r, now, n.zoneReports, cell)
 		r.Add(*remoteSum)
-		n.sendAll(cell, "", &messenger.Message{Report: r, Zone: outsideCell, Offsets: n.feedOffsets()})
+		n.sendAll(cell, "", &messenger.Message{Report: r, Zone: outsideCell, Offsets: n.feedOffsets(), Era: n.era})
 	}
 }
 
--- a/conductor/search.go
+++ b/conductor/search.go
@@ -150,8 +150,8 @@
 // turn for what this host lacks.
 func (n *Node) greeting(now time.Time) *messenger.Message {
 	m := &messenger.Message{Full: true, Digest: n.hosts.Digest(), VersionAges: n.state.VersionAges(now),
-		Offsets: n.feedOffsets(),
-		Ended:   n.opts.Quarantine.Entries(now), EndedDigest: n.opts.Quarantine.Digest(),
+		Offsets: n.feedOffsets(), Era: n.era,
+		Ended: n.opts.Quarantine.Entries(now), EndedDigest: n.opts.Quarantine.Digest(),
 		RateLimits: n.opts.Throttler.Limits(now),
 		Hosts:      []tracker.HostRecord{n.hosts.Self()}}
 	if now.Sub(n.lastBucketsSent) >= bucketsInterval {
--- a/experimenter/fleetmodel.go
+++ b/experimenter/fleetmodel.go
@@ -59,6 +59,7 @@
 	waitingReads  map[follower.Feed][]func() // pending reads, answered at the next record
 	announcements map[string]tracker.HostRecord
 	announced     []string  // sorted host names of the announcements
+	era           uint64    // number of losses of records, plus one
 	appendsFree   time.Time // time at which the announcements' partition is idle
 	encodedSizes  map[*messenger.Message]int
 	result        FleetResult
@@ -108,7 +109,7 @@
 
 func newFleetModel(o FleetOptions) *fleetModel {
 	m := &fleetModel{
-		opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), now: time.Unix(1_700_000_000, 0),
+		era: 1, opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), now: time.Unix(1_700_000_000, 0),
 		hostsByName: make(map[string]*fleetHost), logs: make(map[follower.Feed][]follower.Record),
 		waitingReads:  make(map[follower.Feed][]func()),
 		announcements: make(map[string]tracker.HostRecord), encodedSizes: make(map[*messenger.Message]int),
@@ -320,7 +321,7 @@
 	case conductor.ReadAllAnnouncements:
 		m.reply(h, 1+len(m.announcements)/fleetPageRecords, func() conductor.Event {
 			return conductor.AllAnnouncementsRead{
-				Hosts: m.announcementPage("").Hosts, Complete: true, End: int64(len(m.announcements)),
+				Hosts: m.announcementPage("").Hosts, Complete: true, End: follower.Position{Era: m.era, Offset: int64(len(m.announcements))},
 			}
 		})
 	case conductor.Announce:
--- a/experimenter/fleetstore.go
+++ b/experimenter/fleetstore.go
@@ -71,14 +71,15 @@
 	asked, incarnation := m.now, h.incarnation
 	if a.Full {
 		var listed map[string]follower.Record
-		log := m.logs[a.Feed]
+		log, era := m.logs[a.Feed], m.era
 		listed = make(map[string]follower.Record, len(log))
 		for _, r := range log {
 			listed[r.Key] = r
 		}
 		m.reply(h, 1+len(listed)/fleetPageRecords, func() conductor.Event {
-			news := follower.FeedPage{Feed: a.Feed, Full: true, Next: int64(len(log))}
+			news := follower.FeedPage{Feed: a.Feed, Full: true, Next: int64(len(log)), Era: era, FromEra: era}
 			for _, r := range listed {
+				r.Era = era
 				news.Records = append(news.Records, r)
 				m.result.StoreBytes += len(r.Value)
 			}
@@ -96,15 +97,20 @@
 		m.handleAt(h, m.now.Add(fleetStoreLatency), func() conductor.Event {
 			log := m.logs[a.Feed]
 			news := follower.FeedPage{
-				Feed: a.Feed, From: a.From, Next: int64(len(log)), Records: log[min(a.From, int64(len(log))):],
+				Feed: a.Feed, From: a.From.Offset, FromEra: a.From.Era, Next: int64(len(log)), Era: m.era,
 			}
-			for _, r := range news.Records {
+			if a.From.Era != m.era || a.From.Offset > int64(len(log)) {
+				return conductor.FeedRead{Page: news, RequestedAt: asked, Wait: a.Wait, Err: follower.ErrCompacted}
+			}
+			for _, r := range log[a.From.Offset:] {
+				r.Era = m.era
+				news.Records = append(news.Records, r)
 				m.result.StoreBytes += len(r.Value)
 			}
 			return conductor.FeedRead{Page: news, RequestedAt: asked, Wait: a.Wait}
 		})
 	}
-	if int64(len(m.logs[a.Feed])) > a.From {
+	if a.From.Era != m.era || int64(len(m.logs[a.Feed])) != a.From.Offset {
 		answer()
 		return
 	}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -288,7 +288,7 @@
 // relatesTo reports whether l is about an upstream of the request or a dependency of the host.
 func (l *Line) relatesTo(end *Line) bool {
 	switch l.Message {
-	case logger.StoreLost, logger.StoreBack, logger.FeedReadRefused, logger.RecordOutdated, logger.Draining, logger.Started, logger.SettingsReloaded:
+	case logger.StoreLost, logger.StoreBack, logger.StoreRestored, logger.FeedRecovered, logger.FeedReadRefused, logger.RecordOutdated, logger.Draining, logger.Started, logger.SettingsReloaded:
 		return true
 	}
 	for _, a := range append(end.Attempts, end.Attempt) {
--- a/follower/evacuation.go
+++ b/follower/evacuation.go
@@ -16,23 +16,35 @@
 type evacuations map[string]evacuation
 
 type evacuation struct {
-	offset  int64
-	endedAt time.Time // endedAt is when this host learned of the end; zero while the zone is evacuated.
+	position Position
+	begun    int64     // begun is the offset of the record that began it.
+	endedAt  time.Time // endedAt is when this host learned of the end; zero while the zone is evacuated.
 }
 
-// apply applies a record and reports whether anything changed. Several hosts pass records
-// on, so that older ones are ignored.
-func (e evacuations) apply(now time.Time, ev Evacuation, offset int64) bool {
+// apply applies a record. Several hosts pass records on, so that older ones are ignored.
+func (e evacuations) apply(now time.Time, ev Evacuation, at Position) Effect {
 	current, known := e[ev.AvailabilityZone]
-	if known && offset <= current.offset || !known && ev.Ended {
-		return false
+	switch {
+	case !known && ev.Ended:
+		return EffectNone
+	case known && (!current.position.Before(at) || current.outlives(ev, at)):
+		return EffectOutdated
 	}
-	updated := evacuation{offset: offset}
+	updated := evacuation{position: at, begun: at.Offset}
 	if ev.Ended {
-		updated.endedAt = now
+		updated.begun, updated.endedAt = current.begun, now
 	}
 	e[ev.AvailabilityZone] = updated
-	return !known || current.endedAt.IsZero() != updated.endedAt.IsZero()
+	if known && current.endedAt.IsZero() == updated.endedAt.IsZero() {
+		return EffectNone
+	}
+	return EffectChanged
+}
+
+// outlives reports whether an evacuation has ended, and a record is the one that began it: the store lost
+// the record of the end.
+func (e evacuation) outlives(ev Evacuation, at Position) bool {
+	return !ev.Ended && !e.endedAt.IsZero() && at.Era > e.position.Era && at.Offset == e.begun
 }
 
 // evacuated returns the zones that are evacuated now.
--- a/follower/state.go
+++ b/follower/state.go
@@ -27,19 +27,41 @@
 	list             Upstreams            // list holds the upstreams of configured services, as last published.
 	dirty            map[string]*Upstream // dirty holds unpublished changes of list; nil values are removals.
 	weights          weightsInterner
-	lapsedCount      int       // lapsedCount is the number of upstreams whose entry has lapsed.
-	listed           bool      // listed reports whether a complete listing of the upstreams was applied.
-	storeFailing     bool      // storeFailing reports whether the last call to the store failed.
-	storeRecoveredAt time.Time // storeRecoveredAt is when the store last answered after a failure.
+	removed          map[string]removal // removed holds the last removals of upstreams, by ID.
+	lapsedCount      int                // lapsedCount is the number of upstreams whose entry has lapsed.
+	listed           bool               // listed reports whether a complete listing of the upstreams was applied.
+	storeFailing     bool               // storeFailing reports whether the last call to the store failed.
+	storeRecoveredAt time.Time          // storeRecoveredAt is when the store last answered after a failure.
 }
 
 // entry is an upstream with the state of its entry in the feed.
 type entry struct {
 	upstream *Upstream // upstream is shared with views and must not be changed.
-	offset   int64
+	position Position
+	sequence int64     // sequence is that of the newest entry, which may have changed nothing else.
 	lapsedAt time.Time // lapsedAt is when a removal was read within the grace period; zero if there was none.
 }
 
+// removal is the removal of an upstream with what was last known of it. If the store loses the record of
+// the removal, the entry before it is back.
+type removal struct {
+	position Position
+	born     int64
+	sequence int64
+}
+
+// maxRemovals bounds the number of removals that are kept.
+const maxRemovals = 4096
+
+// Effect is what a record does to the state.
+type Effect string
+
+const (
+	EffectNone     Effect = "None" // EffectNone means that the record says nothing new.
+	EffectChanged  Effect = "Changed"
+	EffectOutdated Effect = "Outdated" // EffectOutdated means that something newer is known.
+)
+
 // New returns an empty state.
 func New() *State {
 	return &State{
@@ -47,6 +69,7 @@
 		peerVersions: make(map[string][]VersionHistory),
 		evacuations:  make(evacuations),
 		upstreams:    make(map[string]*entry),
+		removed:      make(map[string]removal),
 		dirty:        make(map[string]*Upstream),
 	}
 }
@@ -64,30 +87,43 @@
 // StoreFailing reports whether the last call to the store failed.
 func (s *State) StoreFailing() bool { return s.storeFailing }
 
-// Apply applies a decoded record and reports whether anything changed.
-func (s *State) Apply(now time.Time, c Change, offset int64) bool {
+// StoreRestored records that the store went back to a copy. Upstreams whose entries are lost are kept as
+// if the entries had lapsed.
+func (s *State) StoreRestored(now time.Time) { s.storeRecoveredAt = now }
+
+// Apply applies a decoded record. Configurations and weights are ordered by their versions: a version that
+// was in force stays so if the store loses it.
+func (s *State) Apply(now time.Time, c Change, at Position) Effect {
 	switch {
 	case c.Table != nil:
 		if s.table != nil && c.Table.Version() <= s.table.Version() {
-			return false
+			return unchangedBy(c.Table.Version(), s.table.Version())
 		}
 		s.replaceTable(c.Table)
-		return true
+		return EffectChanged
 	case c.Weights != nil:
-		if s.named[c.Weights.Model].Version >= c.Weights.Version {
-			return false
+		if known := s.named[c.Weights.Model].Version; known >= c.Weights.Version {
+			return unchangedBy(c.Weights.Version, known)
 		}
 		next := s.named[c.Weights.Model].succeededBy(VersionHistory{Version: c.Weights.Version, Since: now, Earliest: s.currentUntil})
 		s.named[c.Weights.Model] = next.merge(s.peerVersions[c.Weights.Model])
-		return true
+		return EffectChanged
 	case c.Evacuation != nil:
-		return s.evacuations.apply(now, *c.Evacuation, offset)
+		return s.evacuations.apply(now, *c.Evacuation, at)
 	case c.Upstream != nil:
-		return s.put(now, *c.Upstream, offset)
+		return s.put(now, *c.Upstream, at)
 	case c.Removed != "":
-		return s.remove(now, c.Removed, offset)
+		return s.remove(now, c.Removed, at)
+	}
+	return EffectNone
+}
+
+// unchangedBy returns the effect of a version that is not newer than the known one.
+func unchangedBy(version, known uint64) Effect {
+	if version < known {
+		return EffectOutdated
 	}
-	return false
+	return EffectNone
 }
 
 // replaceTable replaces the configuration and marks upstreams whose service was added or removed
@@ -115,7 +151,10 @@
 	s.dirty[id] = u
 }
 
-func (s *State) put(now time.Time, u Upstream, offset int64) bool {
+func (s *State) put(now time.Time, u Upstream, at Position) Effect {
+	if s.outdated(&u, at) {
+		return EffectOutdated
+	}
 	if u.Cold > 0 {
 		u.ColdUntil = now.Add(u.Cold) // an upper bound, as the entry was written earlier
 	}
@@ -124,15 +163,17 @@
 	e := s.upstreams[u.ID]
 	if e == nil {
 		u.Weights = s.weights.intern(u.Weights)
-		s.upstreams[u.ID] = &entry{upstream: &u, offset: offset}
+		s.upstreams[u.ID] = &entry{upstream: &u, position: at, sequence: u.Sequence}
+		delete(s.removed, u.ID)
 		s.markDirty(u.ID, &u)
-		return true
-	}
-	if offset < e.offset {
-		return false
+		return EffectChanged
 	}
-	e.offset = offset
+	restored := at.Era > e.position.Era
+	e.position, e.sequence = at, u.Sequence
 	if u.Born == e.upstream.Born {
+		if restored && e.upstream.Standing == StandingLeaving {
+			u.Standing = StandingLeaving // the entry that said so is lost, and is not taken back
+		}
 		// Versions are monotonic within one start; an entry may be older than what is known.
 		for model, version := range e.upstream.Weights {
 			u.Weights[model] = max(u.Weights[model], version)
@@ -146,11 +187,34 @@
 		e.upstream = &u
 		s.markDirty(u.ID, &u)
 	}
-	return changed
+	if !changed {
+		return EffectNone
+	}
+	return EffectChanged
+}
+
+// outdated reports whether something newer than an entry is known of its upstream. Within an era the
+// position decides. An entry of a later era may be one that the store had before it lost newer ones.
+func (s *State) outdated(u *Upstream, at Position) bool {
+	if e := s.upstreams[u.ID]; e != nil {
+		return at.Before(e.position) || at.Era > e.position.Era && u.writtenBefore(e.upstream.Born, e.sequence)
+	}
+	r, ok := s.removed[u.ID]
+	return ok && (at.Before(r.position) || at.Era > r.position.Era && !r.precedes(u))
+}
+
+// precedes reports whether an entry was written after all that were known when its upstream was removed.
+func (r removal) precedes(u *Upstream) bool {
+	return u.Born > r.born || u.Born == r.born && u.Sequence > r.sequence
 }
 
 func (s *State) removeUpstream(id string) {
-	s.clearLapse(s.upstreams[id])
+	e := s.upstreams[id]
+	if len(s.removed) >= maxRemovals {
+		clear(s.removed)
+	}
+	s.removed[id] = removal{position: e.position, born: e.upstream.Born, sequence: e.sequence}
+	s.clearLapse(e)
 	delete(s.upstreams, id)
 	s.dirty[id] = nil
 }
@@ -240,29 +304,33 @@
 		a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
 }
 
-func (s *State) remove(now time.Time, id string, offset int64) bool {
+func (s *State) remove(now time.Time, id string, at Position) Effect {
 	e := s.upstreams[id]
-	if e == nil || offset < e.offset {
-		return false
+	switch {
+	case e == nil:
+		return EffectNone
+	case at.Before(e.position):
+		return EffectOutdated
 	}
-	e.offset = offset
+	e.position = at
 	if s.inGracePeriod(now) && e.upstream.Standing == StandingReady {
 		if e.lapsedAt.IsZero() {
 			e.lapsedAt = now
 			s.lapsedCount++
 		}
-		return false
+		return EffectNone
 	}
 	s.removeUpstream(id)
-	return true
+	return EffectChanged
 }
 
 // Drop removes an upstream whose entry cannot be decoded and reports whether it did.
-func (s *State) Drop(id string, offset int64) bool {
+func (s *State) Drop(id string, at Position) bool {
 	e := s.upstreams[id]
-	if e == nil || offset < e.offset {
+	if e == nil || at.Before(e.position) {
 		return false
 	}
+	e.position = at
 	s.removeUpstream(id)
 	return true
 }
@@ -272,15 +340,15 @@
 	return s.storeFailing || !s.storeRecoveredAt.IsZero() && now.Sub(s.storeRecoveredAt) < lapseGracePeriod
 }
 
-// Replace applies a complete listing of the upstreams' feed that ends at the given offset, and
+// Replace applies a complete listing of the upstreams' feed that ends at the given position, and
 // reports whether anything changed. Upstreams that are neither listed nor have a record from that
-// offset on are removed.
-func (s *State) Replace(now time.Time, listed map[string]bool, end int64) bool {
+// position on are removed.
+func (s *State) Replace(now time.Time, listed map[string]bool, end Position) bool {
 	changed := !s.listed
 	s.listed = true
 	for id, e := range s.upstreams {
-		if !listed[id] && e.offset < end {
-			changed = s.remove(now, id, end) || changed
+		if !listed[id] && e.position.Before(end) {
+			changed = s.remove(now, id, end) == EffectChanged || changed
 		}
 	}
 	return changed
--- a/follower/state_test.go
+++ b/follower/state_test.go
@@ -23,6 +23,8 @@
 	ID          string
 	IDs         []string
 	Offset      int64
+	Era         uint64
+	Sequence    int64
 	Weights     uint64
 	Born        int64
 	Want        []string
@@ -30,25 +32,28 @@
 }
 
 func (s *step) apply(t *testing.T, state *State, now time.Time) {
-	up := Upstream{ID: s.ID, Born: s.Born, Service: "s", Address: "127.0.0.1:1", Standing: StandingReady, Weights: map[string]uint64{"m": s.Weights}}
+	up := Upstream{ID: s.ID, Born: s.Born, Service: "s", Address: "127.0.0.1:1", Standing: StandingReady, Sequence: s.Sequence, Weights: map[string]uint64{"m": s.Weights}}
+	at := Position{Era: s.Era, Offset: s.Offset}
 	switch s.Do {
 	case "put":
-		state.Apply(now, Change{Upstream: &up}, s.Offset)
+		state.Apply(now, Change{Upstream: &up}, at)
 	case "leave":
 		up.Standing = StandingLeaving
-		state.Apply(now, Change{Upstream: &up}, s.Offset)
+		state.Apply(now, Change{Upstream: &up}, at)
 	case "remove":
-		state.Apply(now, Change{Removed: s.ID}, s.Offset)
+		state.Apply(now, Change{Removed: s.ID}, at)
 	case "listing":
 		listed := make(map[string]bool)
 		for _, id := range s.IDs {
 			listed[id] = true
 		}
-		state.Replace(now, listed, s.Offset)
+		state.Replace(now, listed, at)
 	case "renewed":
 		state.WeightsLoaded(s.ID, s.Born, "m", s.Weights)
 	case "unreadable":
-		state.Drop(s.ID, s.Offset)
+		state.Drop(s.ID, at)
+	case "restored":
+		state.StoreRestored(now)
 	case "failed":
 		state.StoreFailed()
 	case "answered":
@@ -60,8 +65,13 @@
 	}
 }
 
-func TestUpstreams(t *testing.T) {
-	text, err := os.ReadFile("testdata/upstreams.jsonc")
+func TestUpstreams(t *testing.T) { testScripts(t, "testdata/upstreams.jsonc") }
+
+// TestRestoredUpstreams guards against upstreams that come back or are lost because the store lost records.
+func TestRestoredUpstreams(t *testing.T) { testScripts(t, "testdata/restored.jsonc") }
+
+func testScripts(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
 	assert.NilError(t, err)
 	var scripts []struct {
 		Name  string
@@ -93,9 +103,9 @@
 	state := New()
 	now := time.Unix(1000, 0)
 	assert.Assert(t, !state.View().Ready())
-	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 1})}, 1)
+	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 1})}, Position{Offset: 1})
 	assert.Assert(t, !state.View().Ready())
-	assert.Assert(t, state.Replace(now, nil, 1), "the first listing is a change, even if it is empty")
+	assert.Assert(t, state.Replace(now, nil, Position{Offset: 1}), "the first listing is a change, even if it is empty")
 	assert.Assert(t, state.View().Ready())
 }
 
@@ -103,25 +113,47 @@
 	state := New()
 	now := time.Unix(1000, 0)
 	for _, c := range []struct{ version, want uint64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}, {7, 9}} {
-		state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: c.version})}, 1)
+		state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: c.version})}, Position{Offset: 1})
 		assert.Equal(t, state.Table().Version(), c.want)
 	}
-	state.Apply(now, Change{Weights: &Weights{Model: "m", Version: 2}}, 1)
+	state.Apply(now, Change{Weights: &Weights{Model: "m", Version: 2}}, Position{Offset: 1})
 	since := state.View().Versions["m"].Since
-	state.Apply(now.Add(time.Second), Change{Weights: &Weights{Model: "m", Version: 2}}, 2)
-	state.Apply(now.Add(time.Second), Change{Weights: &Weights{Model: "m", Version: 1}}, 3)
+	state.Apply(now.Add(time.Second), Change{Weights: &Weights{Model: "m", Version: 2}}, Position{Offset: 2})
+	state.Apply(now.Add(time.Second), Change{Weights: &Weights{Model: "m", Version: 1}}, Position{Offset: 3})
 	got := state.View().Versions["m"]
 	assert.Equal(t, got.Version, uint64(2))
 	assert.Equal(t, got.Since, since)
 }
 
+// TestRestoredEvacuations guards against an evacuation that a lost record of its end begins again, and one that is
+// missed because its offset was given out again.
+func TestRestoredEvacuations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := New()
+	apply := func(era uint64, offset int64, ended bool) {
+		state.Apply(now, Change{Evacuation: &Evacuation{AvailabilityZone: "east", Ended: ended}}, Position{Era: era, Offset: offset})
+	}
+	evacuated := func() bool { return state.View().Evacuated["east"] }
+	apply(1, 4, false)
+	apply(1, 9, true)
+	apply(2, 4, false)
+	assert.Assert(t, !evacuated(), "the record that began it is not news")
+	apply(2, 6, false)
+	assert.Assert(t, evacuated())
+	apply(1, 12, true)
+	assert.Assert(t, evacuated(), "an end from before the loss")
+	apply(3, 6, false)
+	apply(3, 7, true)
+	assert.Assert(t, !evacuated())
+}
+
 // TestReplacedSince: a third version must not reset the time at which the
 // first was replaced.
 func TestReplacedSince(t *testing.T) {
 	state := New()
 	at := func(s int) time.Time { return time.Unix(int64(1000+s), 0) }
 	for i, v := range []uint64{1, 2, 5} {
-		state.Apply(at(10*i), Change{Weights: &Weights{Model: "m", Version: v}}, int64(i))
+		state.Apply(at(10*i), Change{Weights: &Weights{Model: "m", Version: v}}, Position{Offset: int64(i)})
 	}
 	named := state.View().Versions["m"]
 	assert.Equal(t, named.Replaced(1), at(10))
@@ -135,7 +167,7 @@
 	now := time.Unix(1000, 0)
 	s := New()
 	name := func(at time.Time, version uint64) {
-		s.Apply(at, Change{Weights: &Weights{Model: "m", Version: version}}, 0)
+		s.Apply(at, Change{Weights: &Weights{Model: "m", Version: version}}, Position{Offset: 0})
 	}
 	name(now, 3)
 	named := s.View().Versions["m"]
@@ -159,16 +191,16 @@
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
 	other := New()
 	for i, v := range []uint64{2, 3, 4} {
-		other.Apply(ago(time.Duration(20-9*i)*time.Second), Change{Weights: &Weights{Model: "m", Version: v}}, int64(i))
+		other.Apply(ago(time.Duration(20-9*i)*time.Second), Change{Weights: &Weights{Model: "m", Version: v}}, Position{Offset: int64(i)})
 	}
 	reported := other.VersionAges(now)
 	newest := Change{Weights: &Weights{Model: "m", Version: 4}}
 	for name, learn := range map[string]func(s *State){
-		"report first": func(s *State) { s.MergeVersionAges(now, reported); s.Apply(now, newest, 2) },
-		"record first": func(s *State) { s.Apply(now, newest, 2); s.MergeVersionAges(now, reported) },
+		"report first": func(s *State) { s.MergeVersionAges(now, reported); s.Apply(now, newest, Position{Offset: 2}) },
+		"record first": func(s *State) { s.Apply(now, newest, Position{Offset: 2}); s.MergeVersionAges(now, reported) },
 		"report twice": func(s *State) {
 			s.MergeVersionAges(now, reported)
-			s.Apply(now, newest, 2)
+			s.Apply(now, newest, Position{Offset: 2})
 			s.MergeVersionAges(now, reported)
 		},
 	} {
@@ -189,13 +221,13 @@
 	state := New()
 	now := time.Unix(1000, 0)
 	known := []matcher.Service{{Name: "s"}}
-	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 1, Services: known})}, 1)
+	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 1, Services: known})}, Position{Offset: 1})
 	for i, service := range []string{"s", "odd"} {
 		up := Upstream{ID: service, Service: service, Standing: StandingReady, Weights: map[string]uint64{"m": 1}}
-		state.Apply(now, Change{Upstream: &up}, int64(i))
+		state.Apply(now, Change{Upstream: &up}, Position{Offset: int64(i)})
 	}
 	assert.Equal(t, state.View().Upstreams.Len(), 1)
 	known = append(known, matcher.Service{Name: "odd"})
-	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 2, Services: known})}, 2)
+	state.Apply(now, Change{Table: matcher.New(matcher.Parts{Version: 2, Services: known})}, Position{Offset: 2})
 	assert.Equal(t, state.View().Upstreams.Len(), 2)
 }
--- a/follower/types.go
+++ b/follower/types.go
@@ -32,8 +32,12 @@
 	Key    string `cbor:"1,keyasint"`
 	Value  []byte `cbor:"2,keyasint,omitempty"` // Value is empty if the key was removed.
 	Offset int64  `cbor:"3,keyasint"`
+	Era    uint64 `cbor:"4,keyasint,omitempty"` // Era is that in which the record has this offset.
 }
 
+// Position returns the record's place in its log.
+func (r Record) Position() Position { return Position{Era: r.Era, Offset: r.Offset} }
+
 // FeedPage is a page of a feed that a host has read and forwards to others.
 type FeedPage struct {
 	Feed       Feed          `cbor:"1,keyasint"`
@@ -43,8 +47,27 @@
 	Age        time.Duration `cbor:"5,keyasint,omitempty"` // Age is how long ago the page was read.
 	Records    []Record      `cbor:"6,keyasint,omitempty"`
 	FromMemory bool          `cbor:"7,keyasint,omitempty"` // FromMemory reports whether the page comes from a host's memory instead of a recent read.
+	Era        uint64        `cbor:"8,keyasint,omitempty"` // Era is that of Next.
+	// FromEra is the era of From. If it is not Era, the page has what changed when the store went back to
+	// a copy, for hosts that know exactly what precedes From.
+	FromEra uint64 `cbor:"9,keyasint,omitempty"`
+	// Unlisted holds the keys whose records hosts kept although the store lost them. A whole feed has them
+	// as records of an earlier era instead.
+	Unlisted []string `cbor:"10,keyasint,omitempty"`
+	// History holds, in order, the records of a whole operators' feed that the store still has. The newest
+	// record of a key need not have its newest version, once lost records were written again.
+	History []Record `cbor:"-"`
 }
 
+// Start returns the position from which on the page covers the feed.
+func (p FeedPage) Start() Position { return Position{Era: p.FromEra, Offset: p.From} }
+
+// End returns the position up to which the page covers the feed.
+func (p FeedPage) End() Position { return Position{Era: p.Era, Offset: p.Next} }
+
+// AcrossEras reports whether the page covers a loss of records.
+func (p FeedPage) AcrossEras() bool { return !p.Full && p.FromEra != p.Era }
+
 // Standing is the state that an upstream reports of itself.
 type Standing string
 
@@ -65,6 +88,7 @@
 	Cold             time.Duration     // Cold is the remaining time of its slow cold start when it wrote its entry.
 	ColdUntil        time.Time         // ColdUntil is the end of its cold start as computed by State.
 	Weights          map[string]uint64 // Weights holds the weight version of each model.
+	Sequence         int64             // Sequence increases with each entry that one start writes.
 
 	instanceID string // instanceID caches the result of Start.
 }
@@ -89,6 +113,15 @@
 	return instance
 }
 
+// writtenBefore reports whether u was written before o, an entry with the same ID. Unlike positions,
+// starts and sequences never go back.
+func (u *Upstream) writtenBefore(born, sequence int64) bool {
+	if u.Born != born {
+		return u.Born < born
+	}
+	return u.Sequence < sequence
+}
+
 // startSeparator separates the ID from the time in an identifier returned by InstanceID.
 const startSeparator = "@"
 
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -35,6 +35,8 @@
 	LinesLeftOut         = "LinesLeftOut"
 	StoreLost            = "StoreLost"
 	StoreBack            = "StoreBack"
+	StoreRestored        = "StoreRestored"
+	FeedRecovered        = "FeedRecovered"
 	FeedReadRefused      = "FeedReadRefused"
 	ListingApplied       = "ListingApplied"
 	RecordApplied        = "RecordApplied"
@@ -66,7 +68,7 @@
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
 	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamFull, UpstreamHasRoom, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
-	StoreLost, StoreBack, FeedReadRefused, ListingApplied, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
+	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -43,7 +43,8 @@
 	Echo             bool                     `cbor:"18,keyasint,omitempty"` // Echo marks the reply to a heartbeat from no neighbour.
 	Report           *placer.Report           `cbor:"19,keyasint,omitempty"`
 	Renewal          *updater.Status          `cbor:"21,keyasint,omitempty"`
-	Offsets          map[follower.Feed]int64  `cbor:"22,keyasint,omitempty"` // Offsets holds the sender's offset in each feed.
+	Offsets          map[follower.Feed]int64  `cbor:"22,keyasint,omitempty"` // Offsets holds the sender's offset in each feed that it knows in Era.
+	Era              uint64                   `cbor:"35,keyasint,omitempty"` // Era is the newest era of the store that the sender knows; it applies to Offsets and FeedRequests.
 	Relay            Relay                    `cbor:"23,keyasint,omitempty"` // Relay requests forwarding by the receiver.
 	Zone             string                   `cbor:"24,keyasint,omitempty"` // Zone is the availability zone that Report aggregates.
 	Stores           []placer.StoreReport     `cbor:"25,keyasint,omitempty"` // Stores holds updates of KV cache stores.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -197,7 +197,7 @@
 func TestTwiceReplacedWeights(t *testing.T) {
 	state := follower.New()
 	for i, v := range []uint64{1, 2, 3} {
-		state.Apply(start.Add(time.Duration(i-2)*9*time.Second), follower.Change{Weights: &follower.Weights{Model: "m", Version: v}}, int64(i))
+		state.Apply(start.Add(time.Duration(i-2)*9*time.Second), follower.Change{Weights: &follower.Weights{Model: "m", Version: v}}, follower.Position{Offset: int64(i)})
 	}
 	v := testView(2, 3, 1, 2)
 	v.Versions = state.View().Versions
--- a/placer/replaced_test.go
+++ b/placer/replaced_test.go
@@ -38,7 +38,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			state := follower.New()
 			name := func(at time.Time, version uint64) {
-				state.Apply(at, follower.Change{Weights: &follower.Weights{Model: "m", Version: version}}, 0)
+				state.Apply(at, follower.Change{Weights: &follower.Weights{Model: "m", Version: version}}, follower.Position{})
 			}
 			if !c.started {
 				name(start.Add(-time.Hour), 1)
--- a/placer/update_bench_test.go
+++ b/placer/update_bench_test.go
@@ -17,9 +17,9 @@
 	table := matcher.New(matcher.Parts{Version: 1, Services: []matcher.Service{
 		{Name: "engines", MaxConnections: 800, Engine: &matcher.Engine{Slots: 64, CapacityTokens: 60000, BytesPerToken: 18432, LinkMbps: 370000}},
 	}})
-	s.Apply(start, follower.Change{Table: table}, 0)
+	s.Apply(start, follower.Change{Table: table}, follower.Position{})
 	for i := range n {
-		s.Apply(start, follower.Change{Upstream: upstreamOf(i)}, int64(i))
+		s.Apply(start, follower.Change{Upstream: upstreamOf(i)}, follower.Position{Offset: int64(i)})
 	}
 	return s
 }
@@ -49,7 +49,7 @@
 		if i/n%2 == 0 {
 			u.Standing = follower.StandingLeaving
 		}
-		s.Apply(start, follower.Change{Upstream: u}, int64(10000+i))
+		s.Apply(start, follower.Change{Upstream: u}, follower.Position{Offset: int64(10000 + i)})
 		p.Update(s.View())
 		i++
 	}
--- a/tracker/announcements.go
+++ b/tracker/announcements.go
@@ -8,4 +8,5 @@
 	Records map[string][]byte // Records holds the encoded host records by name of the announcement.
 	Next    string            // Next is the name after which the next page begins; empty on the last page.
 	End     int64             // End is the offset after the newest announcement.
+	Era     uint64            // Era is that of End.
 }
