Keep one holder of the lease across losses of records

Cause: hosts compared the ends of lease records by offset. After a loss the known end lay beyond the store's, so that each write was refused and no host could obtain the lease; fencing tokens, which were offsets, would be given out twice; a write that was pending could be executed at an offset that was given out again, over the record of another holder. Change: a lease's end has an era, and so has its record. A record of an earlier era than the store's does not tell who holds the lease, and a host waits a whole term from its first read of it; its holder may write it again while its hold lasts, as nobody else can obtain it sooner. Writes that were sent before a loss grant no hold. Tokens begin with the era. A host that starts in a fleet which has run before, and finds no record, takes that for a loss.

--- a/conductor/build.go
+++ b/conductor/build.go
@@ -73,6 +73,7 @@
 			Margin:      h.opts.Timing.LeaseMargin,
 			AtOnce:      s.Platform.LoadsAtOnce,
 			Share:       s.Platform.LoadsShare,
+			Restarted:   !s.Platform.FirstStart,
 			Seed:        self.Incarnation,
 		},
 	})
--- a/conductor/era.go
+++ b/conductor/era.go
@@ -20,6 +20,7 @@
 	}
 	before := n.era
 	n.era, n.eraSince = era, now
+	n.updater.StoreRestored(era)
 	if !n.anyLoaded() {
 		return // a start
 	}
--- a/conductor/orders.go
+++ b/conductor/orders.go
@@ -55,7 +55,7 @@
 		h.log.Warn().Err(err).Msg(logger.LeaseUnread)
 		return updater.Lease{}, err
 	}
-	got := updater.Lease{End: end.Offset}
+	got := updater.Lease{End: end.Offset, Era: end.Era}
 	if len(b) == 0 {
 		return got, nil
 	}
@@ -68,9 +68,9 @@
 		return false, err
 	}
 	start := h.opts.Timer.Now()
-	conflict, err := h.opts.Store.WriteLease(h.ctx, leaseName, follower.Position{Era: h.opts.Store.Era(), Offset: c.At}, b)
+	conflict, err := h.opts.Store.WriteLease(h.ctx, leaseName, follower.Position{Era: c.Era, Offset: c.At}, b)
 	h.counters.storeCall("lease-write", start, h.opts.Timer.Now(), err)
-	h.log.Info().Int64("At", c.At).Uint64("Nonce", c.Record.Nonce).Bool("Conflict", conflict).
+	h.log.Info().Int64("At", c.At).Uint64("Era", c.Era).Uint64("Nonce", c.Record.Nonce).Bool("Conflict", conflict).
 		AnErr("Failure", err).Msg(logger.LeaseWritten)
 	return conflict, err
 }
--- a/updater/random_test.go
+++ b/updater/random_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 	engines map[string]*simEngine
 	named   uint64
 	lease   Lease
+	leases  []pastLease // leases holds the earlier states of the lease.
 	late    []lateWrite
 	faults  []string
 }
@@ -40,6 +42,11 @@
 	noPeers      bool
 }
 
+type pastLease struct {
+	until time.Time
+	lease Lease
+}
+
 type lateWrite struct {
 	at    time.Time
 	write WriteLease
@@ -65,7 +72,7 @@
 var errSim = errors.New("no answer")
 
 func newSim(hosts, engines int) *sim {
-	s := &sim{now: time.Unix(1000, 0), engines: make(map[string]*simEngine), named: 1}
+	s := &sim{now: time.Unix(1000, 0), engines: make(map[string]*simEngine), named: 1, lease: Lease{Era: 1}}
 	for i := range hosts {
 		h := &simHost{name: fmt.Sprintf("host-%d", i+1)}
 		s.hosts = append(s.hosts, h)
@@ -80,7 +87,8 @@
 func (s *sim) start(h *simHost) {
 	h.starts++
 	h.down = false
-	h.updater = New(Options{Host: h.name, Term: 2 * time.Second, HandoverGap: simTurn, Margin: 250 * time.Millisecond, AtOnce: 3, Seed: h.starts * 1e6})
+	h.updater = New(Options{Host: h.name, Term: 2 * time.Second, HandoverGap: simTurn, Margin: 250 * time.Millisecond, AtOnce: 3,
+		Restarted: h.starts > 1, Seed: h.starts * 1e6})
 }
 
 func (s *sim) view() *follower.View {
@@ -116,7 +124,7 @@
 func (s *sim) advance() {
 	for _, l := range s.late {
 		if !s.now.Before(l.at) && l.write.At == s.lease.End {
-			s.lease = Lease{Record: l.write.Record, End: l.write.At + 1}
+			s.store(l.write)
 		}
 	}
 	s.late = slices.DeleteFunc(s.late, func(l lateWrite) bool { return !s.now.Before(l.at) })
@@ -171,11 +179,30 @@
 	case c.At != s.lease.End:
 		h.updater.LeaseWritten(s.now, c, true, nil)
 	default:
-		s.lease = Lease{Record: c.Record, End: c.At + 1}
-		h.updater.LeaseWritten(s.now, c, false, nil)
+		conflict := c.Era != s.lease.Era
+		s.store(c)
+		h.updater.LeaseWritten(s.now, c, conflict, nil)
 	}
 }
 
+// store writes the lease.
+func (s *sim) store(c WriteLease) {
+	s.leases = append(s.leases, pastLease{until: s.now, lease: s.lease})
+	s.lease = Lease{Record: c.Record, End: c.At + 1, Era: s.lease.Era}
+}
+
+// restore replaces the store by a copy of some time ago. Hosts learn so from its answers.
+func (s *sim) restore(age time.Duration) {
+	era := s.lease.Era + 1
+	for _, p := range slices.Backward(s.leases) {
+		if p.until.Before(s.now.Add(-age)) {
+			break
+		}
+		s.lease = p.lease
+	}
+	s.lease.Era = era
+}
+
 func (s *sim) order(h *simHost, o Order) {
 	e := s.engines[o.Upstream.ID]
 	if e.host != "" && e.host != h.name {
@@ -203,7 +230,17 @@
 
 var simActions = []string{"name", "name", "kill", "start", "pause", "resume", "noStore", "store", "loses", "noPeers", "peers", "late", "prompt", "wait"}
 
+// lossActions are simActions with losses of records.
+var lossActions = append(slices.Clone(simActions), "restore 1s", "restore 3s", "restore 8s")
+
 func (s *sim) act(do string, h *simHost, e *simEngine) {
+	if age, ok := strings.CutPrefix(do, "restore "); ok {
+		d, err := time.ParseDuration(age)
+		if err != nil {
+			panic(err)
+		}
+		s.restore(d)
+	}
 	switch do {
 	case "name":
 		s.named++
@@ -252,7 +289,12 @@
 	}
 }
 
-func TestRandomSchedules(t *testing.T) {
+func TestRandomSchedules(t *testing.T) { testRandomSchedules(t, simActions) }
+
+// TestRandomLosses guards against two holders of the lease, and against none, after the store lost its records.
+func TestRandomLosses(t *testing.T) { testRandomSchedules(t, lossActions) }
+
+func testRandomSchedules(t *testing.T, actions []string) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.IntRange(2, 4).Draw(t, "hosts"), 6)
 		s.run(time.Second)
@@ -260,7 +302,7 @@
 		for range n {
 			h := rapid.SampledFrom(s.hosts).Draw(t, "host")
 			e := s.engines[fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(t, "engine"))]
-			s.act(rapid.SampledFrom(simActions).Draw(t, "do"), h, e)
+			s.act(rapid.SampledFrom(actions).Draw(t, "do"), h, e)
 			s.run(rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 700 * time.Millisecond, 2200 * time.Millisecond, 5 * time.Second}).Draw(t, "after"))
 		}
 		s.recoverAll()
--- a/updater/updater.go
+++ b/updater/updater.go
@@ -21,6 +21,7 @@
 	Margin      time.Duration // Margin covers timer delays and clock drift.
 	AtOnce      int           // AtOnce is the minimum number of engines that may load concurrently.
 	Share       float64       // Share is the fraction of all engines that may load concurrently, if that is more.
+	Restarted   bool          // Restarted reports whether the fleet has run before this process started.
 	Seed        uint64        // Seed is the start of the write nonces; it must differ between process starts.
 }
 
@@ -43,9 +44,10 @@
 // ReadLease reads the lease from the store.
 type ReadLease struct{}
 
-// WriteLease writes the lease if its newest record ends at At.
+// WriteLease writes the lease if its newest record ends at At. A write in another era is a conflict.
 type WriteLease struct {
 	At     int64
+	Era    uint64 // Era is that of At.
 	Record Record
 }
 
@@ -180,8 +182,7 @@
 		clear(up.jobs)
 		if in.HostIndex < maxIdleReaders && !up.lease.known && !up.lease.inFlight && now.Sub(up.lease.lastCall) > up.opts.Term {
 			// An expired record must have been seen for a whole term; reading it early saves that wait.
-			up.lease.inFlight, up.lease.lastCall = true, now
-			return []Command{ReadLease{}}
+			return up.readLease(now)
 		}
 		return nil
 	}
