Write again what hosts had written before the store lost it

What callers would see: hosts that start after a loss find no other host for up to 30 s, and after a loss of all hosts requests that end upstreams are no longer barred. Cause: announcements, bars and ages of weight versions are written by hosts alone, each once; nobody noticed that the store had lost them. Change: when a host learns of a new era it schedules a search for hosts, which announces those that are missing, and the host that keeps saved state compares it with the store's, saves what is lacking and removes what had been removed.

--- a/conductor/era.go
+++ b/conductor/era.go
@@ -11,7 +11,7 @@
 
 // When the store goes back to a copy, records that it acknowledged are gone and their offsets are given
 // out again. The store says so by a new era. Hosts then keep what they know, and one of them reads each
-// feed as a whole and sends the others what changed.
+// feed as a whole and sends the others what changed. What hosts had written is written again.
 
 // observeEra records that the store is in an era.
 func (n *Node) observeEra(now time.Time, era uint64) {
@@ -25,7 +25,9 @@
 		return // a start
 	}
 	n.state.StoreRestored(now)
+	n.scheduleSearch(now)
 	n.emit(LogEvent{Kind: LogStoreRestored, Era: era, Before: follower.Position{Era: before}})
+	n.emit(SaveAgain{})
 }
 
 func (n *Node) anyLoaded() bool {
--- a/conductor/era_test.go
+++ b/conductor/era_test.go
@@ -107,3 +107,14 @@
 		c.wantUpstreams(t, fmt.Sprint("written again: ", rewritten), want...)
 	}
 }
+
+// TestLostAnnouncementsAreWrittenAgain guards against hosts that start after a loss and find no other.
+func TestLostAnnouncementsAreWrittenAgain(t *testing.T) {
+	c := newCluster(5)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.run(time.Minute)
+	c.lose(0)
+	clear(c.announcements)
+	c.run(firstSearchDelay + 2*time.Second)
+	assert.Equal(t, len(c.announcements), len(c.nodes))
+}
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -173,6 +173,9 @@
 	End   follower.Position // End is the position after the newest announcement; a later one prevents the removal.
 }
 
+// SaveAgain saves the state that later hosts restore again, as the store may have lost it.
+type SaveAgain struct{}
+
 // PublishView publishes a new view to the request path.
 type PublishView struct{ View *follower.View }
 
@@ -253,6 +256,7 @@
 func (ReadAllAnnouncements) action() {}
 func (Announce) action()             {}
 func (Retract) action()              {}
+func (SaveAgain) action()            {}
 func (PublishView) action()          {}
 func (PublishHosts) action()         {}
 func (ApplyReport) action()          {}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -121,6 +121,7 @@
 	capacityFreed     chan struct{} // capacityFreed signals that upstreams may have room.
 	leaving           atomic.Bool
 	evictsStores      atomic.Bool // evictsStores is set on the host that evicts unused KV caches.
+	saveAgain         atomic.Bool // saveAgain is set if the store may have lost saved state.
 	open              atomic.Int64
 	started           time.Time
 	lastRequest       atomic.Int64 // lastRequest is when the last request arrived, in ns after started.
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -178,6 +178,8 @@
 		h.mergeReturns(h.opts.Timer.Now(), a.Returns)
 	case Renew:
 		h.spawn(func() { h.renew(a.Command) })
+	case SaveAgain:
+		h.saveAgain.Store(true)
 	case PublishPhases:
 		h.placer.SetPhases(a.Engines)
 	case PublishCell:
--- a/conductor/savedstate.go
+++ b/conductor/savedstate.go
@@ -23,8 +23,11 @@
 
 // update restores the saved state once, and saves what is due.
 func (n *savedState) update(h *Host) {
-	if !n.restored {
+	switch {
+	case !n.restored:
 		n.restored = n.restore(h)
+	case h.saveAgain.Swap(false) && !n.compare(h):
+		h.saveAgain.Store(true)
 	}
 	n.versionAges.update(h)
 	n.bars.update(h)
@@ -51,6 +54,28 @@
 	return true
 }
 
+// compare reads what the store still has of the saved state, so that the rest is saved again, and reports
+// whether it succeeded. What was removed and is back, is removed again.
+func (n *savedState) compare(h *Host) bool {
+	ctx, cancel := context.WithTimeout(h.ctx, saveTimeout)
+	defer cancel()
+	start := h.opts.Timer.Now()
+	saved, err := h.opts.Store.Saved(ctx)
+	h.counters.storeCall("notes", start, h.opts.Timer.Now(), err)
+	if err != nil {
+		h.log.Warn().Err(err).Msg(logger.NamingsUnread)
+		return false
+	}
+	n.versionAges = savedVersionAges{}
+	n.bars = savedBars{}
+	for key := range saved {
+		if id, ok := parseBarKey(key); ok {
+			n.bars.add(id)
+		}
+	}
+	return true
+}
+
 // save saves a value under a key; an empty value removes the key.
 func (h *Host) save(key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(h.ctx, saveTimeout)
--- a/conductor/search.go
+++ b/conductor/search.go
@@ -51,8 +51,8 @@
 // searchHosts reads all announcements if a search is due and this host is first in rank.
 func (n *Node) searchHosts(now time.Time) {
 	if n.search.due.IsZero() {
-		n.search = peerSearch{interval: firstSearchDelay, due: now.Add(firstSearchDelay),
-			absent: make(map[string]absence)}
+		n.search.absent = make(map[string]absence)
+		n.scheduleSearch(now)
 	}
 	if now.Before(n.search.due) || tracker.RankIndex(n.topology().serving.Hosts(), n.opts.Self.Host, "seeker") != 0 {
 		return
@@ -63,6 +63,11 @@
 	n.emit(ReadAllAnnouncements{})
 }
 
+// scheduleSearch schedules the next search, and further ones at growing intervals.
+func (n *Node) scheduleSearch(now time.Time) {
+	n.search.interval, n.search.due = firstSearchDelay, now.Add(firstSearchDelay)
+}
+
 // handleAllAnnouncementsRead applies the result of a search.
 func (n *Node) handleAllAnnouncementsRead(now time.Time, ev AllAnnouncementsRead) {
 	var unknown []tracker.HostRecord
