--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -38,6 +38,7 @@
 		}
 		return 0
 	})
+	c.set.NewGauge("amaranthgate_store_era", func() float64 { return float64(h.opts.Store.Era()) })
 	c.set.NewGauge("amaranthgate_upstreams_known", func() float64 { return float64(h.view.Load().Upstreams.Len()) })
 	c.set.NewGauge("amaranthgate_suspects_known", func() float64 { return float64(h.quarantine.Len()) })
 	c.set.NewGauge("amaranthgate_upstreams_leaving", func() float64 { return float64(h.placer.Leaving()) })
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -201,6 +201,15 @@
 // FeedCurrent reports up to when the operators' feed is known.
 type FeedCurrent struct{ At time.Time }
 
+// PublishFeeds says up to where this host knows each feed.
+type PublishFeeds struct{ Feeds map[follower.Feed]FeedState }
+
+// FeedState says up to where a host knows a feed.
+type FeedState struct {
+	Position  follower.Position // Position is the one after the last known record.
+	CurrentAt time.Time         // CurrentAt is when the host last knew all records; zero if it never did.
+}
+
 // PublishCell says which cell of its zone this host is in, how many cells there are, and whether
 // all hosts report their load to it directly.
 type PublishCell struct {
@@ -264,5 +273,6 @@
 func (Renew) action()                {}
 func (FeedCurrent) action()          {}
 func (PublishPhases) action()        {}
+func (PublishFeeds) action()         {}
 func (PublishCell) action()          {}
 func (LogEvent) action()             {}
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -223,6 +223,15 @@
 	return page.Era == f.next.Era && page.From <= f.next.Offset
 }
 
+// publishFeeds publishes up to where this host knows the feeds.
+func (n *Node) publishFeeds() {
+	states := make(map[follower.Feed]FeedState, len(n.feeds))
+	for name, f := range n.feeds {
+		states[name] = FeedState{Position: f.next, CurrentAt: f.currentAt}
+	}
+	n.emit(PublishFeeds{Feeds: states})
+}
+
 // changedState reports whether a record that is already applied changed the state. It must be
 // forwarded with the page that covers it: a host that missed it would otherwise advance past it.
 func (f *feed) changedState(name follower.Feed, r follower.Record) bool {
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -106,6 +106,7 @@
 	work           sync.WaitGroup
 
 	view        atomic.Pointer[follower.View]
+	feeds       atomic.Pointer[map[follower.Feed]FeedState]
 	hosts       atomic.Pointer[[]tracker.HostRecord]
 	serving     atomic.Pointer[activator.Selection] // serving is the selection of hosts that serve callers.
 	cpu         meter
@@ -159,6 +160,7 @@
 	h.placer = h.newPlacer()
 	h.node = h.newNode(self)
 	h.view.Store(&follower.View{})
+	h.feeds.Store(&map[follower.Feed]FeedState{})
 	h.hosts.Store(&[]tracker.HostRecord{self})
 	h.uncontacted.Store(&map[string]bool{})
 	// Until the node has selected the serving hosts, this host is none of them. Otherwise each host
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -28,6 +28,7 @@
 		return
 	}
 	n.lastHeartbeat = now
+	n.publishFeeds()
 	if changed := n.hosts.Tick(now); len(changed) > 0 {
 		n.recordHostChanges(changed)
 		n.sendHostsToNeighbours("", changed)
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -163,6 +163,8 @@
 	case FeedCurrent:
 		h.placer.SetFeedCurrent(a.At)
 		h.counters.feedCurrent(follower.FeedOperator, a.At)
+	case PublishFeeds:
+		h.feeds.Store(&a.Feeds)
 	case PublishHosts:
 		h.evictsStores.Store(tracker.RankIndex(a.Active.Hosts(), h.opts.Settings.Host, "keeper") == 0)
 		h.hosts.Store(&a.Hosts)
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"time"
 
 	"amaranthgate.example/amaranthgate/arbiter"
 	"amaranthgate.example/amaranthgate/configurer"
@@ -28,6 +29,8 @@
 	Version   uint64 // Version is that of the configuration in force; 0 if there is none.
 	Named     map[string]follower.VersionHistory
 	Evacuated map[string]bool // Evacuated are availability zones whose upstreams get no new requests.
+	StoreEra  uint64          // StoreEra is the newest era that the store has stated to this host.
+	Feeds     map[follower.Feed]FeedDump
 	Hosts     []tracker.HostRecord
 	Upstreams []follower.Upstream
 	Placement placer.Dump
@@ -49,6 +52,8 @@
 		Open:      h.open.Load(),
 		Named:     view.Versions,
 		Evacuated: view.Evacuated,
+		StoreEra:  h.opts.Store.Era(),
+		Feeds:     h.dumpFeeds(),
 		Hosts:     *h.hosts.Load(),
 		Placement: h.placer.Dump(h.opts.Timer.Now()),
 		Barred:    h.quarantine.Bars(h.opts.Timer.Now()),
@@ -70,6 +75,25 @@
 	return d
 }
 
+// FeedDump says up to where a host knows a feed.
+type FeedDump struct {
+	Era    uint64        // Era is that of Offset.
+	Offset int64         // Offset is the one after the last known record.
+	Age    time.Duration // Age is the time since the host last knew all records; negative if it never did.
+}
+
+func (h *Host) dumpFeeds() map[follower.Feed]FeedDump {
+	out := make(map[follower.Feed]FeedDump)
+	for name, f := range *h.feeds.Load() {
+		d := FeedDump{Era: f.Position.Era, Offset: f.Position.Offset, Age: -1}
+		if !f.CurrentAt.IsZero() {
+			d.Age = h.opts.Timer.Now().Sub(f.CurrentAt)
+		}
+		out[name] = d
+	}
+	return out
+}
+
 // operators serves the operators' endpoints: metrics, state dump and quarantine.
 func (h *Host) operators() http.Handler {
 	mux := http.NewServeMux()
--- a/experimenter/fleet.go
+++ b/experimenter/fleet.go
@@ -25,11 +25,12 @@
 	FleetSeries  FleetScenario = "Series"  // hosts restart one after the other
 	FleetZone    FleetScenario = "Zone"    // all hosts of an availability zone stop and don't return
 	FleetKillAll FleetScenario = "KillAll" // all hosts stop and restart
+	FleetLoss    FleetScenario = "Loss"    // the store loses records, and a new configuration is written
 )
 
 // FleetScenarios are all scenarios, in the order in which they run.
 var FleetScenarios = []FleetScenario{
-	FleetStart, FleetIdle, FleetChange, FleetStorm, FleetSeries, FleetZone, FleetKillAll,
+	FleetStart, FleetIdle, FleetChange, FleetStorm, FleetSeries, FleetZone, FleetKillAll, FleetLoss,
 }
 
 // FleetOptions configure the simulation of a fleet.
--- a/experimenter/fleet_test.go
+++ b/experimenter/fleet_test.go
@@ -14,6 +14,7 @@
 // against traffic of idle standby hosts and full listings that grow with the number of hosts.
 func TestFleet(t *testing.T) {
 	const limit = 5 * time.Second
+	const changeBound = 4 * time.Second // within which a change is in force everywhere
 	var idle, listed []float64
 	for _, hosts := range []int{40, 80} {
 		o := FleetOptions{Hosts: hosts, Upstreams: 10 * hosts, Zones: 3, Large: 3, LinkMbps: 20, Series: 3, Seed: 1}
@@ -27,6 +28,9 @@
 			case FleetChange, FleetStorm:
 				assert.Assert(t, r.ConvergedAfter <= time.Second,
 					"%d hosts converge %s after %s", hosts, r.ConvergedAfter, r.Scenario)
+			case FleetLoss:
+				assert.Assert(t, r.ConvergedAfter <= changeBound,
+					"%d hosts converge %s after %s", hosts, r.ConvergedAfter, r.Scenario)
 			case FleetIdle:
 				idle = append(idle, r.Standby.BytesPerSecond)
 			}
--- a/experimenter/fleetmodel.go
+++ b/experimenter/fleetmodel.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +44,7 @@
 var fleetDurations = map[FleetScenario]time.Duration{
 	FleetStart: 12 * time.Second, FleetIdle: 5 * time.Second, FleetChange: 3 * time.Second,
 	FleetStorm: 5 * time.Second, FleetSeries: 10 * time.Second, FleetZone: 10 * time.Second,
-	FleetKillAll: 12 * time.Second,
+	FleetKillAll: 12 * time.Second, FleetLoss: 10 * time.Second,
 }
 
 // fleetModel simulates hosts, their links and a store. It omits the periodic
@@ -59,6 +61,7 @@
 	waitingReads  map[follower.Feed][]func() // pending reads, answered at the next record
 	announcements map[string]tracker.HostRecord
 	announced     []string  // sorted host names of the announcements
+	version       int       // newest configuration
 	era           uint64    // number of losses of records, plus one
 	appendsFree   time.Time // time at which the announcements' partition is idle
 	encodedSizes  map[*messenger.Message]int
@@ -127,7 +130,7 @@
 	for i := range o.Upstreams {
 		m.appendRecord(follower.FeedUpstreams, fmt.Sprintf("i-%08x", i), m.newEntry(1))
 	}
-	m.configure(1)
+	m.configure()
 	return m
 }
 
@@ -142,12 +145,45 @@
 	return b
 }
 
-func (m *fleetModel) configure(version int) {
-	m.appendRecord(follower.FeedOperator, "configuration", []byte(strconv.Itoa(version)))
+func (m *fleetModel) configure() {
+	m.version++
+	m.appendRecord(follower.FeedOperator, "configuration", []byte(strconv.Itoa(m.version)))
 }
 
+// loseRecords removes the newest records of each feed, as many as upstreams write in some seconds. Operators
+// and upstreams write theirs again.
+func (m *fleetModel) loseRecords() {
+	m.era++
+	entries := m.logs[follower.FeedUpstreams]
+	for f, log := range m.logs {
+		m.logs[f] = slices.Clone(log[:len(log)-max(1, len(log)/fleetLossDivisor)])
+		m.answerReads(f)
+	}
+	m.after(fleetRewriteDelay, m.configure)
+	newest := make(map[string][]byte)
+	for _, r := range entries {
+		newest[r.Key] = r.Value
+	}
+	keys := slices.Sorted(maps.Keys(newest))
+	for i, key := range keys {
+		delay := fleetRewriteDelay + fleetHeartbeat*time.Duration(i)/time.Duration(len(keys))
+		m.after(delay, func() { m.appendRecord(follower.FeedUpstreams, key, newest[key]) })
+	}
+}
+
+const (
+	fleetLossDivisor  = 20
+	fleetRewriteDelay = 100 * time.Millisecond
+	fleetHeartbeat    = time.Second // time in which all upstreams write their entries
+)
+
 func (m *fleetModel) appendRecord(f follower.Feed, key string, value []byte) {
 	m.logs[f] = append(m.logs[f], follower.Record{Key: key, Value: value, Offset: int64(len(m.logs[f]))})
+	m.answerReads(f)
+}
+
+// answerReads answers the pending reads of a feed.
+func (m *fleetModel) answerReads(f follower.Feed) {
 	waiting := m.waitingReads[f]
 	m.waitingReads[f] = nil
 	for _, answer := range waiting {
@@ -190,7 +226,7 @@
 			m.after(m.startDelay(), func() { m.start(h, true) })
 		}
 	case FleetChange:
-		m.configure(len(m.logs[follower.FeedOperator]) + 1)
+		m.configure()
 	case FleetStorm:
 		for i := range m.opts.Upstreams / 40 {
 			key := fmt.Sprintf("i-%08x", m.rng.IntN(m.opts.Upstreams))
@@ -204,6 +240,8 @@
 			m.after(time.Duration(i)*fleetRestartInterval, func() { m.kill(h) })
 			m.after(time.Duration(i)*fleetRestartInterval+fleetDowntime, func() { m.start(h, false) })
 		}
+	case FleetLoss:
+		m.loseRecords()
 	case FleetZone:
 		for _, h := range m.hosts {
 			if h.zone == "zone-0" {
@@ -240,7 +278,7 @@
 			active = h.activeHosts
 		}
 		if h.node == nil || h.liveHosts != hosts || h.activeHosts != active || h.upstreams != m.opts.Upstreams ||
-			h.version != uint64(len(m.logs[follower.FeedOperator])) {
+			h.version != uint64(m.version) {
 			return false
 		}
 	}
