Keep a starting host from taking a failed listing for an empty feed

What callers would see: a host that starts while the store loses records serves with no upstreams. Cause: a refused read kept the feed marked as loaded if a loss was known, also where nothing was loaded. Change: such a read keeps the mark only if it was set. Beside it a record that another host kept does not replace the newer one of the same version, and a cached listing of the earlier era is dropped.

--- a/conductor/era_test.go
+++ b/conductor/era_test.go
@@ -118,3 +118,22 @@
 	c.run(firstSearchDelay + 2*time.Second)
 	assert.Equal(t, len(c.announcements), len(c.nodes))
 }
+
+// TestStartDuringLoss guards against a host that serves without upstreams or configuration because the store lost
+// records while it read its first listing.
+func TestStartDuringLoss(t *testing.T) {
+	c := newCluster(1)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.write(follower.FeedUpstreams, "a", "ready")
+	c.run(3 * time.Second)
+	c.lose(0)
+	c.start(c.nodes[0])
+	n := c.nodes[0].node
+	for _, name := range []follower.Feed{follower.FeedOperator, follower.FeedUpstreams} {
+		n.Handle(c.now, FeedRead{Page: follower.FeedPage{Feed: name, Full: true, Era: c.era}, RequestedAt: c.now, Err: follower.ErrCompacted})
+		assert.Assert(t, !n.feeds[name].loaded)
+	}
+	c.run(3 * time.Second)
+	assert.DeepEqual(t, n.view.Accepting("s"), []string{"a"})
+	assert.Equal(t, c.nodes[0].version, uint64(1))
+}
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -106,7 +106,6 @@
 		f.refused = false
 		page.Records = forwarded
 	case wasLoaded && before.Era < f.next.Era:
-		f.foundLoss = false
 		page = f.changesAcrossEras(page, before)
 	default:
 		return
@@ -153,7 +152,7 @@
 			f.refused = true
 			n.emit(LogEvent{Kind: LogFeedReadRefused, Feed: ev.Page.Feed, Offset: ev.Page.From, Era: ev.Page.FromEra, Age: now.Sub(f.currentAt)})
 		}
-		f.loaded = n.hasLost(f) // else the newest record of each key is still available
+		f.loaded = f.loaded && n.hasLost(f) // a listing has the newest record of each key
 		return
 	}
 	if !f.failing {
@@ -191,7 +190,7 @@
 		n.applyListing(now, page, f)
 	}
 	if lost {
-		f.droppedFrom = page.End()
+		f.foundLoss, f.droppedFrom, f.cached = false, page.End(), cachedListing{}
 		n.emit(LogEvent{Kind: LogFeedRecovered, Feed: page.Feed, Offset: page.Next, Era: page.Era, Before: f.next,
 			Records: len(page.Records), Age: now.Sub(n.eraSince)})
 	}
@@ -376,6 +375,9 @@
 		return false
 	}
 	changed := effect == follower.EffectChanged
+	if !changed && known && r.Position().Before(old.Position()) {
+		return false
+	}
 	f.store(r, changed || known && !listed && old.changed.Era < r.Era)
 	if changed {
 		n.emit(recordLogEvent(name, r, change))
