Abandon reads of an earlier era, and read without a wait after an outage

Cause: the host that reads for all was waiting at the offset that the log had regrown to exactly, so that the store answered only after the whole wait; the era that other hosts had told it meanwhile had no effect until then. Change: once a host knows a later era it no longer waits for a pending read, whose answer it ignores, and the first read after a failure does not ask the store to wait. TestLossWhileReadWaits fails without the first change and passes with it.

--- a/conductor/era.go
+++ b/conductor/era.go
@@ -24,6 +24,9 @@
 	if !n.anyLoaded() {
 		return // a start
 	}
+	for _, f := range n.feeds {
+		f.abandonRead()
+	}
 	n.state.StoreRestored(now)
 	n.scheduleSearch(now)
 	n.emit(LogEvent{Kind: LogStoreRestored, Era: era, Before: follower.Position{Era: before}})
--- a/conductor/era_test.go
+++ b/conductor/era_test.go
@@ -137,3 +137,26 @@
 	assert.DeepEqual(t, n.view.Accepting("s"), []string{"a"})
 	assert.Equal(t, c.nodes[0].version, uint64(1))
 }
+
+// TestLossWhileReadWaits guards against a change that is in force only when a read of the earlier era ends, because the
+// log has regrown to exactly the offset that it waits for.
+func TestLossWhileReadWaits(t *testing.T) {
+	c := newCluster(3)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.write(follower.FeedOperator, "config", "version 2")
+	c.run(3 * time.Second)
+	for _, s := range c.nodes {
+		c.set(s, accessSilent)
+	}
+	c.run(100 * time.Millisecond)
+	c.lose(1)
+	c.write(follower.FeedOperator, "config", "version 3")
+	for _, s := range c.nodes {
+		c.set(s, accessOK)
+	}
+	c.execute(c.nodes[0], c.nodes[0].node.Handle(c.now, Tick{Era: c.era}))
+	c.run(500 * time.Millisecond)
+	for _, s := range c.nodes {
+		assert.Equal(t, s.version, uint64(3), s.name)
+	}
+}
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -48,6 +48,13 @@
 	changed follower.Position // changed is the position of the key's last record that changed the state.
 }
 
+// abandonRead stops waiting for a pending read, as the store's offsets have another meaning now.
+func (f *feed) abandonRead() {
+	if f.loaded {
+		f.reading = false
+	}
+}
+
 // readFeed reads more of a feed from the store if it is this host's turn.
 func (n *Node) readFeed(now time.Time, name follower.Feed, f *feed) {
 	if !f.loaded {
@@ -65,7 +72,9 @@
 				return // another host reads, and sends what changed
 			}
 		case age == 0 || n.topology().selfActive && f.continuesReading(now):
-			r.Wait = n.opts.Timing.LongPoll // the store answers at the next record
+			if !f.failing {
+				r.Wait = n.opts.Timing.LongPoll // the store answers at the next record
+			}
 		case now.Sub(f.currentAt) < age || now.Sub(f.lastListing) < age:
 			return
 		default:
@@ -78,6 +87,9 @@
 
 func (n *Node) handleFeedRead(now time.Time, ev FeedRead) {
 	f := n.feeds[ev.Page.Feed]
+	if !ev.Page.Full && ev.Page.FromEra < n.era {
+		return // the read was abandoned
+	}
 	f.reading = false
 	f.foundLoss = f.foundLoss || f.loaded && ev.Page.Era > n.era
 	n.observeEra(now, ev.Page.Era)
