explain: Say which configuration handled a request, and what the host read of the store

Cause: from a request that was handled by an old version nobody came to the cause: the version stood in another line, and lines of the store only in the last 5 s. Change: the report names the configuration and the weights, and has lines on losses, refused reads, outdated records and applied records of operators of the last 30 s, with their positions. Result: the test's log has a request after a loss, and the report has these lines.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -22,6 +22,7 @@
 	"strings"
 	"time"
 
+	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/logger"
 )
 
@@ -45,9 +46,13 @@
 	Result    string
 	Feed      string
 	Key       string
+	Offset    int64
+	Era       uint64 // Era is that of Offset; 0 if the store states none.
 	Peer      string
-	Error     string `json:"error"`
-	source    string // source is the prefix of the line, such as a host's name.
+
+	Configuration uint64 // Configuration is the version that handled the request.
+	Error         string `json:"error"`
+	source        string // source is the prefix of the line, such as a host's name.
 }
 
 // Attempt is one upstream that a request was sent to.
@@ -121,6 +126,7 @@
 // Limits of the other lines reported with a request.
 const (
 	contextWindow   = 5 * time.Second
+	storeWindow     = 30 * time.Second // storeWindow is contextWindow for what the host read of the store.
 	maxContextLines = 12
 )
 
@@ -136,6 +142,7 @@
 		case l.Message == logger.RequestEnded:
 			ended = true
 			l.write(&b)
+			chosen.writeConfiguration(&b)
 			writeEnds(&b, lines, l)
 			writeContext(&b, lines, l)
 		case l.Message == logger.UpstreamChosen:
@@ -253,6 +260,13 @@
 	}
 }
 
+// writeConfiguration writes what handled a request that was sent to an upstream.
+func (l *Line) writeConfiguration(b *strings.Builder) {
+	if l != nil {
+		fmt.Fprintf(b, "  handled by configuration %d, weights %d\n", l.Configuration, l.Weights)
+	}
+}
+
 // writeEnds writes the upstreams that ended under the same request, as logged by any host.
 func writeEnds(b *strings.Builder, lines []Line, end *Line) {
 	if end.Identity == "" {
@@ -274,21 +288,51 @@
 	n := 0
 	for i := range lines {
 		l := &lines[i]
-		if l.source != end.source || l.RequestID != "" || l.Time.After(end.Time) || end.Time.Sub(l.Time) > contextWindow || !l.relatesTo(end) {
+		if l.source != end.source || l.RequestID != "" || l.Time.After(end.Time) || end.Time.Sub(l.Time) > l.window() || !l.relatesTo(end) {
 			continue
 		}
 		if n++; n > maxContextLines {
 			fmt.Fprintf(b, "  ... and more\n")
 			return
 		}
-		fmt.Fprintf(b, "  before: %s %s %s %s %s %s\n", l.Message, l.Feed, l.Key, l.Upstream, l.Result, l.Error)
+		fmt.Fprintf(b, "  before: %s %s %s %s %s %s%s\n", l.Message, l.Feed, l.Key, l.Upstream, l.Result, l.Error, l.position())
+	}
+}
+
+// position returns where in a feed the line's record stands, if the store states eras.
+func (l *Line) position() string {
+	if l.Era == 0 {
+		return ""
 	}
+	return fmt.Sprintf("at %d/%d, %s", l.Era, l.Offset, l.Time.Format(time.TimeOnly))
+}
+
+// ofFeed reports whether l is about what the host knows of the store's feeds.
+func (l *Line) ofFeed() bool {
+	switch l.Message {
+	case logger.StoreRestored, logger.FeedRecovered, logger.FeedReadRefused, logger.RecordOutdated:
+		return true
+	case logger.RecordApplied:
+		return l.Feed == string(follower.FeedOperator)
+	}
+	return false
+}
+
+// window returns how long before the end of a request l still says something of it.
+func (l *Line) window() time.Duration {
+	if l.ofFeed() {
+		return storeWindow
+	}
+	return contextWindow
 }
 
 // relatesTo reports whether l is about an upstream of the request or a dependency of the host.
 func (l *Line) relatesTo(end *Line) bool {
 	switch l.Message {
-	case logger.StoreLost, logger.StoreBack, logger.StoreRestored, logger.FeedRecovered, logger.FeedReadRefused, logger.RecordOutdated, logger.Draining, logger.Started, logger.SettingsReloaded:
+	case logger.StoreLost, logger.StoreBack, logger.Draining, logger.Started, logger.SettingsReloaded:
+		return true
+	}
+	if l.ofFeed() {
 		return true
 	}
 	for _, a := range append(end.Attempts, end.Attempt) {
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -23,6 +23,7 @@
 		"unknown": {"may have run", "last failure: EOF"},
 		"cut":     {"broke off after part of it"},
 		"lost":    {"sent to u1, no end", "the host was killed"},
+		"old":     {"handled by configuration 3, weights 1", "before: StoreRestored", "before: RecordOutdated Operator config   at 2/5, 03:00:08"},
 		"late":    {"had other prompts to read first", "30000 tokens waited"},
 	} {
 		report, ok := Explain(lines, id)
@@ -43,7 +44,7 @@
 	lines, err := Read(f, "")
 	assert.NilError(t, err)
 	s := Summarize(lines)
-	assert.Equal(t, s.Requests, 6)
+	assert.Equal(t, s.Requests, 7)
 	assert.Equal(t, s.Failed, 5)
 	assert.Equal(t, s.Unknown, 0)
 	assert.Equal(t, len(s.Causes), 5)
