Have the control plane tell the updater of losses

What could have been seen: two holders of the lease after the first loss of a store that states no era before it. Cause: the updater took the first era that it learned for that of its start, unless it had read a lease record; it cannot tell the two apart, the control plane can, since it knows whether feeds were read. Change: Updater.SetEra says whether records may be lost; messages and lease reads report their era to the control plane first. A second loss also gives operators a whole rewriteTimeout again.

--- a/conductor/era.go
+++ b/conductor/era.go
@@ -20,12 +20,14 @@
 	}
 	before := n.era
 	n.era, n.eraSince = era, now
-	n.updater.StoreRestored(era)
-	if !n.anyLoaded() {
+	lost := n.anyLoaded()
+	n.updater.SetEra(era, lost)
+	if !lost {
 		return // a start
 	}
 	for _, f := range n.feeds {
 		f.abandonRead()
+		clear(f.unlistedUntil) // operators have as long again
 	}
 	n.state.StoreRestored(now)
 	n.scheduleSearch(now)
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -134,6 +134,7 @@
 	}
 	n.compareOffsets(now, ev.From, m.Era, m.Offsets)
 	if m.Renewal != nil {
+		n.observeEra(now, m.Renewal.Lease.Era)
 		n.updater.HandleStatus(now, m.Renewal)
 		for _, done := range m.Renewal.Renewed {
 			n.renewed(done)
--- a/conductor/renewal.go
+++ b/conductor/renewal.go
@@ -68,6 +68,7 @@
 func (n *Node) handleRenewalEnd(now time.Time, ev RenewalEnd) {
 	switch c := ev.Command.(type) {
 	case updater.ReadLease:
+		n.observeEra(now, ev.Lease.Era)
 		n.updater.LeaseRead(now, ev.Lease, ev.Err)
 	case updater.WriteLease:
 		n.updater.LeaseWritten(now, c, ev.Conflict, ev.Err)
--- a/updater/lease.go
+++ b/updater/lease.go
@@ -107,21 +107,19 @@
 	return []Command{ReadLease{}}
 }
 
-// StoreRestored records that the store is in an era. If that is a new one, lease records may have been lost:
-// what the store has now does not tell who holds the lease, and pending writes grant no hold, as they
-// may be executed at an offset that was given out again.
-func (up *Updater) StoreRestored(era uint64) {
+// SetEra sets the era of the store. If records of an earlier era may be lost, what the store has now does not tell
+// who holds the lease, and pending writes grant no hold, as they may be executed at an offset that was given
+// out again.
+func (up *Updater) SetEra(era uint64, lost bool) {
 	l := &up.lease
 	if era <= l.era {
 		return
 	}
-	started := l.era == 0 && l.newest == Lease{}
 	l.era = era
-	if started {
-		return
+	if lost {
+		l.known, l.lost, l.rolledBack = false, true, true
+		clear(l.sentAt)
 	}
-	l.known, l.lost, l.rolledBack = false, true, true
-	clear(l.sentAt)
 }
 
 // LeaseRead processes the result of ReadLease.
@@ -142,7 +140,6 @@
 // observeLease stores a lease record that is newer than the one known.
 func (up *Updater) observeLease(now time.Time, got Lease) {
 	l := &up.lease
-	up.StoreRestored(got.Era)
 	if !got.position().After(l.newest.position()) {
 		return
 	}
--- a/updater/random_test.go
+++ b/updater/random_test.go
@@ -40,6 +40,7 @@
 	noStore      bool
 	losesAnswers bool // losesAnswers is set while answers of the store are lost.
 	noPeers      bool
+	contacted    bool // contacted is set once the process knows the era of the store.
 }
 
 type pastLease struct {
@@ -86,11 +87,17 @@
 
 func (s *sim) start(h *simHost) {
 	h.starts++
-	h.down = false
+	h.down, h.contacted = false, false
 	h.updater = New(Options{Host: h.name, Term: 2 * time.Second, HandoverGap: simTurn, Margin: 250 * time.Millisecond, AtOnce: 3,
 		Restarted: h.starts > 1, Seed: h.starts * 1e6})
 }
 
+// learn tells a host the era of the store, as the host's other calls to the store do.
+func (h *simHost) learn(era uint64) {
+	h.updater.SetEra(era, h.contacted)
+	h.contacted = true
+}
+
 func (s *sim) view() *follower.View {
 	var upstreams []follower.Upstream
 	for id, e := range s.engines {
@@ -144,6 +151,7 @@
 func (s *sim) broadcast(from *simHost, st *Status) {
 	for _, h := range s.hosts {
 		if h != from && !h.down && !h.paused && !h.noPeers && !from.noPeers {
+			h.learn(st.Lease.Era)
 			h.updater.HandleStatus(s.now, st)
 		}
 	}
@@ -157,6 +165,7 @@
 				h.updater.LeaseRead(s.now, Lease{}, errSim)
 				continue
 			}
+			h.learn(s.lease.Era)
 			h.updater.LeaseRead(s.now, s.lease, nil)
 		case WriteLease:
 			s.write(h, c)
@@ -297,6 +306,9 @@
 func testRandomSchedules(t *testing.T, actions []string) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(rapid.IntRange(2, 4).Draw(t, "hosts"), 6)
+		if len(actions) > len(simActions) {
+			s.lease.Era = rapid.Uint64Range(0, 1).Draw(t, "first era")
+		}
 		s.run(time.Second)
 		n := rapid.IntRange(3, 25).Draw(t, "steps")
 		for range n {
