Read saved state in one place

Cause: restoring and comparing saved state repeated the call to the store. Change: Host.readSaved; a comment of the lease stands at its case. No behaviour changes. Result: tests of saved state pass.

--- a/conductor/savedstate.go
+++ b/conductor/savedstate.go
@@ -35,13 +35,8 @@
 
 // restore reads the saved state and reports whether it succeeded.
 func (n *savedState) restore(h *Host) bool {
-	ctx, cancel := context.WithTimeout(h.ctx, saveTimeout)
-	defer cancel()
-	start := h.opts.Timer.Now()
-	saved, err := h.opts.Store.Saved(ctx)
-	h.counters.storeCall("notes", start, h.opts.Timer.Now(), err)
+	saved, err := h.readSaved()
 	if err != nil {
-		h.log.Warn().Err(err).Msg(logger.NamingsUnread)
 		return false
 	}
 	if ages := h.decodeVersionAges(saved); len(ages) > 0 {
@@ -55,19 +50,13 @@
 }
 
 // compare reads what the store still has of the saved state, so that the rest is saved again, and reports
-// whether it succeeded. What was removed and is back, is removed again.
+// whether it succeeded. Bars that were removed and are back are removed again.
 func (n *savedState) compare(h *Host) bool {
-	ctx, cancel := context.WithTimeout(h.ctx, saveTimeout)
-	defer cancel()
-	start := h.opts.Timer.Now()
-	saved, err := h.opts.Store.Saved(ctx)
-	h.counters.storeCall("notes", start, h.opts.Timer.Now(), err)
+	saved, err := h.readSaved()
 	if err != nil {
-		h.log.Warn().Err(err).Msg(logger.NamingsUnread)
 		return false
 	}
-	n.versionAges = savedVersionAges{}
-	n.bars = savedBars{}
+	n.versionAges, n.bars = savedVersionAges{}, savedBars{}
 	for key := range saved {
 		if id, ok := parseBarKey(key); ok {
 			n.bars.add(id)
@@ -76,6 +65,19 @@
 	return true
 }
 
+// readSaved reads all saved values by key.
+func (h *Host) readSaved() (map[string][]byte, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, saveTimeout)
+	defer cancel()
+	start := h.opts.Timer.Now()
+	saved, err := h.opts.Store.Saved(ctx)
+	h.counters.storeCall("notes", start, h.opts.Timer.Now(), err)
+	if err != nil {
+		h.log.Warn().Err(err).Msg(logger.NamingsUnread)
+	}
+	return saved, err
+}
+
 // save saves a value under a key; an empty value removes the key.
 func (h *Host) save(key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(h.ctx, saveTimeout)
--- a/updater/lease.go
+++ b/updater/lease.go
@@ -166,14 +166,14 @@
 // takeOver sets the earliest time for an order of this host: HandoverGap after the last possible order
 // of the previous holder. If that holder released the lease, its status listed its recent orders and
 // its own remaining wait. A process that finds its own host's record does not know the holder before
-// it, and waits HandoverGap from its start. If the store lost records, the holder before may be any host.
+// it, and waits HandoverGap from its start.
 func (up *Updater) takeOver() {
 	l := &up.lease
 	switch {
 	case l.released:
 		up.notBefore = l.orderFrom
 		return
-	case l.rolledBack:
+	case l.rolledBack: // the holder before may be any host
 	case l.newest.End == 0:
 		return
 	case l.newest.Record.Host == up.opts.Host:
