follower: Keep the software version of upstreams

Hosts read the version of an upstream's software from its entry and dropped it, so that no log line and no state dump could tell at which version a stream began or went on. The upstreams of a view have it now, and with them UpstreamChosen, the attempts in RequestEnded, and the state dump. An entry that changes only the version counts as news. Nothing decides by it yet.

Tests of follower, conductor, logger, explainer and commander pass.

--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -109,7 +109,7 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (c *attempt) MarshalZerologObject(e *zerolog.Event) {
 	b := c.Basis
-	e.Str("Upstream", c.Upstream.ID).Dur("Estimate", b.Estimate).Int("Requests", b.Work.Requests).
+	e.Str("Upstream", c.Upstream.ID).Str("Software", c.Upstream.Software).Dur("Estimate", b.Estimate).Int("Requests", b.Work.Requests).
 		Int("Pending", b.Work.Pending).Int("Memory", b.Work.Memory).Int("Missing", b.PrefillTokens).Int("Alone", b.UnsharedTokens).Int("Moved", b.FetchTokens).
 		Dur("Behind", b.BacklogTime).Dur("Reading", b.PrefillTime).Dur("Fetching", b.FetchTime).Bool("Replaced", b.Replaced).
 		Int("Stored", b.StoredParts).Int("Saved", b.SavedParts).
--- a/follower/state.go
+++ b/follower/state.go
@@ -160,7 +160,7 @@
 		u.ColdUntil = now.Add(u.Cold) // an upper bound, as the entry was written earlier
 	}
 	u.instanceID = u.InstanceID()
-	u.Service, u.AvailabilityZone = unique.Make(u.Service).Value(), unique.Make(u.AvailabilityZone).Value()
+	u.Service, u.AvailabilityZone, u.Software = unique.Make(u.Service).Value(), unique.Make(u.AvailabilityZone).Value(), unique.Make(u.Software).Value()
 	e := s.upstreams[u.ID]
 	if e == nil {
 		u.Weights = s.weights.intern(u.Weights)
@@ -304,7 +304,7 @@
 
 func sameEntry(a, b *Upstream) bool {
 	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.Standing == b.Standing &&
-		a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
+		a.Software == b.Software && a.Slots == b.Slots && maps.Equal(a.Weights, b.Weights)
 }
 
 func (s *State) remove(now time.Time, id string, at Position) Effect {
--- a/follower/types.go
+++ b/follower/types.go
@@ -83,6 +83,7 @@
 	Service          string
 	Address          string // Address has the form IP:port.
 	AvailabilityZone string
+	Software         string // Software is the version of its software; versions have no order.
 	Slots            int
 	Standing         Standing
 	Cold             time.Duration     // Cold is the remaining time of its slow cold start when it wrote its entry.
