placer: Choose among upstreams of one software version

A request that goes on with a stream needs an upstream of the version that began it. PlacementRequest.Software restricts a choice to those, in pools of any size, and the choice is None at once if the service has none, so that such a request never waits for upstreams that cannot serve it. Nothing asks for a version yet.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -55,6 +55,9 @@
 // anyAdmits reports whether any upstream of a pool could begin the request, or wants none for a time.
 func (p *Placer) anyAdmits(pl *pool, req *PlacementRequest) bool {
 	for _, m := range pl.all {
+		if !m.runs(req) {
+			continue
+		}
 		if t := p.targetOf(m); t.resting(req.now) || p.admits(t, req) {
 			return true
 		}
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -32,6 +32,9 @@
 
 // candidates returns the upstreams to choose from. The slice is valid until the next call.
 func (p *Placer) candidates(pl *pool, req *PlacementRequest) []*target {
+	if req.Software != nil {
+		return p.collectSoftware(pl, req)
+	}
 	if len(pl.all) <= maxFullScan {
 		return p.collectAll(pl.all)
 	}
--- a/placer/choice.go
+++ b/placer/choice.go
@@ -20,6 +20,8 @@
 	// SaltOf returns the cache salt of a weight version.
 	SaltOf  func(weights uint64) string
 	Exclude []string
+	// Software is the version of the software that the upstream must have; nil for any.
+	Software *string
 	// Isolation is set for a request during which upstreams have ended.
 	Isolation Isolation
 	// Regions are lists of regions that may serve the request. Each list that is not empty applies.
@@ -205,7 +207,7 @@
 // the same one.
 func (p *Placer) best(now time.Time, req *PlacementRequest, s *shortlist) (*target, time.Duration, Verdict) {
 	pl := p.pools[req.Service]
-	if pl == nil {
+	if pl == nil || !pl.serves(req) {
 		return nil, 0, None
 	}
 	if !pl.large() && !p.anyAdmits(pl, req) {
@@ -215,7 +217,7 @@
 		return p.chooseIsolated(now, req, s)
 	}
 	p.considerAll(now, p.candidates(pl, req), req, s)
-	if s.best == nil && pl.large() {
+	if s.best == nil && pl.large() && req.Software == nil {
 		p.considerAll(now, p.sample(pl.all, retrySamples), req, s)
 	}
 	return p.pick(s, req)
@@ -234,7 +236,7 @@
 
 // eligible reports whether a request may go to an upstream at all.
 func (p *Placer) eligible(t *target, req *PlacementRequest) bool {
-	return !slices.Contains(req.Exclude, t.upstream.ID) && p.allowedIn(req, t.upstream.AvailabilityZone)
+	return !slices.Contains(req.Exclude, t.upstream.ID) && t.runs(req) && p.allowedIn(req, t.upstream.AvailabilityZone)
 }
 
 // consider adds a candidate to the shortlist.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -91,6 +91,7 @@
 	cells         int
 	directReports bool       // directReports reports that all other hosts report to this one directly.
 	candidateBuf  []*target  // candidateBuf is reused for the candidates of each choice.
+	memberBuf     []*member  // memberBuf is reused for the candidates of requests that need a software version.
 	cacheIndex    cacheIndex // cacheIndex has the engines that cache each part.
 	view          *follower.View
 	phases        map[string]updater.Phase
@@ -129,6 +130,7 @@
 	stalledAt        time.Time // stalledAt is when Watch last found that this process had stalled.
 	activeAt         time.Time // activeAt is when any upstream last showed activity.
 	cut              cut
+	left             map[software]time.Time // left is when an upstream of a version was last removed.
 	brittle          brittleState
 }
 
@@ -165,6 +167,7 @@
 		stores:        make(map[string]*store),
 		prefills:      make(map[PartKey]*prefill),
 		cacheIndex:    make(cacheIndex),
+		left:          make(map[software]time.Time),
 	}
 	if opts.StatedLoad {
 		p.assessor = assessor.New(assessor.Options{Lists: func(instance string) bool { return p.memberOf(instance) != nil }})
@@ -248,6 +251,7 @@
 		return
 	}
 	p.setListed(m, false)
+	p.recordLeft(m)
 	delete(p.members, id)
 	t := m.target
 	if t == nil {
--- a/placer/rest.go
+++ b/placer/rest.go
@@ -69,7 +69,7 @@
 	var earliest time.Time
 	for _, m := range pl.all {
 		switch {
-		case !p.allowedIn(req, m.upstream.AvailabilityZone):
+		case !m.runs(req), !p.allowedIn(req, m.upstream.AvailabilityZone):
 		case !m.resting(now):
 			return time.Time{}
 		case earliest.IsZero() || m.mark.restUntil.Before(earliest):
