exchanger: Go on with a stream only at the version that began it

Cause: a stream went on at the upstream that was placed best, whatever its version, both within one answer and when its caller took it up. Nobody knew at which version it had begun; Resumes was forwarded unread.

A host now records service and version of the upstream whose first event it is about to forward, under the workspace and the ID of the request, and tells two other hosts. Every later attempt of that answer, also beside a silent upstream, in the queue or at a host that it is passed on to, is bound to that origin. A caller that takes a stream up is bound to the origin of the request that it names; if that is not known, because it names none, nobody knows it or hosts contradict each other, it is refused as not run (OriginUnknown), since a guess may be wrong. If no upstream has the version, it is refused at once (SoftwareGone), with a time to come back if one was removed within 10 s. A route with several services goes on at the service of the origin too. RequestEnded, counters and the state dump say what was known, from whom, and since when.

The scripted relay of exchanger.TestPassing states an origin now, as a host does; without one a stream does not go on elsewhere.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -4,6 +4,7 @@
 package conductor
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/pricer"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/tracker"
 	"amaranthgate.example/amaranthgate/updater"
 )
@@ -77,6 +79,19 @@
 		c.set.NewGauge("amaranthgate_contention_messages_rejected_total", func() float64 { return float64(a.Stats().Rejected) })
 		c.set.NewGauge("amaranthgate_hosts_contending", func() float64 { return float64(a.Competing(h.opts.Timer.Now())) })
 	}
+	for result, count := range map[string]func(n registrar.Counts) uint64{
+		"recorded":  func(n registrar.Counts) uint64 { return n.Recorded },
+		"received":  func(n registrar.Counts) uint64 { return n.Received },
+		"rejected":  func(n registrar.Counts) uint64 { return n.Rejected },
+		"conflict":  func(n registrar.Counts) uint64 { return n.Conflicts },
+		"dropped":   func(n registrar.Counts) uint64 { return n.Dropped },
+		"asked":     func(n registrar.Counts) uint64 { return n.Asked },
+		"found":     func(n registrar.Counts) uint64 { return n.Found },
+		"not_found": func(n registrar.Counts) uint64 { return n.Unknown },
+	} {
+		c.set.NewGauge(fmt.Sprintf("amaranthgate_stream_records_total{result=%q}", result), func() float64 { return float64(count(h.registrar.Dump().Counts)) })
+	}
+	c.set.NewGauge("amaranthgate_stream_records_known", func() float64 { return float64(h.registrar.Dump().Records) })
 	c.set.NewGauge("amaranthgate_turns_yielded_total", func() float64 { return float64(h.placer.TurnsYielded()) })
 	c.set.NewGauge("amaranthgate_connections_opened_total", func() float64 { return float64(h.opts.Pool.Opened.Load()) })
 	c.set.NewGauge("amaranthgate_answers_crossed_total", func() float64 { return float64(h.opts.Pool.Crossed.Load()) })
@@ -117,9 +132,19 @@
 	if o.First > 0 {
 		c.set.GetOrCreateHistogram("amaranthgate_first_byte_seconds").Update(o.First.Seconds())
 	}
+	if o.Resumed {
+		c.resumed(&o)
+	}
 	c.attempts(&o)
 }
 
+// resumed counts a stream that its caller took up, by how its origin was known, and why it was refused if it was.
+func (c *counters) resumed(o *exchanger.Outcome) {
+	source := cmp.Or(string(o.Finding.Source), "None")
+	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_streams_resumed_total{source=%q,reason=%q}", source, cmp.Or(string(o.Reason), "Answered"))).Inc()
+	c.set.GetOrCreateHistogram("amaranthgate_stream_origin_seconds").Update(o.Finding.Took.Seconds())
+}
+
 // attempts counts what this host did for a finished request.
 func (c *counters) attempts(o *exchanger.Outcome) {
 	if o.Waited > 0 {
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -23,6 +23,7 @@
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/timer"
@@ -102,6 +103,7 @@
 	malformedLoads    instanceLimit
 	malformedBrittles instanceLimit
 	contention        contention
+	registrar         *registrar.Registrar
 	exchanger         *exchanger.Exchanger
 	messenger         *messenger.Messenger
 	counters          *counters
@@ -125,6 +127,7 @@
 	reportTicks       int
 	quarantineChanged chan struct{} // quarantineChanged signals changes for the other hosts.
 	reportRequested   chan struct{} // reportRequested signals that a report is due at once.
+	originsDue        chan struct{} // originsDue signals that the registrar has messages for other hosts.
 	capacityFreed     chan struct{} // capacityFreed signals that upstreams may have room.
 	leaving           atomic.Bool
 	evictsStores      atomic.Bool // evictsStores is set on the host that evicts unused KV caches.
@@ -155,6 +158,7 @@
 		cancel:            cancel,
 		reportRequested:   make(chan struct{}, 1),
 		quarantineChanged: make(chan struct{}, 1),
+		originsDue:        make(chan struct{}, 1),
 		capacityFreed:     make(chan struct{}, 1),
 		budget:            retrier.NewSharedBudgets(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
@@ -174,6 +178,7 @@
 	// requests.
 	h.serving.Store(&activator.Selection{})
 	h.reach = newReach(h, self.Incarnation)
+	h.registrar = registrar.New(registrar.Options{Host: s.Host, Timer: opts.Timer, Due: h.signalOrigins})
 	h.exchanger = exchanger.New(exchanger.Options{
 		Views:      &h.view,
 		Placer:     h.placer,
@@ -190,6 +195,7 @@
 		Forecaster: h.newForecaster(self),
 		Peers:      h.peers(),
 		Relay:      h.relay(),
+		Origins:    h.registrar,
 	})
 	h.contention.source = h.exchanger
 	h.messenger = messenger.New(messenger.Options{
@@ -204,6 +210,10 @@
 }
 
 func (h *Host) receive(from string, m *messenger.Message) {
+	if m.Origins != nil { // it carries nothing else, and requests wait for it
+		h.registrar.Receive(from, m.Origins)
+		return
+	}
 	h.post(PeerMessage{From: from, Message: m})
 }
 
@@ -241,6 +251,7 @@
 	h.spawn(h.evictUnused)
 	h.spawn(h.sendUrgentReports)
 	h.spawn(h.reportQuarantine)
+	h.spawn(h.sendOrigins)
 	h.spawn(h.admitWaiting)
 	h.spawn(h.reach.run)
 	cancelTick := h.opts.Timer.Every(h.opts.Timing.Tick, func(time.Time) { h.post(Tick{Era: h.opts.Store.Era()}) })
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -177,6 +177,7 @@
 		h.watchStores(h.view.Load())
 		h.opts.Pool.SetHosts(h.shareCount())
 		h.closeToGoneHosts(a.Hosts)
+		h.registrar.SetHosts(h.originHosts())
 		h.tuneGC(a.Active)
 	case ApplyReport:
 		h.placer.ApplyReport(h.opts.Timer.Now(), a.From, a.Report)
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -16,6 +16,7 @@
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/tracker"
 )
@@ -39,8 +40,9 @@
 	Repeated  []quarantiner.Entry // Repeated are requests under which several upstreams have ended.
 	// RateLimits are the rate limits that upstreams have declared.
 	RateLimits []throttler.Dump
-	Contention *arbiter.Dump // Contention is what waits at this host and at others; nil if hosts have no common order.
-	Suspects   int           // Suspects counts requests under which upstreams have ended.
+	Contention *arbiter.Dump  // Contention is what waits at this host and at others; nil if hosts have no common order.
+	Streams    registrar.Dump // Streams is what this host knows of where streams began.
+	Suspects   int            // Suspects counts requests under which upstreams have ended.
 }
 
 // Dump returns the current state of the host.
@@ -61,6 +63,7 @@
 		Barred:    h.quarantine.Bars(h.opts.Timer.Now()),
 		Repeated:  h.quarantine.Entries(h.opts.Timer.Now()),
 		Suspects:  h.quarantine.Len(),
+		Streams:   h.registrar.Dump(),
 
 		RateLimits: h.throttler.Dump(h.opts.Timer.Now()),
 	}
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -33,11 +33,11 @@
 }
 
 // logRequest logs the end of a request. For one that failed or was late it repeats the basis of
-// each choice, since lines of choices may have been left out.
+// each choice, since lines of choices may have been left out. Streams that are taken up are as rare as failures.
 func (h *Host) logRequest(r *exchanger.Request, o exchanger.Outcome) {
 	failed := o.Late || o.Reason != exchanger.ReasonNone || o.Status >= 500
 	ev := h.log.Routine()
-	if failed {
+	if failed || o.Resumed {
 		ev = h.log.Failure()
 	}
 	if !ev.Enabled() {
@@ -53,6 +53,14 @@
 	if failed && len(o.Choices) > 0 {
 		ev.Array("Attempts", attempts(o.Choices))
 	}
+	if o.Origin.Known() {
+		ev.Str("Software", o.Origin.Software)
+	}
+	if o.Resumed {
+		f := &o.Finding
+		ev.Str("Resumes", r.Resumes[:min(len(r.Resumes), maxLoggedID)]).Str("Source", string(f.Source)).Dur("Known", f.Age).
+			Int("Asked", f.Asked).Int("Answered", f.Answered).Bool("Ambiguous", f.Ambiguous).Dur("Found", f.Took)
+	}
 	if r.PassedBy != "" {
 		ev.Str("PassedBy", r.PassedBy)
 	}
@@ -63,6 +71,9 @@
 		Dur("Awaited", o.PrefillWait).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
 }
 
+// maxLoggedID bounds the part of an ID of a caller that is logged.
+const maxLoggedID = 64
+
 // logUpstreamEnded logs an upstream that ended while serving a request.
 func (h *Host) logUpstreamEnded(e exchanger.Ended) {
 	h.counters.upstreamEnded()
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -13,6 +13,7 @@
 	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/scheduler"
 )
 
@@ -45,11 +46,16 @@
 	retryAfter    time.Duration // retryAfter is when the caller may retry, if placementReason gives a time.
 	unreached     int           // unreached is the number of upstreams to which no connection could be opened.
 	passing       passing
+	// origin is where the caller's stream began, once the caller has a part of it; zero before, and if it is not known.
+	origin registrar.Origin
 }
 
 // dispatch makes attempts, and writes the final answer if none of them did.
 func (e *exchange) dispatch(ctx context.Context) {
 	d := &delivery{exchange: e}
+	if !d.bind(ctx) {
+		return
+	}
 	d.recallFailures()
 	tries := dispatcher.Run(ctx, dispatcher.Policy{
 		Repeatable: e.route.Repeatable(),
@@ -86,7 +92,7 @@
 	if d.final || d.passing.refusal != nil {
 		return false
 	}
-	return (d.stream == nil || d.route.Resumable) && !d.hopeless()
+	return (d.stream == nil || d.route.Resumable && d.origin.Known()) && !d.hopeless()
 }
 
 // destination is where an attempt is sent: an upstream, or another host that passes it on to one.
@@ -161,6 +167,10 @@
 	if ask.Objective > 0 {
 		ask.Due = d.first.Add(ask.Objective)
 	}
+	if d.origin.Known() {
+		ask.Software = &d.origin.Software
+		ask.Due = time.Time{} // the prefill of another request may be at another version
+	}
 	ask.Regions = append(ask.Regions, d.route.Regions)
 	if d.workspace != nil {
 		ask.Regions = append(ask.Regions, d.workspace.Regions)
@@ -206,6 +216,8 @@
 	}
 	if verdict == placer.None && !ask.RestEnds.IsZero() {
 		d.placementReason, d.retryAfter = ReasonResting, ask.RestEnds.Sub(d.opts.Timer.Now())
+	} else if verdict == placer.None {
+		d.noteSoftwareGone()
 	}
 	return choice, verdict
 }
@@ -224,10 +236,11 @@
 	sent    time.Time    // sent is zero if the request is passed on.
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	answer  Answer // answer is nil until it has begun.
-	start   []byte // start is the part of its body that has been read ahead.
-	whole   bool   // whole reports that start is the whole body.
-	resting bool   // resting reports that the upstream asked for rest.
+	answer  Answer           // answer is nil until it has begun.
+	start   []byte           // start is the part of its body that has been read ahead.
+	whole   bool             // whole reports that start is the whole body.
+	resting bool             // resting reports that the upstream asked for rest.
+	origin  registrar.Origin // origin is where the answer comes from; zero if it is not known.
 }
 
 // Try implements dispatcher.Attempter.
@@ -260,6 +273,7 @@
 		return a
 	}
 	d.entered = false
+	a.origin = registrar.Origin{Service: choice.Upstream.Service, Software: choice.Upstream.Software}
 	d.tried = append(d.tried, choice.Upstream.ID)
 	d.outcome.Upstream = choice.Upstream.ID
 	d.outcome.Choices = append(d.outcome.Choices, choice.Choice)
@@ -334,12 +348,12 @@
 	}
 	defer a.answer.Close()
 	d.framed = a.answer.Framed()
-	if !d.fits(a.answer) {
+	if !d.fits(a) {
 		return misfitResult(a.answer)
 	}
 	body := d.reader(a, s)
 	if d.streams(a.answer) {
-		return d.forwardStream(a.answer, body, a.choice.Ticket)
+		return d.forwardStream(a, body)
 	}
 	return d.forwardWhole(a.answer, body, a.choice.Ticket)
 }
@@ -428,6 +442,8 @@
 		d.refuse(*d.passing.refusal)
 	case tries.Ran() == forwarder.RanNo && d.passing.unserved > 0:
 		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.unservedReason(), RetryAfter: retryAfterFull})
+	case tries.Ran() == forwarder.RanNo && d.placementReason == ReasonSoftwareGone:
+		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.placementReason, RetryAfter: d.retryAfter})
 	case tries.Ran() == forwarder.RanNo && d.placementReason == ReasonTooLarge:
 		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: d.placementReason}) // a retry would not help
 	case tries.Ran() == forwarder.RanNo && d.placementReason != ReasonNone:
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -18,6 +18,7 @@
 	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/scheduler"
 	"amaranthgate.example/amaranthgate/timer"
@@ -71,6 +72,8 @@
 	Peers PeerBacklogs
 	// Relay passes requests on to other hosts while this one reaches no upstream; nil for none.
 	Relay Relay
+	// Origins knows where streams began; it defaults to one that knows only those of this Exchanger.
+	Origins Origins
 }
 
 // Quarantine records during which requests upstreams terminated, and decides which
@@ -103,6 +106,9 @@
 	if opts.Quarantine == nil {
 		opts.Quarantine = quarantiner.New(quarantiner.Options{})
 	}
+	if opts.Origins == nil {
+		opts.Origins = registrar.New(registrar.Options{Timer: opts.Timer})
+	}
 	x := &Exchanger{opts: opts, gate: newGate(&opts), returns: newReturns(), handle: dispatcher.Chain(forward, requireReady, matchRoute, authenticate, limitTime)}
 	x.watcher.opts = &x.opts
 	x.stopped, x.stop = context.WithCancel(context.Background())
--- a/exchanger/passing.go
+++ b/exchanger/passing.go
@@ -11,6 +11,7 @@
 
 	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
+	"amaranthgate.example/amaranthgate/registrar"
 )
 
 const (
@@ -50,6 +51,10 @@
 	Age       time.Duration // Age is the time since Request.Start.
 	Once      bool          // Once reports whether the request must run at most once.
 	LastEvent string        // LastEvent replaces that of the request.
+	// Origin is where the stream that goes on began; zero for a new one.
+	Origin registrar.Origin
+	// OnOrigin is called with where the other host got the answer when that begins.
+	OnOrigin func(o registrar.Origin)
 }
 
 // RelayFailure describes a request that was passed on without an answer of an upstream.
@@ -144,6 +149,8 @@
 		Age:       d.opts.Timer.Now().Sub(d.request.Start),
 		Once:      !d.route.Repeatable(),
 		LastEvent: d.lastEvent(),
+		Origin:    d.origin,
+		OnOrigin:  func(o registrar.Origin) { a.origin = o },
 	})
 	if fail != nil {
 		return d.notPassed(a, fail)
@@ -184,7 +191,7 @@
 // isFinal reports whether other hosts would refuse a request for the same reason.
 func isFinal(r Reason) bool {
 	switch r {
-	case ReasonFull, ReasonOverloaded, ReasonResting, ReasonRateLimited, ReasonTooLarge, ReasonBarred, ReasonNoUpstream, ReasonDeadline:
+	case ReasonFull, ReasonOverloaded, ReasonResting, ReasonRateLimited, ReasonTooLarge, ReasonBarred, ReasonNoUpstream, ReasonDeadline, ReasonOriginUnknown, ReasonSoftwareGone:
 		return true
 	}
 	return false
--- a/exchanger/passing_test.go
+++ b/exchanger/passing_test.go
@@ -21,6 +21,7 @@
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/internal/strictjson"
 	"amaranthgate.example/amaranthgate/placer"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/timer"
 )
@@ -92,6 +93,7 @@
 	if fail != nil {
 		return nil, &RelayFailure{Failure: *fail}
 	}
+	o.OnOrigin(registrar.Origin{Service: "s"})
 	return answer, nil
 }
 
--- a/exchanger/readahead.go
+++ b/exchanger/readahead.go
@@ -28,7 +28,7 @@
 // readAhead reads the answer of an attempt until a part of it can be forwarded: the first event of a stream, or
 // else as much as is buffered. It returns false, with the result of the attempt, if none can.
 func (d *delivery) readAhead(a *attempt) (dispatcher.Result, bool) {
-	if !d.fits(a.answer) {
+	if !d.fits(a) {
 		return misfitResult(a.answer), false
 	}
 	r := &watchedReader{body: a.answer, ticket: a.choice.Ticket, timer: d.opts.Timer}
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -11,7 +11,6 @@
 
 	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
-	"amaranthgate.example/amaranthgate/placer"
 )
 
 // streamProgress is what the caller has received of a stream, across attempts.
@@ -27,14 +26,14 @@
 
 // forwardStream forwards the events of a stream as they arrive. Only complete events
 // are forwarded, so that another upstream can resume after the last one. from reads the body of the answer.
-func (d *delivery) forwardStream(answer Answer, from io.Reader, ticket *placer.Ticket) dispatcher.Result {
+func (d *delivery) forwardStream(a *attempt, from io.Reader) dispatcher.Result {
 	var pending []byte
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			pending = append(pending, buf[:n]...)
-			rest, fail := d.forwardEvents(answer, pending, ticket)
+			rest, fail := d.forwardEvents(a, pending)
 			if fail != nil {
 				return *fail
 			}
@@ -42,7 +41,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return d.endStream(answer, pending)
+			return d.endStream(a.answer, pending)
 		case err != nil:
 			return cutResult(err)
 		case len(pending) > maxEventBytes:
@@ -53,10 +52,14 @@
 	}
 }
 
-// fits reports whether an answer can follow what the caller has received. A stream is continued by another stream
-// only; a server error is never forwarded after a part of one.
-func (d *delivery) fits(answer Answer) bool {
-	return d.stream == nil || answer.Status() == http.StatusOK || answer.Status() >= http.StatusInternalServerError
+// fits reports whether the answer of an attempt can follow what the caller has received. A stream is continued by
+// another stream of the same origin only; a server error is never forwarded after a part of one.
+func (d *delivery) fits(a *attempt) bool {
+	status := a.answer.Status()
+	if status == http.StatusOK && d.origin.Known() && a.origin != d.origin {
+		return false
+	}
+	return d.stream == nil || status == http.StatusOK || status >= http.StatusInternalServerError
 }
 
 // misfitResult is the result of an attempt whose answer does not fit.
@@ -68,14 +71,17 @@
 }
 
 // forwardEvents forwards the complete events at the beginning of b and returns the rest.
-func (d *delivery) forwardEvents(answer Answer, b []byte, ticket *placer.Ticket) ([]byte, *dispatcher.Result) {
+func (d *delivery) forwardEvents(a *attempt, b []byte) ([]byte, *dispatcher.Result) {
 	length, last := d.completeEvents(b)
 	if length == 0 {
 		return b, nil
 	}
-	ticket.First(d.opts.Timer.Now())
+	a.choice.Ticket.First(d.opts.Timer.Now())
 	d.observeLead()
-	err := d.beginStream(answer)
+	if d.stream == nil {
+		d.recordOrigin(a.origin)
+	}
+	err := d.beginStream(a.answer)
 	if err == nil {
 		err = d.responder.Write(b[:length])
 	}
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -12,6 +12,7 @@
 	"amaranthgate.example/amaranthgate/forwarder"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/registrar"
 )
 
 // Request is a decoded request.
@@ -28,7 +29,10 @@
 	Timeout   time.Duration  // Timeout is the caller's timeout; 0 if unknown.
 	Prompt    *placer.Prompt // Prompt is nil for plain services.
 	LastEvent string         // LastEvent is the ID of the event after which to resume a stream.
-	PassedBy  string         // PassedBy is the host that passed the request on to this one; empty if the caller sent it.
+	Resumes   string         // Resumes is the ID of the request that brought the first event of that stream; empty if unknown.
+	// Origin is where that stream began, as stated by the host that passed the request on; zero if it did not.
+	Origin   registrar.Origin
+	PassedBy string // PassedBy is the host that passed the request on to this one; empty if the caller sent it.
 }
 
 // Reason says why a request got no answer from an upstream. Its values appear in logs
@@ -36,25 +40,27 @@
 type Reason string
 
 const (
-	ReasonNone        Reason = ""
-	ReasonNotReady    Reason = "NotReady"    // ReasonNotReady means that this host has no configuration yet.
-	ReasonNoRoute     Reason = "NoRoute"     // ReasonNoRoute means that no route matches.
-	ReasonNoKey       Reason = "NoKey"       // ReasonNoKey means that no workspace has the key.
-	ReasonNoUpstream  Reason = "NoUpstream"  // ReasonNoUpstream means that no upstream accepts requests.
-	ReasonFull        Reason = "Full"        // ReasonFull means that the upstreams refused the request.
-	ReasonOverloaded  Reason = "Overloaded"  // ReasonOverloaded means that no upstream had room in time.
-	ReasonResting     Reason = "Resting"     // ReasonResting means that all upstreams want no requests for a time.
-	ReasonRateLimited Reason = "RateLimited" // ReasonRateLimited means that the upstreams' rate limits leave it no turn in time.
-	ReasonTooLarge    Reason = "TooLarge"    // ReasonTooLarge means that the prompt exceeds each engine's memory.
-	ReasonUnreached   Reason = "Unreached"   // ReasonUnreached means that no upstream could be reached.
-	ReasonUnknown     Reason = "Unknown"     // ReasonUnknown means that the request may have run.
-	ReasonDeadline    Reason = "Deadline"    // ReasonDeadline means that the deadline passed.
-	ReasonInterrupted Reason = "Interrupted" // ReasonInterrupted means that an answer broke off.
-	ReasonBarred      Reason = "Barred"      // ReasonBarred means that upstreams terminated during the request.
-	ReasonStopped     Reason = "Stopped"     // ReasonStopped means that this host had to end before the answer.
-	ReasonCallerGone  Reason = "CallerGone"  // ReasonCallerGone means that the caller left.
-	ReasonLeaving     Reason = "Leaving"     // ReasonLeaving means that this host ends, and that another one passed the request on.
-	ReasonCutOff      Reason = "CutOff"      // ReasonCutOff means that this host reaches no upstream, and no other host took the request.
+	ReasonNone          Reason = ""
+	ReasonNotReady      Reason = "NotReady"      // ReasonNotReady means that this host has no configuration yet.
+	ReasonNoRoute       Reason = "NoRoute"       // ReasonNoRoute means that no route matches.
+	ReasonNoKey         Reason = "NoKey"         // ReasonNoKey means that no workspace has the key.
+	ReasonNoUpstream    Reason = "NoUpstream"    // ReasonNoUpstream means that no upstream accepts requests.
+	ReasonFull          Reason = "Full"          // ReasonFull means that the upstreams refused the request.
+	ReasonOverloaded    Reason = "Overloaded"    // ReasonOverloaded means that no upstream had room in time.
+	ReasonResting       Reason = "Resting"       // ReasonResting means that all upstreams want no requests for a time.
+	ReasonRateLimited   Reason = "RateLimited"   // ReasonRateLimited means that the upstreams' rate limits leave it no turn in time.
+	ReasonTooLarge      Reason = "TooLarge"      // ReasonTooLarge means that the prompt exceeds each engine's memory.
+	ReasonUnreached     Reason = "Unreached"     // ReasonUnreached means that no upstream could be reached.
+	ReasonUnknown       Reason = "Unknown"       // ReasonUnknown means that the request may have run.
+	ReasonDeadline      Reason = "Deadline"      // ReasonDeadline means that the deadline passed.
+	ReasonInterrupted   Reason = "Interrupted"   // ReasonInterrupted means that an answer broke off.
+	ReasonBarred        Reason = "Barred"        // ReasonBarred means that upstreams terminated during the request.
+	ReasonStopped       Reason = "Stopped"       // ReasonStopped means that this host had to end before the answer.
+	ReasonCallerGone    Reason = "CallerGone"    // ReasonCallerGone means that the caller left.
+	ReasonLeaving       Reason = "Leaving"       // ReasonLeaving means that this host ends, and that another one passed the request on.
+	ReasonOriginUnknown Reason = "OriginUnknown" // ReasonOriginUnknown means that nobody knows at which software version a stream began.
+	ReasonSoftwareGone  Reason = "SoftwareGone"  // ReasonSoftwareGone means that no upstream has the software version at which a stream began.
+	ReasonCutOff        Reason = "CutOff"        // ReasonCutOff means that this host reaches no upstream, and no other host took the request.
 )
 
 // Outcome is the result of a request.
@@ -72,11 +78,14 @@
 	// RetrySkipped says why the request was not retried although its route allows it.
 	RetrySkipped Skip
 	Events       int
-	Choices      []placer.Choice // Choices are the upstreams that were tried, in order.
-	Late         bool            // Late reports whether First exceeds the route's objective.
-	Waited       time.Duration   // Waited is the time spent waiting for an upstream.
-	PrefillWait  time.Duration   // PrefillWait is the part of Waited spent waiting for the prefill of a shared prefix.
-	First        time.Duration   // First is the time to the first byte of the answer's body.
+	Origin       registrar.Origin  // Origin is where the caller's stream began; zero if it has not begun or is not known.
+	Resumed      bool              // Resumed reports that the caller took a stream up.
+	Finding      registrar.Finding // Finding is what was known of that stream.
+	Choices      []placer.Choice   // Choices are the upstreams that were tried, in order.
+	Late         bool              // Late reports whether First exceeds the route's objective.
+	Waited       time.Duration     // Waited is the time spent waiting for an upstream.
+	PrefillWait  time.Duration     // PrefillWait is the part of Waited spent waiting for the prefill of a shared prefix.
+	First        time.Duration     // First is the time to the first byte of the answer's body.
 	Took         time.Duration
 	Forecast     time.Duration // Forecast is the expected wait of a request that waited and started; 0 if not known.
 	Queued       time.Duration // Queued is the actual wait, if Forecast is set.
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -62,6 +62,11 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// Serves reports whether the route leads to a service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service is a group of interchangeable upstreams.
 type Service struct {
 	Name           string
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -14,6 +14,7 @@
 	"amaranthgate.example/amaranthgate/limiter"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/registrar"
 	"amaranthgate.example/amaranthgate/replayer"
 	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/tracker"
@@ -61,6 +62,7 @@
 	RateLimits []throttler.Limit   `cbor:"32,keyasint,omitempty"`
 	Permits    *throttler.Permits  `cbor:"33,keyasint,omitempty"`
 	Contention *arbiter.Message    `cbor:"34,keyasint,omitempty"` // Contention is what waits at the sender.
+	Origins    *registrar.Message  `cbor:"36,keyasint,omitempty"` // Origins says where streams began; a message with it has nothing else.
 	FeedPages  []follower.FeedPage `cbor:"20,keyasint,omitempty"` // FeedPages holds pages of feeds that the sender has read.
 }
 
