exchanger: Record no stream under an empty name

A try that took a stream up without naming it, at a service that only ever had one version, was also recorded under the empty ID. Nothing reads that record, but after a roll-out it counted as a contradiction between hosts.

platform.TestStreamsGoOnAtTheirVersion has two more cases: engines of three versions that fall silent in the middle of streams, at the caller's host and at one that it passed the request on to, so that attempts beside them go on. Both, and those within one answer, fail with the binding taken out of the choice and of the check of answers, and pass with it.

--- a/exchanger/origin.go
+++ b/exchanger/origin.go
@@ -119,7 +119,7 @@
 		return
 	}
 	d.opts.Origins.Record(d.streamKey(d.request.ID), o, d.deadline)
-	if d.request.LastEvent != "" {
+	if d.request.LastEvent != "" && d.request.Resumes != "" {
 		d.opts.Origins.Record(d.streamKey(d.request.Resumes), o, d.deadline)
 	}
 }
