conductor: Bound how long a host without the store trusts its upstreams

A host that the store does not answer took what it knew of upstreams for current while no other host was suspected. Hosts that are gone are forgotten after 30 s, so that a host that was cut off from all others and from the store for longer would have concluded from an old view that a service has only one version. The feed may be 10 s old now.

--- a/conductor/origins.go
+++ b/conductor/origins.go
@@ -51,8 +51,13 @@
 	return out
 }
 
-// maxFeedAge is the age up to which the feed of upstreams counts as current. Hosts hear of it every 0.8 s.
-const maxFeedAge = 1500 * time.Millisecond
+const (
+	// maxFeedAge is the age up to which the feed of upstreams counts as current. Hosts hear of it every 0.8 s.
+	maxFeedAge = 1500 * time.Millisecond
+	// maxOutage is the same while this host hears all others and the store answers none of them. It is less than the
+	// time after which hosts that are gone are forgotten.
+	maxOutage = 10 * time.Second
+)
 
 // soleSoftware returns the only software version that upstreams of a service have had for a time. A host that may lack
 // news of upstreams which others have does not know.
@@ -66,7 +71,11 @@
 // knowsUpstreams reports whether this host knows what any other one knows of upstreams: the store has told it, or it
 // hears all other hosts.
 func (h *Host) knowsUpstreams(now time.Time) bool {
-	if f, ok := (*h.feeds.Load())[follower.FeedUpstreams]; ok && !f.CurrentAt.IsZero() && now.Sub(f.CurrentAt) < maxFeedAge {
+	f := (*h.feeds.Load())[follower.FeedUpstreams]
+	switch age := now.Sub(f.CurrentAt); {
+	case f.CurrentAt.IsZero(), age >= maxOutage:
+		return false
+	case age < maxFeedAge:
 		return true
 	}
 	return !slices.ContainsFunc(*h.hosts.Load(), func(r tracker.HostRecord) bool {
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -58,7 +58,7 @@
 	}
 	if o.Resumed {
 		f := &o.Finding
-		ev.Str("Resumes", r.Resumes[:min(len(r.Resumes), maxLoggedID)]).Str("Source", string(f.Source)).Dur("Known", f.Age).
+		ev.Str("StreamID", r.StreamID[:min(len(r.StreamID), maxLoggedID)]).Str("Source", string(f.Source)).Dur("Known", f.Age).
 			Int("Asked", f.Asked).Int("Answered", f.Answered).Bool("Ambiguous", f.Ambiguous).Dur("Found", f.Took)
 	}
 	if r.PassedBy != "" {
--- a/exchanger/origin.go
+++ b/exchanger/origin.go
@@ -70,13 +70,13 @@
 	switch {
 	case d.request.Origin.Known():
 		return registrar.Finding{Origin: d.request.Origin, Source: registrar.SourcePassed}
-	case d.request.Resumes == "":
+	case d.request.StreamID == "":
 		return d.soleOrigin(registrar.Finding{})
 	}
 	left := d.deadline.Sub(d.opts.Timer.Now())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(findShare*float64(left)))
 	defer cancel()
-	f := d.opts.Origins.Find(ctx, d.streamKey(d.request.Resumes))
+	f := d.opts.Origins.Find(ctx, d.streamKey(d.request.StreamID))
 	if f.Known() || f.Ambiguous || f.Answered < f.Asked {
 		return f
 	}
@@ -119,8 +119,8 @@
 		return
 	}
 	d.opts.Origins.Record(d.streamKey(d.request.ID), o, d.deadline)
-	if d.request.LastEvent != "" && d.request.Resumes != "" {
-		d.opts.Origins.Record(d.streamKey(d.request.Resumes), o, d.deadline)
+	if d.request.LastEvent != "" && d.request.StreamID != "" {
+		d.opts.Origins.Record(d.streamKey(d.request.StreamID), o, d.deadline)
 	}
 }
 
--- a/exchanger/origin_test.go
+++ b/exchanger/origin_test.go
@@ -33,7 +33,7 @@
 	Began     string
 	Service   string
 	Software  []string
-	Resumes   string
+	StreamID  string
 	Passed    string // Passed is the version that the host states which passed the request on.
 	Sole      string
 	Ambiguous bool
@@ -111,7 +111,7 @@
 	if c.Silent {
 		opts.Origins = silentOrigins{origins}
 	}
-	r := &Request{ID: "third", Start: manual.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key", LastEvent: "2", Resumes: c.Resumes}
+	r := &Request{ID: "third", Start: manual.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key", LastEvent: "2", StreamID: c.StreamID}
 	if c.Passed != "" {
 		r.PassedBy, r.Origin = "host-2", registrar.Origin{Service: "s", Software: c.Passed}
 	}
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -29,7 +29,7 @@
 	Timeout   time.Duration  // Timeout is the caller's timeout; 0 if unknown.
 	Prompt    *placer.Prompt // Prompt is nil for plain services.
 	LastEvent string         // LastEvent is the ID of the event after which to resume a stream.
-	Resumes   string         // Resumes is the ID of the request that brought the first event of that stream; empty if unknown.
+	StreamID  string         // StreamID is the ID of the request that brought the first event of that stream; empty if unknown.
 	// Origin is where that stream began, as stated by the host that passed the request on; zero if it did not.
 	Origin   registrar.Origin
 	PassedBy string // PassedBy is the host that passed the request on to this one; empty if the caller sent it.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -52,7 +52,7 @@
 	Era       uint64 // Era is that of Offset; 0 if the store states none.
 	Peer      string
 
-	Resumes   string  // Resumes is the request that brought the first event of the stream that a request takes up.
+	StreamID  string  // StreamID is the request that brought the first event of the stream that a request takes up.
 	Source    string  // Source says how the host knew where that stream began; empty if it did not.
 	Known     float64 // Known is for how long it knew that, in milliseconds.
 	Asked     int     // Asked is the number of hosts that were asked, and Answered of those that did not know.
@@ -288,19 +288,19 @@
 
 // writeStream writes what the host knew of the stream that a request takes up, and where its beginning was logged.
 func (l *Line) writeStream(b *strings.Builder, lines []Line) {
-	if l.Resumes == "" {
+	if l.StreamID == "" {
 		return
 	}
 	switch {
 	case l.Ambiguous:
-		fmt.Fprintf(b, "  takes up the stream of %s, of which hosts named different versions\n", l.Resumes)
+		fmt.Fprintf(b, "  takes up the stream of %s, of which hosts named different versions\n", l.StreamID)
 	case l.Source == "":
-		fmt.Fprintf(b, "  takes up the stream of %s; of %d hosts asked %d did not know it, the others did not answer\n", l.Resumes, l.Asked, l.Answered)
+		fmt.Fprintf(b, "  takes up the stream of %s; of %d hosts asked %d did not know it, the others did not answer\n", l.StreamID, l.Asked, l.Answered)
 	default:
-		fmt.Fprintf(b, "  takes up the stream of %s, which began at software %s (known for %.0f ms, source %s)\n", l.Resumes, l.Software, l.Known, l.Source)
+		fmt.Fprintf(b, "  takes up the stream of %s, which began at software %s (known for %.0f ms, source %s)\n", l.StreamID, l.Software, l.Known, l.Source)
 	}
 	for i := range lines {
-		if o := &lines[i]; o.RequestID == l.Resumes && (o.Message == logger.UpstreamChosen || o.Message == logger.RequestEnded) {
+		if o := &lines[i]; o.RequestID == l.StreamID && (o.Message == logger.UpstreamChosen || o.Message == logger.RequestEnded) {
 			fmt.Fprintf(b, "    %s %s: %s %s software %s\n", o.Time.Format(time.RFC3339), o.source, o.Message, o.Upstream, o.Software)
 		}
 	}
