registrar: Ask hosts that are suspected or about to end

Callers whose stream had begun at a host that others suspect for a moment, or that is about to end, were refused as of unknown origin: such hosts keep what they know, and were not asked.

They are asked as well, the first two of each zone, and the search does not wait for them, as most of them do not answer. New records still go to live hosts only. registrar.TestSearches has two more cases; in the first, all that know are suspected.

--- a/conductor/origins.go
+++ b/conductor/origins.go
@@ -40,13 +40,17 @@
 	}
 }
 
-// originHosts returns the known hosts. The live ones that serve callers keep records of streams.
+// originHosts returns the known hosts. The live ones that serve callers keep records of streams; others may have.
 func (h *Host) originHosts() []registrar.Host {
 	serving, uncontacted := h.serving.Load(), *h.uncontacted.Load()
 	var out []registrar.Host
 	for _, r := range *h.hosts.Load() {
-		keeps := r.State == tracker.HostLive && !uncontacted[r.Host] && (serving.All || serving.Active[r.Host])
-		out = append(out, registrar.Host{Name: r.Host, Address: r.Peers, AvailabilityZone: r.AvailabilityZone, Keeps: keeps && r.Peers != ""})
+		known := r.Peers != "" && !uncontacted[r.Host]
+		out = append(out, registrar.Host{
+			Name: r.Host, Address: r.Peers, AvailabilityZone: r.AvailabilityZone,
+			Keeps: known && r.State == tracker.HostLive && (serving.All || serving.Active[r.Host]),
+			Kept:  known && (r.State == tracker.HostSuspect || r.State == tracker.HostLeaving),
+		})
 	}
 	return out
 }
--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -11,7 +11,8 @@
 // The host that sends a caller the first event of a stream records it and tells two other hosts, its keepers:
 // the first in rendezvous order for the stream, and the first of them in another availability zone. A host
 // that lacks the record asks the first two hosts of each availability zone in that order, which include the
-// keepers unless the hosts' views of the fleet differ much. The cost of a stream does not grow with the
+// keepers unless the hosts' views of the fleet differ much. It also asks hosts that are about to end or
+// suspected, without waiting for them. The cost of a stream does not grow with the
 // number of hosts. A record outlives its stream's deadline by ResumeTime. It is lost if its host and both
 // keepers end within that time.
 //
--- a/registrar/keepers.go
+++ b/registrar/keepers.go
@@ -15,7 +15,9 @@
 	Name             string
 	Address          string // Address is where other hosts connect to it.
 	AvailabilityZone string
-	Keeps            bool // Keeps reports whether it keeps records of others; all hosts ask for records.
+	Keeps            bool // Keeps reports whether it gets records of streams that begin; all hosts ask for records.
+	// Kept reports that it may have got records before: it is about to end, or suspected to have ended.
+	Kept bool
 }
 
 // maxKeepers bounds the hosts that keep records of others, and with them the connections of each host.
@@ -41,13 +43,13 @@
 	return x ^ x>>31
 }
 
-// keepers are the hosts that keep records, other than this one.
+// keepers are hosts that keep records, other than this one.
 type keepers []keeper
 
-func newKeepers(self string, hosts []Host) keepers {
+func newKeepers(self string, hosts []Host, keeps func(h *Host) bool) keepers {
 	var out keepers
 	for _, h := range hosts {
-		if h.Name != self && h.Keeps {
+		if h.Name != self && keeps(&h) {
 			out = append(out, keeper{Host: h, hash: xxhash.Sum64String(h.Name)})
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -46,6 +46,7 @@
 	mu        sync.Mutex
 	records   map[Key]record
 	keepers   keepers
+	former    keepers           // former are hosts with Host.Kept.
 	addresses map[string]string // addresses has the address of each known host.
 	outbox    outbox
 	searches  map[Key]map[*search]struct{}
@@ -84,14 +85,15 @@
 
 // SetHosts sets the known hosts, in any order; this host may be among them.
 func (r *Registrar) SetHosts(hosts []Host) {
-	k := newKeepers(r.opts.Host, hosts)
+	k := newKeepers(r.opts.Host, hosts, func(h *Host) bool { return h.Keeps })
+	former := newKeepers(r.opts.Host, hosts, func(h *Host) bool { return h.Kept && !h.Keeps })
 	addresses := make(map[string]string, len(hosts))
 	for _, h := range hosts {
 		addresses[h.Name] = h.Address
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.keepers, r.addresses = k, addresses
+	r.keepers, r.former, r.addresses = k, former, addresses
 }
 
 // Record records where a stream with a deadline began, and tells its keepers. A stream that goes on is
@@ -242,6 +244,10 @@
 		r.counts.Asked++
 		r.outbox.ask(host, key)
 	}
+	for _, host := range r.former.sources(key) { // the search does not wait for these
+		r.counts.Asked++
+		r.outbox.ask(host, key)
+	}
 	r.signalDue()
 }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,11 +52,12 @@
 	return f
 }
 
-// introduce tells all hosts of each other.
-func (f *fleet) introduce(names, standby []string) {
+// introduce tells all hosts of each other. Those in former are suspected or about to end.
+func (f *fleet) introduce(names, standby []string, former ...string) {
 	var all []Host
 	for _, name := range names {
-		all = append(all, Host{Name: name, Address: name + ":1", AvailabilityZone: name[:1], Keeps: !slices.Contains(standby, name)})
+		kept := slices.Contains(former, name)
+		all = append(all, Host{Name: name, Address: name + ":1", AvailabilityZone: name[:1], Keeps: !kept && !slices.Contains(standby, name), Kept: kept})
 	}
 	for _, r := range f.hosts {
 		r.SetHosts(all)
@@ -113,6 +115,7 @@
 
 type searchStep struct {
 	Do, At, Software string
+	Hosts            []string // Hosts are all hosts, of which those in At are suspected.
 	Hold             bool
 	Want             string
 	Source           Source
@@ -157,6 +160,8 @@
 		delete(f.hosts, step.At)
 	case "Lose":
 		f.lost[step.At] = true
+	case "Suspect":
+		f.introduce(step.Hosts, nil, strings.Fields(step.At)...)
 	case "Wait":
 		f.timer.Advance(time.Duration(step.For) * time.Millisecond)
 	case "Find":
