exchanger: Record a failed passage after attempts beside it have ended

Callers could have got a wrong count of hosts that cannot serve their request.

The failure is kept with the attempt, which the standby does not copy, and recorded once proceed has marked the end of the wait; for attempts beside another one at once, by the goroutine that owns their delivery. What the attempts beside it have recorded is no longer written over either.

go test -race passes in exchanger and, for passing on and streams, in platform. No test shows the race by itself.

--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -236,11 +236,13 @@
 	sent    time.Time    // sent is zero if the request is passed on.
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	answer  Answer           // answer is nil until it has begun.
-	start   []byte           // start is the part of its body that has been read ahead.
-	whole   bool             // whole reports that start is the whole body.
-	resting bool             // resting reports that the upstream asked for rest.
-	origin  registrar.Origin // origin is where the answer comes from; zero if it is not known.
+	answer  Answer // answer is nil until it has begun.
+	start   []byte // start is the part of its body that has been read ahead.
+	whole   bool   // whole reports that start is the whole body.
+	resting bool   // resting reports that the upstream asked for rest.
+	// notPassed is why a request that was passed on got no answer; nil without a failure.
+	notPassed *RelayFailure
+	origin    registrar.Origin // origin is where the answer comes from; zero if it is not known.
 }
 
 // Try implements dispatcher.Attempter.
@@ -343,7 +345,7 @@
 			return stalledResult()
 		}
 		if a.answer == nil {
-			return r
+			return d.recordNotPassed(a, r)
 		}
 	}
 	defer a.answer.Close()
--- a/exchanger/passing.go
+++ b/exchanger/passing.go
@@ -153,15 +153,20 @@
 		OnOrigin:  func(o registrar.Origin) { a.origin = o },
 	})
 	if fail != nil {
-		return d.notPassed(a, fail)
+		a.notPassed = fail
+		return dispatcher.Failed(&fail.Failure)
 	}
 	a.answer = answer
 	return dispatcher.Result{}
 }
 
-// notPassed records why a request that was passed on got no answer of an upstream.
-func (d *delivery) notPassed(a *attempt, f *RelayFailure) dispatcher.Result {
-	r := dispatcher.Failed(&f.Failure)
+// recordNotPassed records why a request that was passed on got no answer of an upstream, and returns the result of
+// the attempt. It does nothing for other attempts.
+func (d *delivery) recordNotPassed(a *attempt, r dispatcher.Result) dispatcher.Result {
+	f := a.notPassed
+	if f == nil {
+		return r
+	}
 	switch {
 	case f.Ran != forwarder.RanNo:
 		if f.Status == 0 {
--- a/exchanger/standby.go
+++ b/exchanger/standby.go
@@ -242,7 +242,7 @@
 	if d.mayTryAgain() { // the primary attempt is still open, so that nothing is lost with this one
 		choice.Ticket.OnSilent(func() { a.cancel(errStalled) })
 	}
-	r, ok := d.send(a), false
+	r, ok := d.recordNotPassed(a, d.send(a)), false
 	if a.answer != nil {
 		r, ok = d.readAhead(a)
 	}
