forwarder: Let a host state the address of its connections

On a machine with several addresses the system selects the source of connections to upstreams, so that upstreams cannot tell hosts apart: in the soak all hosts connect from 127.0.0.1. The setting Platform.Source gives the IP address; without it nothing changes.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -50,6 +50,7 @@
 // PoolOptions configure a Pool. The zero value is ready to use.
 type PoolOptions struct {
 	DialTimeout      time.Duration // DialTimeout defaults to 1 s.
+	Source           net.IP        // Source is the IP address of connections; nil means that the system selects one.
 	ConnsPerUpstream int           // ConnsPerUpstream limits connections to an address; 0 for no limit.
 	// Dial connects to an address; default are connections of package dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -80,7 +81,7 @@
 		opts.DialTimeout = defaultDialTimeout
 	}
 	if opts.Dial == nil {
-		opts.Dial = dialer.New(dialer.Options{UserTimeout: userTimeout}).DialContext
+		opts.Dial = dialer.New(dialer.Options{UserTimeout: userTimeout, Source: opts.Source}).DialContext
 	}
 	return &Pool{opts: opts, idle: make(map[string][]*pooledConn), open: make(map[string]int), maxConns: make(map[string]int), hosts: 1}
 }
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -48,7 +49,7 @@
 }
 
 func platformOptions(s loader.Settings, log *logger.Logger, dropped func() uint64) conductor.Options {
-	pool := forwarder.NewPool(forwarder.PoolOptions{DialTimeout: upstreamDialTimeout})
+	pool := forwarder.NewPool(forwarder.PoolOptions{DialTimeout: upstreamDialTimeout, Source: net.ParseIP(s.Platform.Source)})
 	engines := platform.NewEngines(pool)
 	passing := signer.New(s.Host, []byte(s.PeerSecret))
 	peers := forwarder.NewPool(forwarder.PoolOptions{DialTimeout: upstreamDialTimeout})
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -41,6 +41,7 @@
 	// UserTimeout limits how long sent data or probes may stay unacknowledged; default UserTimeout. A
 	// connection on which a broken request cannot be repeated needs one longer than the pauses of a sound peer.
 	UserTimeout time.Duration
+	Source      net.IP // Source is the IP address of connections; nil means that the system selects one.
 }
 
 // New returns a dialer.
@@ -48,13 +49,17 @@
 	if opts.UserTimeout == 0 {
 		opts.UserTimeout = UserTimeout
 	}
-	return &net.Dialer{
+	d := &net.Dialer{
 		Timeout:         opts.Timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return setUserTimeout(c, opts.UserTimeout)
 		},
 	}
+	if opts.Source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: opts.Source}
+	}
+	return d
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a connection.
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -42,3 +42,17 @@
 		}
 	}))
 }
+
+func TestSource(t *testing.T) {
+	source := net.IPv4(127, 0, 0, 2)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	conn, err := New(Options{Source: source}).DialContext(context.Background(), "tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = accepted.Close() }()
+	assert.Assert(t, accepted.RemoteAddr().(*net.TCPAddr).IP.Equal(source))
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -46,6 +46,7 @@
 // Platform configures the use of the users' platform.
 type Platform struct {
 	Store      string            // Store is the IP:port of the platform's store.
+	Source     string            `json:",omitempty"` // Source is the IP address of connections to upstreams; empty means that the system selects one.
 	LinkMbps   float64           // LinkMbps is the bandwidth of this host's link; the fastest hosts relay for others.
 	Cores      float64           // Cores is the number of CPU cores available, possibly a fraction; 0 if unknown.
 	FirstStart bool              // FirstStart makes hosts discover each other before they make other store calls.
@@ -209,6 +210,10 @@
 func (v *validator) platform(p *Platform) {
 	_, err := netip.ParseAddrPort(p.Store)
 	v.check(err == nil, "/Platform/Store", "%q is not IP:port", p.Store)
+	if p.Source != "" {
+		_, err = netip.ParseAddr(p.Source)
+		v.check(err == nil, "/Platform/Source", "%q is not an IP address", p.Source)
+	}
 	v.endpoint("/Platform/Ready", p.Ready)
 	v.endpoint("/Platform/Directory", p.Directory)
 	v.check(p.RetryShare >= 0 && p.RetryShare <= 1, "/Platform/RetryShare", "want 0 to 1")
