soaker: Attribute requests to the hosts that sent them

Cause: the soak tells hosts apart by the address from which a request reaches an upstream, which each host's paths have. While the store is away hosts read upstreams' entries from each other, and those name the other host's paths.

Hosts now connect from addresses of their own, and the proxies of one upstream serve each other's callers, so that faults and cuts hold for the host that connects. The checks and their bounds are the same.

--- a/internal/faultproxy/cut_test.go
+++ b/internal/faultproxy/cut_test.go
@@ -143,6 +143,34 @@
 	assert.Equal(t, <-lines, "c\n")
 }
 
+// TestGroup checks that a connection has the cuts of the proxy of its source, whichever proxy it was made to.
+func TestGroup(t *testing.T) {
+	target, _ := echoProxy(t)
+	sources := []net.IP{net.IPv4(127, 0, 1, 1), net.IPv4(127, 0, 1, 2)}
+	var proxies []*Proxy
+	for _, source := range sources {
+		p, err := NewFrom(target.Address(), source)
+		assert.NilError(t, err)
+		t.Cleanup(p.Close)
+		proxies = append(proxies, p)
+	}
+	Group(proxies...)
+	assert.NilError(t, proxies[1].Cut(CutReset))
+	for i, source := range sources {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: source}}
+		conn, err := d.Dial("tcp4", proxies[0].Address())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		if i == 0 {
+			write(t, conn, "a\n")
+			read(t, conn, "a\n")
+			continue
+		}
+		_, err = conn.Read(make([]byte, 1))
+		assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+	}
+}
+
 // TestStartDuringCut checks that a proxy that is started during a cut obeys it.
 func TestStartDuringCut(t *testing.T) {
 	p, _ := echoProxy(t)
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -63,6 +63,7 @@
 	address string
 
 	mu       sync.Mutex
+	group    []*Proxy         // group are the proxies of other sources to the target.
 	listener *net.TCPListener // listener is nil while the proxy is stopped, or cut so that it refuses connections.
 	stopped  bool
 	fault    Fault
@@ -105,6 +106,30 @@
 	return p, nil
 }
 
+// Group makes proxies from different sources to one target serve each other's callers: a connection from the source
+// of another proxy has the faults and cuts of that proxy, whichever address it was made to. Only a cut of a proxy that
+// keeps connections from being established applies to all that are made to its address.
+func Group(proxies ...*Proxy) {
+	for _, p := range proxies {
+		p.mu.Lock()
+		p.group = proxies
+		p.mu.Unlock()
+	}
+}
+
+// owner returns the proxy of the group whose source a connection comes from.
+func (p *Proxy) owner(c *net.TCPConn) *Proxy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from := c.RemoteAddr().(*net.TCPAddr).IP
+	for _, q := range p.group {
+		if q.source.Equal(from) {
+			return q
+		}
+	}
+	return p
+}
+
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.address }
 
@@ -155,6 +180,22 @@
 	return p.fault
 }
 
+// admit serves a connection, unless a cut keeps it from being established.
+func (p *Proxy) admit(caller *net.TCPConn) {
+	if p.await(Cut.blocksAnswers) {
+		reset(caller)
+		return
+	}
+	p.serve(caller)
+}
+
+// refuses reports whether new connections are reset.
+func (p *Proxy) refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopped || p.cut.refuses() || p.fault.Kind == Refuse
+}
+
 func (p *Proxy) accept(l *net.TCPListener) {
 	for {
 		c, err := l.AcceptTCP()
@@ -169,7 +210,7 @@
 			reset(c) // it was accepted during a cut
 			continue
 		}
-		go p.serve(c)
+		go p.owner(c).admit(c)
 	}
 }
 
@@ -194,7 +235,7 @@
 func (p *Proxy) serve(caller *net.TCPConn) {
 	s := &session{caller: caller}
 	defer p.track(s)()
-	if p.current().Kind == Refuse {
+	if p.refuses() {
 		reset(caller)
 		return
 	}
