exchanger: Log how answers are framed and where they end

Callers got parts of streams as complete, and no log line or counter told such an answer from a whole one: the pool knew how the body was framed, and the line of the request had status 200 without a reason. The pool also took chunks with 'Connection: close' for an answer that only its connection ends.

Each answer has a Framing (Length, Chunks, Connection) and an Ending (Framed, InsideEvent, WithoutEvent, Early) now: a line AnswerBrokenOff with the bytes and events received, a counter by both, and the number of attempts that were broken off in the line of the request.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -162,6 +162,11 @@
 	}
 }
 
+// answerEnded counts the end of an answer.
+func (c *counters) answerEnded(e *exchanger.AnswerEnd) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_answers_ended_total{framing=%q,ending=%q}", string(e.Framing), string(e.Ending))).Inc()
+}
+
 // upstreamEnded counts a request whose upstream ended while serving it.
 func (c *counters) upstreamEnded() {
 	c.set.GetOrCreateCounter("amaranthgate_requests_upstream_ended_total").Inc()
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -191,6 +191,9 @@
 		Refuses:    func(address string) bool { return opts.Pool.Refuses(address) && h.reach.sound() },
 		Terminated: func(address string) bool { return opts.Pool.Terminated(address) && h.reach.sound() },
 		Ended:      h.logUpstreamEnded,
+
+		AnswerEnded: h.logAnswerEnded,
+
 		Noticed:    h.notice,
 		Forecaster: h.newForecaster(self),
 		Peers:      h.peers(),
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -35,7 +35,7 @@
 // logRequest logs the end of a request. For one that failed or was late it repeats the basis of
 // each choice, since lines of choices may have been left out. Streams that are taken up are as rare as failures.
 func (h *Host) logRequest(r *exchanger.Request, o exchanger.Outcome) {
-	failed := o.Late || o.Reason != exchanger.ReasonNone || o.Status >= 500
+	failed := o.Late || o.Reason != exchanger.ReasonNone || o.Status >= 500 || o.BrokenOff > 0
 	ev := h.log.Routine()
 	if failed || o.Resumed {
 		ev = h.log.Failure()
@@ -67,6 +67,9 @@
 	if o.PassedTo != "" {
 		ev.Str("PassedTo", o.PassedTo)
 	}
+	if o.BrokenOff > 0 {
+		ev.Int("BrokenOff", o.BrokenOff)
+	}
 	ev.Bool("Late", o.Late).Int("Events", o.Events).Dur("Waited", o.Waited).
 		Dur("Awaited", o.PrefillWait).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
 }
@@ -81,6 +84,22 @@
 		Str("Upstream", e.Upstream.InstanceID()).Msg(logger.UpstreamEnded)
 }
 
+// logAnswerEnded counts the end of an answer, and logs it if the answer has been broken off.
+func (h *Host) logAnswerEnded(e exchanger.AnswerEnd) {
+	h.counters.answerEnded(&e)
+	if e.Ending == exchanger.EndingFramed {
+		return
+	}
+	ev := h.log.Failure().Str("RequestID", e.RequestID)
+	if e.PassedTo != "" {
+		ev.Str("PassedTo", e.PassedTo)
+	} else {
+		ev.Str("Upstream", e.Upstream)
+	}
+	ev.Int("Status", e.Status).Str("Framing", string(e.Framing)).Str("Ending", string(e.Ending)).
+		Int("Bytes", e.Bytes).Int("Events", e.Events).Str("Detail", e.Detail).Msg(logger.AnswerBrokenOff)
+}
+
 // logBarred logs a request that is no longer sent to any upstream.
 func (h *Host) logBarred(w quarantiner.Entry) {
 	h.counters.barred()
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -9,7 +9,6 @@
 
 	"amaranthgate.example/amaranthgate/dispatcher"
 	"amaranthgate.example/amaranthgate/forwarder"
-	"amaranthgate.example/amaranthgate/placer"
 )
 
 // maxBufferedBytes is the largest body that is buffered before the caller gets the
@@ -24,18 +23,20 @@
 
 // forwardWhole reads a whole answer and forwards it, or keeps it as the fallback if its
 // status is a server error. from reads its body.
-func (d *delivery) forwardWhole(answer Answer, from io.Reader, ticket *placer.Ticket) dispatcher.Result {
+func (d *delivery) forwardWhole(a *attempt, from io.Reader) dispatcher.Result {
 	body, err := io.ReadAll(io.LimitReader(from, maxBufferedBytes+1))
 	if err != nil {
-		return cutResult(err)
+		return d.cut(a, EndingEarly, err)
 	}
-	ticket.First(d.opts.Timer.Now())
+	answer := a.answer
+	a.choice.Ticket.First(d.opts.Timer.Now())
 	if answer.Status() < http.StatusInternalServerError {
 		d.observeLead()
 	}
 	if len(body) > maxBufferedBytes {
-		return d.forwardLong(answer, from, body)
+		return d.forwardLong(a, from, body)
 	}
+	d.reportEnd(a, EndingFramed, nil)
 	buffered := &bufferedAnswer{answer: answer, body: body}
 	if answer.Status() >= http.StatusInternalServerError {
 		d.fallback = buffered
@@ -45,8 +46,9 @@
 	return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 }
 
-// cutResult is the result of an attempt whose answer broke off.
-func cutResult(err error) dispatcher.Result {
+// cut reports that an attempt's answer has been broken off, and returns the result of the attempt.
+func (d *delivery) cut(a *attempt, e Ending, err error) dispatcher.Result {
+	d.reportEnd(a, e, err)
 	f := &forwarder.Failure{Cause: forwarder.CauseCut, Ran: forwarder.RanYes, Detail: err.Error()}
 	return dispatcher.Failed(f)
 }
@@ -65,11 +67,11 @@
 
 // forwardLong forwards an answer that is too large to be buffered. start is the part
 // already read.
-func (d *delivery) forwardLong(answer Answer, from io.Reader, start []byte) dispatcher.Result {
+func (d *delivery) forwardLong(a *attempt, from io.Reader, start []byte) dispatcher.Result {
 	d.final = true
-	d.outcome.Status = answer.Status()
+	d.outcome.Status = a.answer.Status()
 	d.outcome.First = d.opts.Timer.Now().Sub(d.request.Start)
-	err := d.responder.Begin(answer, -1)
+	err := d.responder.Begin(a.answer, -1)
 	if err == nil {
 		err = d.responder.Write(start)
 	}
@@ -83,8 +85,10 @@
 		}
 		switch {
 		case readErr == io.EOF:
+			d.reportEnd(a, EndingFramed, nil)
 			return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 		case readErr != nil:
+			d.reportEnd(a, EndingEarly, readErr)
 			d.outcome.Reason, d.outcome.Detail = ReasonInterrupted, readErr.Error()
 			d.responder.Abort()
 			return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -26,10 +26,10 @@
 type delivery struct {
 	*exchange
 	tried    []string
-	fallback *bufferedAnswer // fallback is the answer to forward if all other attempts fail.
-	framed   bool            // framed is Answer.Framed of the last answer.
-	stream   *streamProgress // stream is nil until the caller has part of a stream.
-	final    bool            // final reports that the caller has part of an answer that only its own rest completes.
+	fallback *bufferedAnswer   // fallback is the answer to forward if all other attempts fail.
+	framing  forwarder.Framing // framing is Answer.Framing of the last answer.
+	stream   *streamProgress   // stream is nil until the caller has part of a stream.
+	final    bool              // final reports that the caller has part of an answer that only its own rest completes.
 	// placementReason says why no upstream was chosen; ReasonNone if attempts determine the reason.
 	placementReason Reason
 	entered         bool      // entered reports whether the request has entered the gate since the last attempt.
@@ -238,6 +238,7 @@
 	cancel  context.CancelCauseFunc
 	answer  Answer // answer is nil until it has begun.
 	start   []byte // start is the part of its body that has been read ahead.
+	read    int    // read is the number of bytes of its body that have been read.
 	whole   bool   // whole reports that start is the whole body.
 	resting bool   // resting reports that the upstream asked for rest.
 	// notPassed is why a request that was passed on got no answer; nil without a failure.
@@ -349,7 +350,7 @@
 		}
 	}
 	defer a.answer.Close()
-	d.framed = a.answer.Framed()
+	d.framing = a.answer.Framing()
 	if !d.fits(a) {
 		return misfitResult(a.answer)
 	}
@@ -357,7 +358,7 @@
 	if d.streams(a.answer) {
 		return d.forwardStream(a, body)
 	}
-	return d.forwardWhole(a.answer, body, a.choice.Ticket)
+	return d.forwardWhole(a, body)
 }
 
 // end records how an attempt ended.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -63,6 +63,8 @@
 	// Ended is called for each request whose upstream terminated while it was in progress;
 	// optional.
 	Ended func(e Ended)
+	// AnswerEnded is called with the end of each answer whose body has been read; optional.
+	AnswerEnded func(e AnswerEnd)
 	// Noticed is called with what upstreams say of themselves in answers; optional.
 	Noticed func(n Notice)
 	// Forecaster forecasts waits, so that requests that can't start before their deadline are refused at
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -95,9 +95,14 @@
 	until    <-chan struct{} // until delays the end of the body until it is closed; optional.
 }
 
-func (a *fakeAnswer) Status() int  { return a.status }
-func (a *fakeAnswer) Framed() bool { return !a.unframed }
-func (a *fakeAnswer) Close()       { a.closed = true }
+func (a *fakeAnswer) Status() int { return a.status }
+func (a *fakeAnswer) Close()      { a.closed = true }
+func (a *fakeAnswer) Framing() forwarder.Framing {
+	if a.unframed {
+		return forwarder.FramingConnection
+	}
+	return forwarder.FramingLength
+}
 func (a *fakeAnswer) Read(b []byte) (int, error) {
 	n := copy(b, a.body)
 	a.body = a.body[n:]
--- a/exchanger/quarantine.go
+++ b/exchanger/quarantine.go
@@ -80,7 +80,7 @@
 // succeeded reports whether the caller got a complete answer with a 2xx status. Error
 // answers don't show that the request was executed.
 func (d *delivery) succeeded(r dispatcher.Result) bool {
-	complete := r.Verdict == dispatcher.Done && d.outcome.Reason == ReasonNone && d.framed
+	complete := r.Verdict == dispatcher.Done && d.outcome.Reason == ReasonNone && d.framing != forwarder.FramingConnection
 	return complete && d.outcome.Status >= http.StatusOK && d.outcome.Status < http.StatusMultipleChoices
 }
 
--- a/exchanger/readahead.go
+++ b/exchanger/readahead.go
@@ -14,6 +14,12 @@
 
 // reader returns a reader of an attempt's answer, from its beginning.
 func (d *delivery) reader(a *attempt, s *standby) io.Reader {
+	a.read = 0
+	return &countingReader{from: d.unread(a, s), attempt: a}
+}
+
+// unread returns a reader of what has been read ahead of an attempt's answer, and of the rest.
+func (d *delivery) unread(a *attempt, s *standby) io.Reader {
 	start := bytes.NewReader(a.start)
 	if a.whole {
 		return start
@@ -36,11 +42,12 @@
 	for !a.whole && !d.forwardable(a) {
 		n, err := r.Read(buf)
 		a.start = append(a.start, buf[:n]...)
+		a.read += n
 		switch {
 		case err == io.EOF:
 			a.whole = true
 		case err != nil:
-			return cutResult(err), false
+			return d.cut(a, EndingEarly, err), false
 		}
 	}
 	if a.answer.Status() < http.StatusInternalServerError {
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -41,9 +41,9 @@
 		}
 		switch {
 		case err == io.EOF:
-			return d.endStream(a.answer, pending)
+			return d.endStream(a, pending)
 		case err != nil:
-			return cutResult(err)
+			return d.cut(a, EndingEarly, err)
 		case len(pending) > maxEventBytes:
 			return dispatcher.Failed(&forwarder.Failure{
 				Cause: forwarder.CauseMalformed, Ran: forwarder.RanYes, Detail: "an event of the stream has no end",
@@ -138,8 +138,13 @@
 
 // endStream ends a stream after the end of the upstream's answer, and forwards the
 // bytes after the last complete event.
-func (d *delivery) endStream(answer Answer, rest []byte) dispatcher.Result {
-	err := d.beginStream(answer)
+func (d *delivery) endStream(a *attempt, rest []byte) dispatcher.Result {
+	ending := EndingFramed
+	if len(rest) > 0 {
+		ending = EndingInsideEvent
+	}
+	d.reportEnd(a, ending, nil)
+	err := d.beginStream(a.answer)
 	if err == nil && len(rest) > 0 {
 		err = d.responder.Write(rest)
 	}
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -74,7 +74,9 @@
 	Upstream string
 	PassedTo string // PassedTo is the last host that the request was passed on to; empty if there is none.
 	Attempts int
-	HeldFull int // HeldFull is the number of refusals by full upstreams after which the request waited.
+	// BrokenOff is the number of attempts whose answers have been broken off by their upstreams.
+	BrokenOff int
+	HeldFull  int // HeldFull is the number of refusals by full upstreams after which the request waited.
 	// RetrySkipped says why the request was not retried although its route allows it.
 	RetrySkipped Skip
 	Events       int
@@ -119,9 +121,8 @@
 // Answer is an upstream's answer of which the body has not been read.
 type Answer interface {
 	Status() int
-	// Framed reports whether the end of the body is marked by more than the connection's
-	// close.
-	Framed() bool
+	// Framing returns what marks the end of the body.
+	Framing() forwarder.Framing
 	// Read reads the body. It returns io.EOF only after the complete body.
 	Read(b []byte) (int, error)
 	// Close ends the attempt and releases its connection.
--- a/exchanger/standby.go
+++ b/exchanger/standby.go
@@ -209,6 +209,7 @@
 	d.unreached, d.passing.avoid, d.passing.unserved = c.unreached, c.passing.avoid, c.passing.unserved
 	o := &c.outcome
 	d.outcome.Attempts, d.outcome.Choices, d.outcome.HeldFull = o.Attempts, o.Choices, o.HeldFull
+	d.outcome.BrokenOff = o.BrokenOff
 	d.outcome.PassedTo = o.PassedTo
 	if o.RetrySkipped != SkipNone {
 		d.outcome.RetrySkipped = o.RetrySkipped
--- a/exchanger/standby_faults_test.go
+++ b/exchanger/standby_faults_test.go
@@ -37,9 +37,9 @@
 	err   error
 }
 
-func (a *stepAnswer) Status() int  { return a.status }
-func (a *stepAnswer) Framed() bool { return true }
-func (a *stepAnswer) Close()       {}
+func (a *stepAnswer) Status() int                { return a.status }
+func (a *stepAnswer) Framing() forwarder.Framing { return forwarder.FramingChunks }
+func (a *stepAnswer) Close()                     {}
 func (a *stepAnswer) Read(b []byte) (int, error) {
 	if len(a.steps) == 0 {
 		<-a.ctx.Done()
--- a/exchanger/standby_test.go
+++ b/exchanger/standby_test.go
@@ -98,9 +98,9 @@
 	offset int
 }
 
-func (a *pausingAnswer) Status() int  { return 200 }
-func (a *pausingAnswer) Framed() bool { return true }
-func (a *pausingAnswer) Close()       {}
+func (a *pausingAnswer) Status() int                { return 200 }
+func (a *pausingAnswer) Framing() forwarder.Framing { return forwarder.FramingChunks }
+func (a *pausingAnswer) Close()                     {}
 func (a *pausingAnswer) Read(b []byte) (int, error) {
 	if a.part == len(a.parts) {
 		return 0, io.EOF
--- a/exchanger/stepped_test.go
+++ b/exchanger/stepped_test.go
@@ -78,9 +78,9 @@
 	rest    string
 }
 
-func (a *steppedAnswer) Status() int  { return a.status }
-func (a *steppedAnswer) Framed() bool { return true }
-func (a *steppedAnswer) Close()       { a.attempt.closed.Store(true) }
+func (a *steppedAnswer) Status() int                { return a.status }
+func (a *steppedAnswer) Framing() forwarder.Framing { return forwarder.FramingChunks }
+func (a *steppedAnswer) Close()                     { a.attempt.closed.Store(true) }
 func (a *steppedAnswer) Read(b []byte) (int, error) {
 	if a.rest == "" {
 		select {
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -119,6 +119,8 @@
 	Status int
 	Header http.Header
 	Length int64 // Length is the declared length of the body, or -1.
+	// Framing is what marks the end of the body.
+	Framing Framing
 
 	pool       *Pool
 	conn       *pooledConn
@@ -406,7 +408,8 @@
 		}
 		if call.Accept == nil || call.Accept(resp.Header) {
 			r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
-			r.body, r.closeAfter = resp.Body, resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+			r.Framing = framingOf(resp)
+			r.body, r.closeAfter = resp.Body, resp.Close || r.Framing == FramingConnection
 			return nil
 		}
 		r.pool.Crossed.Add(1)
@@ -442,10 +445,6 @@
 	return n, err
 }
 
-// Unframed reports whether the end of the body is marked only by the connection's
-// close.
-func (r *Reply) Unframed() bool { return r.Length < 0 && r.closeAfter }
-
 // Close ends the call. The connection is kept if the answer was read completely and
 // the upstream can read another request from it.
 func (r *Reply) Close() {
--- a/forwarder/pool_test.go
+++ b/forwarder/pool_test.go
@@ -31,11 +31,12 @@
 }
 
 type poolWant struct {
-	Status int
-	Body   string
-	Cut    bool
-	Cause  Cause
-	Ran    Ran
+	Status  int
+	Body    string
+	Framing Framing // Framing is not checked if it is empty.
+	Cut     bool
+	Cause   Cause
+	Ran     Ran
 }
 
 type poolCase struct {
@@ -135,6 +136,9 @@
 	}
 	assert.Assert(t, fail == nil, "%v", fail)
 	assert.Equal(t, reply.Status, want.Status)
+	if want.Framing != "" {
+		assert.Equal(t, reply.Framing, want.Framing)
+	}
 	body, err := io.ReadAll(reply)
 	assert.Equal(t, err != nil, want.Cut, "%v", err)
 	if want.Body != "" {
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -17,6 +17,7 @@
 	UpstreamEnded        = "UpstreamEnded"
 	RequestBarred        = "RequestBarred"
 	UpstreamLeaving      = "UpstreamLeaving"
+	AnswerBrokenOff      = "AnswerBrokenOff"
 	RestBegun            = "RestBegun"
 	RestEnded            = "RestEnded"
 	RestMalformed        = "RestMalformed"
@@ -74,7 +75,7 @@
 // Kinds lists all events.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, UpstreamEnded, RequestBarred, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
+	UpstreamChosen, RequestEnded, AnswerBrokenOff, UpstreamEnded, RequestBarred, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
