exchanger: Take a stream that ends inside an event for broken off

Cause: where the body of an upstream's answer ended as its framing says, the stream was complete, whatever its last bytes were. An answer with neither a length nor chunks ends with its connection, so that each crash that closes the connection in order looked like the end. What followed the last event was forwarded as well, and could not be continued by another upstream after that. The same held for an attempt beside a silent upstream, which it replaced although it had brought no event.

A stream that ends inside an event has been broken off now, however it is framed, and so has one without an event that only its connection ends. Bytes after the last whole event are never forwarded; another upstream goes on after that event, or the caller sees that its answer is cut.

--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -240,6 +240,7 @@
 	start   []byte // start is the part of its body that has been read ahead.
 	read    int    // read is the number of bytes of its body that have been read.
 	whole   bool   // whole reports that start is the whole body.
+	events  bool   // events reports that an event of it has been forwarded.
 	resting bool   // resting reports that the upstream asked for rest.
 	// notPassed is why a request that was passed on got no answer; nil without a failure.
 	notPassed *RelayFailure
--- a/exchanger/ending.go
+++ b/exchanger/ending.go
@@ -6,6 +6,8 @@
 import (
 	"io"
 
+	"github.com/pkg/errors"
+
 	"amaranthgate.example/amaranthgate/forwarder"
 )
 
@@ -20,6 +22,25 @@
 	EndingEarly        Ending = "Early"        // EndingEarly means that it ended before the end that its framing marks.
 )
 
+// Errors of streams that have been broken off.
+var (
+	errInsideEvent  = errors.New("exchanger: the stream ended inside an event")
+	errWithoutEvent = errors.New("exchanger: the connection was closed before an event of the stream")
+)
+
+// streamEnding returns where a stream has ended that ended as framed, and an error if it has been broken off there. It
+// has if it ended inside an event, of which rest bytes were received, or if it had no events and only the close of
+// its connection marked its end.
+func streamEnding(f forwarder.Framing, events bool, rest int) (Ending, error) {
+	switch {
+	case rest > 0:
+		return EndingInsideEvent, errInsideEvent
+	case !events && f == forwarder.FramingConnection:
+		return EndingWithoutEvent, errWithoutEvent
+	}
+	return EndingFramed, nil
+}
+
 // AnswerEnd describes the end of an upstream's answer that the upstream, or the way to it, has caused.
 type AnswerEnd struct {
 	RequestID string
--- a/exchanger/readahead.go
+++ b/exchanger/readahead.go
@@ -50,6 +50,11 @@
 			return d.cut(a, EndingEarly, err), false
 		}
 	}
+	if d.streams(a.answer) && !d.forwardable(a) {
+		if e, err := streamEnding(a.answer.Framing(), false, len(a.start)); err != nil {
+			return d.cut(a, e, err), false
+		}
+	}
 	if a.answer.Status() < http.StatusInternalServerError {
 		return dispatcher.Result{}, true
 	}
@@ -62,7 +67,7 @@
 // forwardable reports whether what has been read of an answer can be forwarded.
 func (d *delivery) forwardable(a *attempt) bool {
 	if d.streams(a.answer) {
-		return bytes.Contains(a.start, []byte(eventEnd)) || len(a.start) > maxEventBytes
+		return eventLength(a.start, a.whole) > 0 || len(a.start) > maxEventBytes
 	}
 	return len(a.start) > maxBufferedBytes
 }
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -4,7 +4,6 @@
 package exchanger
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,12 +17,6 @@
 	lastID string
 }
 
-// eventEnd ends an event.
-const eventEnd = "\n\n"
-
-// maxEventBytes limits the length of an event.
-const maxEventBytes = 1 << 20
-
 // forwardStream forwards the events of a stream as they arrive. Only complete events
 // are forwarded, so that another upstream can resume after the last one. from reads the body of the answer.
 func (d *delivery) forwardStream(a *attempt, from io.Reader) dispatcher.Result {
@@ -33,7 +26,7 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			pending = append(pending, buf[:n]...)
-			rest, fail := d.forwardEvents(a, pending)
+			rest, fail := d.forwardEvents(a, pending, false)
 			if fail != nil {
 				return *fail
 			}
@@ -70,12 +63,14 @@
 	})
 }
 
-// forwardEvents forwards the complete events at the beginning of b and returns the rest.
-func (d *delivery) forwardEvents(a *attempt, b []byte) ([]byte, *dispatcher.Result) {
-	length, last := d.completeEvents(b)
+// forwardEvents forwards the complete events at the beginning of b and returns the rest. ended reports that the answer
+// ends with b.
+func (d *delivery) forwardEvents(a *attempt, b []byte, ended bool) ([]byte, *dispatcher.Result) {
+	length, last := d.completeEvents(b, ended)
 	if length == 0 {
 		return b, nil
 	}
+	a.events = true
 	a.choice.Ticket.First(d.opts.Timer.Now())
 	d.observeLead()
 	if d.stream == nil {
@@ -97,13 +92,13 @@
 
 // completeEvents returns the length of the complete events at the beginning of b and
 // the latest of their IDs.
-func (d *delivery) completeEvents(b []byte) (length int, last string) {
+func (d *delivery) completeEvents(b []byte, ended bool) (length int, last string) {
 	for {
-		i := bytes.Index(b[length:], []byte(eventEnd))
-		if i < 0 {
+		n := eventLength(b[length:], ended)
+		if n == 0 {
 			return length, last
 		}
-		next := length + i + len(eventEnd)
+		next := length + n
 		if id := eventID(b[length:next]); id != "" {
 			d.outcome.Events++
 			last = laterID(last, id)
@@ -136,32 +131,18 @@
 	return d.responder.Begin(answer, -1)
 }
 
-// endStream ends a stream after the end of the upstream's answer, and forwards the
-// bytes after the last complete event.
-func (d *delivery) endStream(a *attempt, rest []byte) dispatcher.Result {
-	ending := EndingFramed
-	if len(rest) > 0 {
-		ending = EndingInsideEvent
+// endStream ends a stream after the end of the upstream's answer, of which pending has not been forwarded.
+func (d *delivery) endStream(a *attempt, pending []byte) dispatcher.Result {
+	rest, fail := d.forwardEvents(a, pending, true)
+	if fail != nil {
+		return *fail
 	}
-	d.reportEnd(a, ending, nil)
-	err := d.beginStream(a.answer)
-	if err == nil && len(rest) > 0 {
-		err = d.responder.Write(rest)
+	if e, err := streamEnding(a.answer.Framing(), a.events, len(rest)); err != nil {
+		return d.cut(a, e, err)
 	}
-	if err != nil {
+	d.reportEnd(a, EndingFramed, nil)
+	if d.beginStream(a.answer) != nil {
 		return *d.callerLeft()
 	}
 	return dispatcher.Result{Verdict: dispatcher.Done, Reached: true}
 }
-
-// eventID returns the value of an event's id field, or "".
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-		event = rest
-	}
-	return ""
-}
