conductor: Log by which way a record came, from whom and how old

The line of a record that changed the state said neither whether the host had read it, nor from whom it had it, nor for how long the store had had it, so that hosts' logs could not tell the ways apart in which a change is late.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -76,6 +76,7 @@
 	inbox      []Event
 	starts     uint64
 	unreadable int                      // unreadable counts log events about unreadable records.
+	applied    LogEvent                 // applied is the last log event of a record that changed the state.
 	version    uint64                   // version is the last published version.
 	reports    map[string]placer.Report // reports are the newest reports, by sender.
 }
@@ -341,6 +342,9 @@
 			if a.Kind == LogUnreadable {
 				s.unreadable++
 			}
+			if a.Kind == LogRecordApplied {
+				s.applied = a
+			}
 		case ApplyReport:
 			if a.Report.Work != nil {
 				s.reports[a.From] = a.Report
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -231,6 +231,7 @@
 	Host   string
 	Key    string
 	Reason string // Reason says what was invalid.
+	Way    Way    // Way is how a record reached this host.
 	Offset int64
 	Era    uint64 // Era is that of Offset; 0 if the store states none.
 	Age    time.Duration
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -109,6 +109,10 @@
 	asOf := coveredUntil(now, ev)
 	f.soleReader, f.receivedPage = !ev.Page.Full && !f.receivedPage, false
 	before, wasLoaded := f.next, f.loaded
+	n.source = pageSource{way: WayRead, age: now.Sub(asOf)}
+	if ev.Page.Full {
+		n.source.way = WayListing
+	}
 	forwarded := n.applyPage(now, ev.Page, asOf)
 	f.retryAt = now.Add(n.readInterval())
 	page := ev.Page
@@ -307,9 +311,29 @@
 // one key.
 const unreadableLogInterval = 10 * time.Second
 
+// Way is how a record reached this host.
+type Way string
+
+// Values of Way.
+const (
+	WayRead     Way = "Read"     // WayRead means that this host read it from the store.
+	WayListing  Way = "Listing"  // WayListing means that this host read the whole feed.
+	WayPage     Way = "Page"     // WayPage means that another host passed on what it had read.
+	WayHandover Way = "Handover" // WayHandover means that another host sent what this one lacked.
+	WayExpired  Way = "Expired"  // WayExpired means that a record that the store has lost was not written again.
+)
+
+// pageSource is where a page came from.
+type pageSource struct {
+	way  Way
+	host string        // host is the other host; empty if there is none.
+	age  time.Duration // age is the time since the store was known to have no more.
+}
+
 // recordLogEvent returns the log event of a record that changed the state.
-func recordLogEvent(name follower.Feed, r follower.Record, change follower.Change) LogEvent {
-	ev := LogEvent{Kind: LogRecordApplied, Feed: name, Key: r.Key, Offset: r.Offset, Era: r.Era}
+func (n *Node) recordLogEvent(name follower.Feed, r follower.Record, change follower.Change) LogEvent {
+	ev := LogEvent{Kind: LogRecordApplied, Feed: name, Key: r.Key, Offset: r.Offset, Era: r.Era,
+		Way: n.source.way, Host: n.source.host, Age: n.source.age}
 	if e := change.Evacuation; e != nil {
 		ev.Kind, ev.Key = LogZoneEvacuated, e.AvailabilityZone
 		if e.Ended {
@@ -363,6 +387,7 @@
 			delete(f.unlistedUntil, key)
 		case now.After(until):
 			delete(f.unlistedUntil, key)
+			n.source = pageSource{way: WayExpired}
 			n.applyRecord(now, name, f, follower.Record{Key: key, Offset: f.next.Offset - 1, Era: f.next.Era}, true)
 		}
 	}
@@ -392,7 +417,7 @@
 	}
 	f.store(r, changed || known && !listed && old.changed.Era < r.Era)
 	if changed {
-		n.emit(recordLogEvent(name, r, change))
+		n.emit(n.recordLogEvent(name, r, change))
 		n.viewDirty = true
 		return true
 	}
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -230,7 +230,7 @@
 }
 
 // receivePages applies pages that another host sent.
-func (n *Node) receivePages(now time.Time, pages []follower.FeedPage) {
+func (n *Node) receivePages(now time.Time, from string, pages []follower.FeedPage) {
 	for _, page := range pages {
 		f, ok := n.feeds[page.Feed]
 		if !ok || page.Full && f.loaded && !page.End().After(f.next) {
@@ -241,6 +241,10 @@
 			f.receivedPage = true
 			n.state.StoreAnswered(now) // the store has answered another host, so it is reachable
 		}
+		n.source = pageSource{way: WayPage, host: from, age: page.Age}
+		if page.Full || page.FromMemory {
+			n.source.way = WayHandover
+		}
 		n.applyPage(now, page, now.Add(-page.Age))
 	}
 }
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -128,7 +128,7 @@
 	n.notifySuspect(ev.From)
 	n.answerSnapshotRequests(ev.From, m.SnapshotRequests)
 	n.sendMissing(now, ev.From, m.Era, m.FeedRequests)
-	n.receivePages(now, m.FeedPages)
+	n.receivePages(now, ev.From, m.FeedPages)
 	if len(m.VersionAges) > 0 {
 		n.viewDirty = n.state.MergeVersionAges(now, m.VersionAges) || n.viewDirty
 	}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -278,6 +278,9 @@
 	if e.Key != "" {
 		ev = ev.Str("Key", e.Key)
 	}
+	if e.Way != "" {
+		ev = ev.Str("Way", string(e.Way))
+	}
 	if e.Reason != "" {
 		ev = ev.Str("Reason", e.Reason)
 	}
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -57,9 +57,10 @@
 	phases               map[string]updater.Phase // phases are the last published phases.
 	viewDirty            bool
 	hostsDirty           bool
-	now                  time.Time // now is the time of the current event.
-	era                  uint64    // era is the newest known era of the store.
-	eraSince             time.Time // eraSince is when this host learned of it.
+	now                  time.Time  // now is the time of the current event.
+	source               pageSource // source is that of the page that is applied.
+	era                  uint64     // era is the newest known era of the store.
+	eraSince             time.Time  // eraSince is when this host learned of it.
 	lastTick             time.Time
 	stalledAt            time.Time // stalledAt is when a tick last found that this process had stalled.
 	lastHeartbeat        time.Time
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -40,6 +40,33 @@
 	}
 }
 
+// TestRecordsSayHowTheyCame checks that each host logs by which way it got a change, and from whom.
+func TestRecordsSayHowTheyCame(t *testing.T) {
+	c := newCluster(4)
+	c.write(follower.FeedOperator, "config", "version 1")
+	c.run(3 * time.Second)
+	c.write(follower.FeedOperator, "config", "version 2")
+	c.run(time.Second)
+	readers := 0
+	for _, s := range c.nodes {
+		assert.Equal(t, s.applied.Key, "config")
+		switch s.applied.Way {
+		case WayRead:
+			readers++
+			assert.Equal(t, s.applied.Host, "")
+		case WayPage:
+			assert.Assert(t, c.byName[s.applied.Host] != nil && s.applied.Host != s.name, "%+v", s.applied)
+		default:
+			t.Errorf("%s: %+v", s.name, s.applied)
+		}
+	}
+	assert.Assert(t, readers >= 1)
+	c.start(c.nodes[1])
+	c.set(c.nodes[1], accessRefuse)
+	c.run(2 * time.Second)
+	assert.Equal(t, c.nodes[1].applied.Way, WayHandover)
+}
+
 // TestReplacementReaderContinues: the store refuses the host that reads the feeds. Its replacement
 // keeps reading, so that changes reach all hosts within 500 ms, with about as many store calls as
 // one or two readers make.
