exchanger: Let no older configuration decide a request that was passed on

A host that is late with a change so also decides requests of hosts that are not.

A host tells the version that has decided the request so far.

Nobody reported this.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -164,7 +164,7 @@
 	defer cancel()
 	tick := time.NewTicker(readyPollInterval)
 	defer tick.Stop()
-	for !e.view.Ready() {
+	for !e.ready() {
 		select {
 		case <-tick.C:
 			e.view = e.opts.Views.Load()
@@ -174,13 +174,19 @@
 	}
 }
 
-// requireReady refuses requests while this host has no ready view.
+// ready reports whether the view can decide the request.
+func (e *exchange) ready() bool {
+	return e.view.Ready() && e.view.Table.Version() >= e.request.Configuration
+}
+
+// requireReady refuses requests while this host has no ready view, or an older configuration than the host that passed
+// the request on.
 func requireReady(next handler) handler {
 	return func(ctx context.Context, e *exchange) Outcome {
-		if !e.view.Ready() {
+		if !e.ready() {
 			e.awaitReady(ctx)
 		}
-		if !e.view.Ready() {
+		if !e.ready() {
 			return e.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, RetryAfter: retryAfterNotReady})
 		}
 		return next(ctx, e)
--- a/exchanger/passing.go
+++ b/exchanger/passing.go
@@ -51,6 +51,8 @@
 	Age       time.Duration // Age is the time since Request.Start.
 	Once      bool          // Once reports whether the request must run at most once.
 	LastEvent string        // LastEvent replaces that of the request.
+	// Configuration is the version of the configuration that has decided the request so far.
+	Configuration uint64
 	// Origin is where the stream that goes on began; zero for a new one.
 	Origin registrar.Origin
 	// OnOrigin is called with where the other host got the answer when that begins.
@@ -150,7 +152,10 @@
 		Once:      !d.route.Repeatable(),
 		LastEvent: d.lastEvent(),
 		Origin:    d.origin,
-		OnOrigin:  func(o registrar.Origin) { a.origin = o },
+
+		Configuration: d.view.Table.Version(),
+
+		OnOrigin: func(o registrar.Origin) { a.origin = o },
 	})
 	if fail != nil {
 		a.notPassed = fail
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -31,8 +31,10 @@
 	LastEvent string         // LastEvent is the ID of the event after which to resume a stream.
 	StreamID  string         // StreamID is the ID of the request that brought the first event of that stream; empty if unknown.
 	// Origin is where that stream began, as stated by the host that passed the request on; zero if it did not.
-	Origin   registrar.Origin
-	PassedBy string // PassedBy is the host that passed the request on to this one; empty if the caller sent it.
+	Origin registrar.Origin
+	// Configuration is the version in force at the host that passed the request on; an older one must not decide it.
+	Configuration uint64
+	PassedBy      string // PassedBy is the host that passed the request on to this one; empty if the caller sent it.
 }
 
 // Reason says why a request got no answer from an upstream. Its values appear in logs
