--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -19,9 +19,11 @@
 package faultproxy
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"amaranthgate.example/amaranthgate/internal/duration"
@@ -44,7 +46,7 @@
 	LoseAnswer  Kind = "LoseAnswer"  // LoseAnswer resets the connection when the response begins.
 	CutAnswer   Kind = "CutAnswer"   // CutAnswer resets the connection after Bytes of the response.
 	SlowAnswer  Kind = "SlowAnswer"  // SlowAnswer sends the first Bytes of the response singly, Time apart.
-	CutExisting Kind = "CutExisting" // CutExisting closes open connections and forwards new ones.
+	CutExisting Kind = "CutExisting" // CutExisting resets open connections and forwards new ones.
 )
 
 // Fault is a kind of fault with its parameters.
@@ -82,6 +84,12 @@
 	held   heldData     // held is what the caller has sent during a cut.
 }
 
+// abort resets the caller's connection: an orderly close could complete an answer.
+func (s *session) abort() {
+	_ = s.caller.SetLinger(0) // it may be closed already
+	s.close()
+}
+
 func (s *session) close() {
 	_ = s.caller.Close()
 	if s.target != nil {
@@ -133,15 +141,15 @@
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.address }
 
-// Stop closes the listener and all connections, as when the target's process
-// exits. New connections are refused until Start is called.
+// Stop closes the listener and resets all connections, as when the target's process
+// crashes. New connections are refused until Start is called.
 func (p *Proxy) Stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stopped = true
 	p.unlisten()
 	for s := range p.sessions {
-		s.close()
+		s.abort()
 	}
 }
 
@@ -161,7 +169,7 @@
 	for s := range p.sessions {
 		switch f.Kind {
 		case CutExisting, Refuse:
-			s.close()
+			s.abort()
 		case Silence:
 			s.silent.Store(true)
 		}
@@ -280,6 +288,8 @@
 			if from == s.caller {
 				s.held.drop()
 				p.await(Cut.blocksRequests)
+			} else if errors.Is(err, syscall.ECONNRESET) {
+				s.abort()
 			}
 			return
 		}
