exchanger: Log the parts of prompts under which upstreams end

Lines of ended upstreams had the identity of the whole request only, so that the record did not show which part is common, nor which of the requests in progress had an answer that had begun.

UpstreamEnded has the parts but the last, which no other request has, and whether the upstream had begun its answer.

--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -81,7 +81,7 @@
 func (h *Host) logUpstreamEnded(e exchanger.Ended) {
 	h.counters.upstreamEnded()
 	h.log.Failure().Str("RequestID", e.RequestID).Stringer("Identity", e.Identity).
-		Str("Upstream", e.Upstream.InstanceID()).Msg(logger.UpstreamEnded)
+		Str("Upstream", e.Upstream.InstanceID()).Strs("Parts", e.Parts).Bool("Begun", e.Begun).Msg(logger.UpstreamEnded)
 }
 
 // logAnswerEnded counts the end of an answer, and logs it if the answer has been broken off.
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -374,7 +374,7 @@
 		d.unreached++
 	}
 	d.recordFailure(upstream.ID, r)
-	result := d.recordResult(ctx, upstream, a.sent, r)
+	result := d.recordResult(ctx, a, r)
 	if d.refusedFull(a, r) {
 		result = placer.ResultFull
 		d.hold(upstream.ID, &r)
--- a/exchanger/quarantine.go
+++ b/exchanger/quarantine.go
@@ -21,6 +21,8 @@
 	RequestID string
 	Identity  quarantiner.Identity
 	Upstream  follower.Upstream
+	Parts     []string // Parts are the parts of the prompt but the last, which no other request has.
+	Begun     bool     // Begun reports that the upstream had begun its answer.
 }
 
 // identify sets the identity of the request; the workspace must be known.
@@ -48,11 +50,12 @@
 
 // recordResult records in quarantine what the result of an attempt shows about the
 // request, and returns the result for placement.
-func (d *delivery) recordResult(ctx context.Context, u follower.Upstream, sent time.Time, r dispatcher.Result) placer.Result {
+func (d *delivery) recordResult(ctx context.Context, a *attempt, r dispatcher.Result) placer.Result {
+	u := a.choice.Upstream
 	if d.upstreamEnded(ctx, u, r) {
-		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.outcome.Identity, u.InstanceID(), sent)
+		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.outcome.Identity, u.InstanceID(), a.sent)
 		if d.opts.Ended != nil {
-			d.opts.Ended(Ended{RequestID: d.request.ID, Identity: d.outcome.Identity, Upstream: u})
+			d.opts.Ended(Ended{RequestID: d.request.ID, Identity: d.outcome.Identity, Upstream: u, Parts: d.sharedParts(), Begun: a.events})
 		}
 		return placer.ResultUnreachable
 	}
@@ -68,6 +71,22 @@
 	return placementResult(ctx, r)
 }
 
+// maxSharedParts bounds the parts of a prompt that are considered.
+const maxSharedParts = 64
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may have.
+func (e *exchange) sharedParts() []string {
+	p := e.request.Prompt
+	if p == nil || len(p.Parts) < 2 {
+		return nil
+	}
+	var ids []string
+	for _, part := range p.Parts[:min(len(p.Parts)-1, maxSharedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // abandoned reports whether this host canceled the attempt while it may have been in
 // progress: the caller left, the deadline passed, or the upstream stalled.
 func (d *delivery) abandoned(ctx context.Context, r dispatcher.Result) bool {
