quarantiner: Bar parts of prompts under which upstreams end

Ends were counted by the identity of a whole request; each was barred after its third end, and no two are alike. The lines of ended upstreams have one deepest shared part in common, and none of the requests with it had an answer that had begun.

The ledger counts ends for the parts of a prompt as well, but the last: - What crashes an engine as it begins to answer has brought no event, and what has brought one is no cause. So an end counts for the parts of requests without an event only, and an answer that begins clears its parts at all hosts; ends just after that do not count at that host. - A part is barred by three ends under two requests or more, unless all came within 0.1 s, as when a rack or a zone ends. - Parts that always come together bar each other only: a request with one of them is sent, and its answer or its end tells them apart. - The first host in rank suspends a bar for one request after a minute, and once more after an hour; an answer lifts it everywhere. Parts are told apart by model, and by workspace where that is isolated. One ledger has requests and parts: spreading, comparing, restoring and lifting are the same.

--- a/conductor/bars.go
+++ b/conductor/bars.go
@@ -38,7 +38,7 @@
 
 // update saves new bars and removes those that no longer hold.
 func (b *savedBars) update(h *Host) {
-	if h.quarantine.Len() == 0 && len(b.saved) == 0 {
+	if h.quarantine.Len() == 0 && h.quarantine.Parts() == 0 && len(b.saved) == 0 {
 		return
 	}
 	barred := make(map[quarantiner.Identity]bool)
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -45,6 +45,7 @@
 	c.set.NewGauge("amaranthgate_store_era", func() float64 { return float64(h.opts.Store.Era()) })
 	c.set.NewGauge("amaranthgate_upstreams_known", func() float64 { return float64(h.view.Load().Upstreams.Len()) })
 	c.set.NewGauge("amaranthgate_suspects_known", func() float64 { return float64(h.quarantine.Len()) })
+	c.set.NewGauge("amaranthgate_suspect_parts_known", func() float64 { return float64(h.quarantine.Parts()) })
 	c.set.NewGauge("amaranthgate_upstreams_leaving", func() float64 { return float64(h.placer.Leaving()) })
 	c.set.NewGauge("amaranthgate_upstreams_resting", func() float64 { return float64(h.placer.Resting()) })
 	c.set.NewGauge("amaranthgate_upstreams_brittle", func() float64 { return float64(h.placer.Brittle()) })
@@ -175,6 +176,9 @@
 // barred counts a request that is barred from all upstreams.
 func (c *counters) barred() { c.set.GetOrCreateCounter("amaranthgate_bars_total").Inc() }
 
+// partBarred counts a part of prompts that is barred from all upstreams.
+func (c *counters) partBarred() { c.set.GetOrCreateCounter("amaranthgate_part_bars_total").Inc() }
+
 // upstreamLeaving counts an upstream that said in an answer that it is leaving.
 func (c *counters) upstreamLeaving() {
 	c.set.GetOrCreateCounter("amaranthgate_upstreams_leaving_told_total").Inc()
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -163,7 +163,7 @@
 		budget:            retrier.NewSharedBudgets(retrier.Allowance{Share: s.Platform.RetryShare, Slack: s.Platform.RetrySlack}),
 	}
 	h.budget.SetHost(s.Host)
-	h.quarantine = quarantiner.New(quarantiner.Options{Changed: h.signalQuarantineChange, Barred: h.logBarred})
+	h.quarantine = quarantiner.New(quarantiner.Options{Changed: h.signalQuarantineChange, Barred: h.logBarred, Tries: h.triesPart})
 	h.throttler = h.newThrottler()
 	self := h.self()
 	h.contention.arbiter = h.newArbiter(self)
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -38,11 +38,28 @@
 	Placement placer.Dump
 	Barred    []quarantiner.Entry // Barred are requests that are no longer sent to any upstream.
 	Repeated  []quarantiner.Entry // Repeated are requests under which several upstreams have ended.
+	// Parts are parts of prompts under which several upstreams have ended, and BarredParts those of them that are barred.
+	Parts       []quarantiner.Entry
+	BarredParts []quarantiner.Entry
 	// RateLimits are the rate limits that upstreams have declared.
 	RateLimits []throttler.Dump
 	Contention *arbiter.Dump  // Contention is what waits at this host and at others; nil if hosts have no common order.
 	Streams    registrar.Dump // Streams is what this host knows of where streams began.
 	Suspects   int            // Suspects counts requests under which upstreams have ended.
+	// PartSuspects counts parts of prompts under which upstreams have ended.
+	PartSuspects int
+}
+
+// divideEntries divides entries of the quarantine into those of requests and of parts of prompts.
+func divideEntries(entries []quarantiner.Entry) (requests, parts []quarantiner.Entry) {
+	for _, w := range entries {
+		if w.OfPart() {
+			parts = append(parts, w)
+		} else {
+			requests = append(requests, w)
+		}
+	}
+	return requests, parts
 }
 
 // Dump returns the current state of the host.
@@ -60,13 +77,15 @@
 		Feeds:     h.dumpFeeds(),
 		Hosts:     *h.hosts.Load(),
 		Placement: h.placer.Dump(h.opts.Timer.Now()),
-		Barred:    h.quarantine.Bars(h.opts.Timer.Now()),
-		Repeated:  h.quarantine.Entries(h.opts.Timer.Now()),
 		Suspects:  h.quarantine.Len(),
 		Streams:   h.registrar.Dump(),
 
 		RateLimits: h.throttler.Dump(h.opts.Timer.Now()),
+
+		PartSuspects: h.quarantine.Parts(),
 	}
+	d.Barred, d.BarredParts = divideEntries(h.quarantine.Bars(h.opts.Timer.Now()))
+	d.Repeated, d.Parts = divideEntries(h.quarantine.Entries(h.opts.Timer.Now()))
 	if h.contention.arbiter != nil {
 		c := h.contention.arbiter.Dump(h.opts.Timer.Now())
 		d.Contention = &c
--- a/conductor/quarantine_test.go
+++ b/conductor/quarantine_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"amaranthgate.example/amaranthgate/activator"
+	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/quarantiner"
 )
 
@@ -47,7 +48,7 @@
 			paused.paused = true
 			for i := range quarantiner.BarThreshold {
 				s := c.nodes[i%(hosts-2)]
-				s.node.opts.Quarantine.Ended(c.now, id, fmt.Sprint("start-", i), c.now)
+				s.node.opts.Quarantine.Ended(c.now, quarantiner.Evidence{Request: id}, fmt.Sprint("start-", i), c.now)
 				c.execute(s, s.node.Handle(c.now, QuarantineChanged{}))
 				c.run(100 * time.Millisecond)
 			}
@@ -73,3 +74,44 @@
 		})
 	}
 }
+
+// TestPartsAreBarredEverywhere guards against a part of prompts that crashes upstreams at one host after another: each
+// host sees one end, and all bar the part, also one that starts later.
+func TestPartsAreBarredEverywhere(t *testing.T) {
+	for _, hosts := range []int{3, 8, 60} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			c := newCluster(hosts)
+			c.idle = true
+			c.write("Operator", "config", "version 1")
+			c.run(4 * time.Second)
+			bad, sound := quarantiner.IdentifyPart("", "m", "bad"), quarantiner.IdentifyPart("", "m", "sound")
+			messages, bytes := 0, 0
+			c.onMessage = func(m PeerMessage) {
+				if len(m.Message.Ended) > 0 {
+					messages++
+					bytes += len(messenger.Encode(&messenger.Message{Ended: m.Message.Ended}))
+				}
+			}
+			for i := range quarantiner.BarThreshold {
+				s := c.nodes[i%hosts]
+				ev := quarantiner.Evidence{Request: quarantiner.Identify(quarantiner.Parts{Target: fmt.Sprint(i)}), Parts: []quarantiner.Identity{sound, bad}}
+				s.node.opts.Quarantine.Ended(c.now, ev, fmt.Sprint("start-", i), c.now)
+				c.execute(s, s.node.Handle(c.now, QuarantineChanged{}))
+				other := c.nodes[(i+1)%hosts]
+				other.node.opts.Quarantine.Begun(c.now, []quarantiner.Identity{sound})
+				c.run(200 * time.Millisecond)
+			}
+			c.run(2 * time.Second)
+			t.Logf("%.1f messages and %.0f bytes at a host for each end", float64(messages)/float64(hosts*quarantiner.BarThreshold), float64(bytes)/float64(hosts*quarantiner.BarThreshold))
+			c.start(c.nodes[hosts-1])
+			c.run(3 * time.Second)
+			for _, s := range c.nodes {
+				got, part := s.node.opts.Quarantine.PartsStanding(c.now, []quarantiner.Identity{sound, bad})
+				assert.Equal(t, got, quarantiner.Barred, s.name)
+				assert.Equal(t, part, bad, s.name)
+				got, _ = s.node.opts.Quarantine.PartsStanding(c.now, []quarantiner.Identity{sound})
+				assert.Equal(t, got, quarantiner.Free, s.name)
+			}
+		})
+	}
+}
--- a/conductor/reach_test.go
+++ b/conductor/reach_test.go
@@ -176,7 +176,7 @@
 		refused.Store(cut)
 		id := quarantiner.Identify(quarantiner.Parts{Target: "/x"})
 		q := soundQuarantine{h.quarantine, h.reach}
-		q.Abandoned(h.opts.Timer.Now(), id, "u1")
+		q.Abandoned(h.opts.Timer.Now(), quarantiner.Evidence{Request: id}, "u1")
 		h.reach.fail("u1")
 		q.InstanceEnded(h.opts.Timer.Now(), "u1")
 		if cut {
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -15,6 +15,7 @@
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/pricer"
 	"amaranthgate.example/amaranthgate/quarantiner"
+	"amaranthgate.example/amaranthgate/tracker"
 )
 
 // logChoice logs the upstream chosen for a request. It runs before the request is sent, so that the
@@ -50,6 +51,9 @@
 	if o.Reason != exchanger.ReasonNone {
 		ev.Str("Reason", string(o.Reason)).Str("Detail", o.Detail)
 	}
+	if o.BarredPart != "" {
+		ev.Str("Part", o.BarredPart)
+	}
 	if failed && len(o.Choices) > 0 {
 		ev.Array("Attempts", attempts(o.Choices))
 	}
@@ -100,12 +104,28 @@
 		Int("Bytes", e.Bytes).Int("Events", e.Events).Str("Detail", e.Detail).Msg(logger.AnswerBrokenOff)
 }
 
-// logBarred logs a request that is no longer sent to any upstream.
+// logBarred logs a request, or a part of prompts, that is no longer sent to any upstream.
 func (h *Host) logBarred(w quarantiner.Entry) {
+	if w.OfPart() {
+		h.counters.partBarred()
+		h.log.Warn().Stringer("Identity", w.Identity).Strs("Upstreams", w.Ends).Dur("Span", w.Span).Int("Trials", w.Trials).Msg(logger.PartBarred)
+		return
+	}
 	h.counters.barred()
 	h.log.Warn().Stringer("Identity", w.Identity).Strs("Upstreams", w.Ends).Msg(logger.RequestBarred)
 }
 
+// triesPart reports whether this host is the one that suspends the bar of a part of prompts for a request: the first in
+// rank of those that serve callers.
+func (h *Host) triesPart(part quarantiner.Identity) bool {
+	serving := h.serving.Load()
+	if serving == nil || tracker.RankIndex(serving.Hosts(), h.opts.Settings.Host, "trial/"+part.String()) != 0 {
+		return false
+	}
+	h.log.Info().Stringer("Identity", part).Msg(logger.PartTried)
+	return true
+}
+
 // attempts encodes choices in a log line.
 type attempts []placer.Choice
 
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -41,7 +41,7 @@
 			bad := quarantiner.Identify(quarantiner.Parts{Target: "bad"})
 			for i := range quarantiner.BarThreshold {
 				at := c.now.Add(time.Duration(i) * time.Second)
-				c.nodes[0].node.opts.Quarantine.Ended(at, bad, fmt.Sprint(i), at)
+				c.nodes[0].node.opts.Quarantine.Ended(at, quarantiner.Evidence{Request: bad}, fmt.Sprint(i), at)
 			}
 			c.run(convergenceTime)
 			for _, s := range c.nodes {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -82,11 +82,13 @@
 }
 
 // Quarantine records during which requests upstreams terminated, and decides which
-// requests are suspect or barred.
+// requests are suspect or barred, by themselves or by the parts of their prompts.
 type Quarantine interface {
 	Standing(now time.Time, id quarantiner.Identity) quarantiner.Verdict
-	Ended(now time.Time, id quarantiner.Identity, instance string, sent time.Time)
-	Abandoned(now time.Time, id quarantiner.Identity, instance string)
+	PartsStanding(now time.Time, parts []quarantiner.Identity) (quarantiner.Standing, quarantiner.Identity)
+	Begun(now time.Time, parts []quarantiner.Identity)
+	Ended(now time.Time, ev quarantiner.Evidence, instance string, sent time.Time)
+	Abandoned(now time.Time, ev quarantiner.Evidence, instance string)
 	InstanceEnded(now time.Time, instance string)
 	Served(now time.Time, id quarantiner.Identity)
 }
@@ -132,7 +134,8 @@
 	deadline  time.Time
 	// left is done when the caller has left, of requests that go on then; nil for others.
 	left    context.Context
-	first   time.Time // first is the time of the caller's first attempt, if that was refused, or else of this one.
+	parts   []quarantiner.Identity // parts are those of the prompt that other requests may have.
+	first   time.Time              // first is the time of the caller's first attempt, if that was refused, or else of this one.
 	outcome Outcome
 }
 
--- a/exchanger/quarantine.go
+++ b/exchanger/quarantine.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"amaranthgate.example/amaranthgate/dispatcher"
@@ -32,6 +33,31 @@
 		parts.Workspace = e.workspace.Name
 	}
 	e.outcome.Identity = quarantiner.Identify(parts)
+	walled := ""
+	if e.workspace != nil && e.workspace.Isolated {
+		walled = e.workspace.Name
+	}
+	for _, id := range e.sharedParts() {
+		e.parts = append(e.parts, quarantiner.IdentifyPart(walled, e.request.Prompt.Model, id))
+	}
+}
+
+// evidence returns what an attempt shows about the cause if its upstream has ended. A part of the prompt is no cause
+// once the answer has begun.
+func (d *delivery) evidence(a *attempt) quarantiner.Evidence {
+	ev := quarantiner.Evidence{Request: d.outcome.Identity}
+	if !a.events {
+		ev.Parts = d.parts
+	}
+	return ev
+}
+
+// recordBegun records that an upstream has begun to answer the request. The host that sends a request to an upstream
+// does it.
+func (d *delivery) recordBegun(a *attempt) {
+	if a.choice.host == nil {
+		d.opts.Quarantine.Begun(d.opts.Timer.Now(), d.parts)
+	}
 }
 
 // connectionBroke reports whether the connection broke while the request was in progress.
@@ -53,7 +79,7 @@
 func (d *delivery) recordResult(ctx context.Context, a *attempt, r dispatcher.Result) placer.Result {
 	u := a.choice.Upstream
 	if d.upstreamEnded(ctx, u, r) {
-		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.outcome.Identity, u.InstanceID(), a.sent)
+		d.opts.Quarantine.Ended(d.opts.Timer.Now(), d.evidence(a), u.InstanceID(), a.sent)
 		if d.opts.Ended != nil {
 			d.opts.Ended(Ended{RequestID: d.request.ID, Identity: d.outcome.Identity, Upstream: u, Parts: d.sharedParts(), Begun: a.events})
 		}
@@ -63,10 +89,11 @@
 	case r.Failure != nil && r.Failure.NoListener:
 		d.opts.Quarantine.InstanceEnded(d.opts.Timer.Now(), u.InstanceID())
 	case d.abandoned(ctx, r):
-		d.opts.Quarantine.Abandoned(d.opts.Timer.Now(), d.outcome.Identity, u.InstanceID())
+		d.opts.Quarantine.Abandoned(d.opts.Timer.Now(), d.evidence(a), u.InstanceID())
 		d.watcher.watch(u)
 	case d.succeeded(r):
 		d.opts.Quarantine.Served(d.opts.Timer.Now(), d.outcome.Identity)
+		d.recordBegun(a)
 	}
 	return placementResult(ctx, r)
 }
@@ -87,6 +114,15 @@
 	return ids
 }
 
+// partName returns the ID of a part of the prompt by its identity.
+func (e *exchange) partName(id quarantiner.Identity) string {
+	i := slices.Index(e.parts, id)
+	if i < 0 {
+		return ""
+	}
+	return e.request.Prompt.Parts[i].ID
+}
+
 // abandoned reports whether this host canceled the attempt while it may have been in
 // progress: the caller left, the deadline passed, or the upstream stalled.
 func (d *delivery) abandoned(ctx context.Context, r dispatcher.Result) bool {
@@ -108,6 +144,10 @@
 // upstreams does not take down one after another as callers retry it.
 func (d *delivery) allowed(ask *placer.PlacementRequest) bool {
 	id := d.outcome.Identity
+	if s, part := d.opts.Quarantine.PartsStanding(d.opts.Timer.Now(), d.parts); s == quarantiner.Barred {
+		d.placementReason, d.outcome.BarredPart = ReasonBarred, d.partName(part)
+		return false
+	}
 	switch v := d.opts.Quarantine.Standing(d.opts.Timer.Now(), id); v.Standing {
 	case quarantiner.Barred:
 		d.placementReason = ReasonBarred
--- a/exchanger/relay.go
+++ b/exchanger/relay.go
@@ -70,7 +70,10 @@
 	if length == 0 {
 		return b, nil
 	}
-	a.events = true
+	if !a.events {
+		a.events = true
+		d.recordBegun(a)
+	}
 	a.choice.Ticket.First(d.opts.Timer.Now())
 	d.observeLead()
 	if d.stream == nil {
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -67,15 +67,16 @@
 
 // Outcome is the result of a request.
 type Outcome struct {
-	Status   int
-	Reason   Reason
-	Detail   string
-	Identity quarantiner.Identity // Identity is zero if the workspace is not known.
-	Route    string
-	Service  string
-	Upstream string
-	PassedTo string // PassedTo is the last host that the request was passed on to; empty if there is none.
-	Attempts int
+	Status     int
+	Reason     Reason
+	Detail     string
+	Identity   quarantiner.Identity // Identity is zero if the workspace is not known.
+	BarredPart string               // BarredPart is the part of the prompt for which the request was refused; empty for none.
+	Route      string
+	Service    string
+	Upstream   string
+	PassedTo   string // PassedTo is the last host that the request was passed on to; empty if there is none.
+	Attempts   int
 	// BrokenOff is the number of attempts whose answers have been broken off by their upstreams.
 	BrokenOff int
 	HeldFull  int // HeldFull is the number of refusals by full upstreams after which the request waited.
--- a/experimenter/endsrun.go
+++ b/experimenter/endsrun.go
@@ -80,7 +80,7 @@
 	for _, r := range lost {
 		req := r.request
 		r.choice.Ticket.Done(m.clock(), placer.ResultUnreachable)
-		req.host.ledger.Ended(m.clock(), req.id, instance, r.sent)
+		req.host.ledger.Ended(m.clock(), quarantiner.Evidence{Request: req.id}, instance, r.sent)
 		if !req.bad && !req.interrupted {
 			req.interrupted = true
 			m.result.Interrupted++
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -19,6 +19,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,6 +60,9 @@
 	Answered  int
 	Ambiguous bool // Ambiguous reports that hosts named different origins.
 
+	Part  string   // Part is the part of the prompt for which the request was refused; empty for none.
+	Parts endParts // Parts are those of a prompt under which an upstream has ended.
+
 	Configuration uint64 // Configuration is the version that handled the request.
 	Error         string `json:"error"`
 	source        string // source is the prefix of the line, such as a host's name.
@@ -313,17 +317,36 @@
 	}
 }
 
-// writeEnds writes the upstreams that ended under the same request, as logged by any host.
+// endParts are the parts of a prompt in a line about the end of an upstream. Other lines have a number of parts.
+type endParts []string
+
+// UnmarshalJSON implements json.Unmarshaler. It ignores what is no list of strings.
+func (p *endParts) UnmarshalJSON(text []byte) error {
+	var ids []string
+	if json.Unmarshal(text, &ids) == nil {
+		*p = ids
+	}
+	return nil
+}
+
+// writeEnds writes the upstreams that ended under the same request, or under the part of its prompt for which it was
+// refused, as logged by any host.
 func writeEnds(b *strings.Builder, lines []Line, end *Line) {
-	if end.Identity == "" {
-		return
+	if end.Identity != "" {
+		writeEndsOf(b, lines, "it", func(l *Line) bool { return l.Identity == end.Identity })
+	}
+	if end.Part != "" {
+		writeEndsOf(b, lines, "part "+end.Part, func(l *Line) bool { return slices.Contains(l.Parts, end.Part) })
 	}
+}
+
+func writeEndsOf(b *strings.Builder, lines []Line, what string, is func(l *Line) bool) {
 	seen := make(map[string]bool)
 	for i := range lines {
 		l := &lines[i]
-		if l.Message == logger.UpstreamEnded && l.Identity == end.Identity && !seen[l.Upstream] && len(seen) < maxContextLines {
+		if l.Message == logger.UpstreamEnded && is(l) && !seen[l.Upstream] && len(seen) < maxContextLines {
 			seen[l.Upstream] = true
-			fmt.Fprintf(b, "  upstream ended under it: %s at %s, seen by %s\n", l.Upstream, l.Time.Format(time.RFC3339), l.source)
+			fmt.Fprintf(b, "  upstream ended under %s: %s at %s, seen by %s\n", what, l.Upstream, l.Time.Format(time.RFC3339), l.source)
 		}
 	}
 }
--- a/internal/commander/operate.go
+++ b/internal/commander/operate.go
@@ -71,7 +71,7 @@
 		Name:      "lift",
 		Usage:     "lift the bar on a request that upstreams crashed on",
 		ArgsUsage: "IDENTITY",
-		Description: "IDENTITY is in the log line RequestBarred and in the state dump. The host notifies all other hosts.\n" +
+		Description: "IDENTITY is in the log lines RequestBarred and PartBarred and in the state dump. The host notifies all other hosts.\n" +
 			"If upstreams crash on the request again, it is barred again.",
 		Flags: operatorFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -16,6 +16,8 @@
 	RequestEnded         = "RequestEnded"
 	UpstreamEnded        = "UpstreamEnded"
 	RequestBarred        = "RequestBarred"
+	PartBarred           = "PartBarred"
+	PartTried            = "PartTried"
 	UpstreamLeaving      = "UpstreamLeaving"
 	AnswerBrokenOff      = "AnswerBrokenOff"
 	RestBegun            = "RestBegun"
@@ -75,7 +77,7 @@
 // Kinds lists all events.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, AnswerBrokenOff, UpstreamEnded, RequestBarred, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
+	UpstreamChosen, RequestEnded, AnswerBrokenOff, UpstreamEnded, RequestBarred, PartBarred, PartTried, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
--- a/quarantiner/entry.go
+++ b/quarantiner/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,21 @@
 	Ends     []string      `cbor:"2,keyasint,omitempty"` // Ends are the upstream instances that ended under it.
 	Cleared  []string      `cbor:"3,keyasint,omitempty"` // Cleared are ends that no longer count.
 	Age      time.Duration `cbor:"4,keyasint,omitempty"` // Age is the time since the record last changed.
+	// Requests has, for a part of prompts, the key of a request with it for each of Ends; it is empty for a request.
+	Requests []uint64      `cbor:"5,keyasint,omitempty"`
+	Span     time.Duration `cbor:"6,keyasint,omitempty"` // Span is the time from the first end to the last one.
+	Trials   int           `cbor:"7,keyasint,omitempty"` // Trials is the number of times that a bar was suspended for one request.
+}
+
+// OfPart reports whether the entry is about a part of prompts.
+func (w *Entry) OfPart() bool { return len(w.Requests) > 0 }
+
+// request returns the key of the request of an end; 0 if the entry is about a request.
+func (w *Entry) request(i int) uint64 {
+	if i < len(w.Requests) {
+		return w.Requests[i]
+	}
+	return 0
 }
 
 // endedStarts returns all upstream instances that the words report as ended.
@@ -29,15 +45,60 @@
 	return ends
 }
 
+// end is the end of an upstream instance under an identity.
+type end struct {
+	instance string
+	request  uint64 // request is the key of a request with the part that was in progress; 0 in records of requests.
+}
+
 // record is the local record of one identity.
 type record struct {
-	ends         []string // ends are in the order in which they became known.
+	part         bool  // part reports that it is about a part of prompts.
+	ends         []end // ends are in the order in which they became known.
 	cleared      []string
+	firstAt      time.Time // firstAt is when the first end became known, lastAt when the last one did.
+	lastAt       time.Time
 	changedAt    time.Time // changedAt is when the record last changed.
 	lastLocalEnd time.Time // lastLocalEnd is when this host last observed an end itself.
+	trials       int       // trials counts the requests for which the bar was suspended.
 }
 
-func (r *record) barred() bool { return len(r.ends) >= BarThreshold }
+// barred reports whether no request may be sent. A part is barred only if upstreams have ended under different requests
+// with it, and not all at once.
+func (r *record) barred() bool {
+	if len(r.ends) < BarThreshold {
+		return false
+	}
+	return !r.part || r.requests() >= minPartRequests && r.lastAt.Sub(r.firstAt) >= minPartSpan
+}
+
+// requests returns the number of different requests of the ends.
+func (r *record) requests() int {
+	seen := make(map[uint64]bool, len(r.ends))
+	for _, e := range r.ends {
+		seen[e.request] = true
+	}
+	return len(seen)
+}
+
+// covers reports whether all ends of another record are also ends of this one.
+func (r *record) covers(other *record) bool {
+	return !slices.ContainsFunc(other.ends, func(e end) bool { return r.index(e.instance) < 0 })
+}
+
+// index returns the index of the end of an instance, or -1.
+func (r *record) index(instance string) int {
+	return slices.IndexFunc(r.ends, func(e end) bool { return e.instance == instance })
+}
+
+// instances returns the instances that have ended.
+func (r *record) instances() []string {
+	var out []string
+	for _, e := range r.ends {
+		out = append(out, e.instance)
+	}
+	return out
+}
 
 func (r *record) empty() bool { return len(r.ends) == 0 && len(r.cleared) == 0 }
 
@@ -47,32 +108,53 @@
 func (r *record) multipleEnds() bool { return len(r.ends)+len(r.cleared) > 1 }
 
 // ttl is how long the record is kept after its last change.
-func (r *record) ttl() time.Duration { return recordTTL(r.ends) }
+func (r *record) ttl() time.Duration { return recordTTL(len(r.ends)) }
 
-func (w *Entry) ttl() time.Duration { return recordTTL(w.Ends) }
+func (w *Entry) ttl() time.Duration { return recordTTL(len(w.Ends)) }
 
-func recordTTL(ends []string) time.Duration {
-	if len(ends) >= BarThreshold {
+func recordTTL(ends int) time.Duration {
+	if ends >= BarThreshold {
 		return barTTL
 	}
 	return suspectTTL
 }
 
-// add records an end and reports whether it is new.
-func (r *record) add(instance string) bool {
-	if slices.Contains(r.ends, instance) || slices.Contains(r.cleared, instance) || len(r.ends) >= maxEnds {
+// add records an end and reports whether it is new. Hosts that know different requests for one end agree on the one with
+// the smallest key.
+func (r *record) add(e end) bool {
+	if i := r.index(e.instance); i >= 0 {
+		if e.request == 0 || e.request >= r.ends[i].request {
+			return false
+		}
+		r.ends[i].request = e.request
+		return true
+	}
+	if slices.Contains(r.cleared, e.instance) || len(r.ends) >= maxEnds {
 		return false
 	}
-	r.ends = append(r.ends, instance)
+	r.ends = append(r.ends, e)
 	return true
 }
 
+// extend records when ends became known.
+func (r *record) extend(first, last time.Time) {
+	if r.firstAt.IsZero() || first.Before(r.firstAt) {
+		r.firstAt = first
+	}
+	if last.After(r.lastAt) {
+		r.lastAt = last
+	}
+}
+
 // clear marks an end as cleared and reports whether it was not yet.
 func (r *record) clear(instance string) bool {
 	if slices.Contains(r.cleared, instance) {
 		return false
 	}
-	r.ends = slices.DeleteFunc(r.ends, func(s string) bool { return s == instance })
+	r.ends = slices.DeleteFunc(r.ends, func(e end) bool { return e.instance == instance })
+	if len(r.ends) == 0 {
+		r.firstAt, r.lastAt = time.Time{}, time.Time{}
+	}
 	r.cleared = append(r.cleared, instance)
 	if over := len(r.cleared) - maxEnds; over > 0 {
 		r.cleared = r.cleared[over:]
@@ -82,7 +164,7 @@
 
 // clearAll clears all ends and reports whether there were any.
 func (r *record) clearAll() bool {
-	counted := slices.Clone(r.ends)
+	counted := r.instances()
 	for _, instance := range counted {
 		r.clear(instance)
 	}
@@ -92,11 +174,15 @@
 // merge adds the record of another host and reports whether this one changed.
 func (r *record) merge(w Entry) bool {
 	changed := false
+	r.part = r.part || w.OfPart()
 	for _, instance := range w.Cleared {
 		changed = r.clear(instance) || changed
 	}
-	for _, instance := range w.Ends {
-		changed = r.add(instance) || changed
+	for i, instance := range w.Ends {
+		changed = r.add(end{instance: instance, request: w.request(i)}) || changed
+	}
+	if w.Trials > r.trials {
+		r.trials, changed = w.Trials, true
 	}
 	return changed
 }
@@ -111,8 +197,11 @@
 	if r.barred() {
 		sum = xxhash.Sum64String(string(id[:]))
 	} else {
-		for _, instance := range r.ends {
-			sum ^= xxhash.Sum64String(string(id[:]) + "+" + instance)
+		for _, e := range r.ends {
+			sum ^= xxhash.Sum64String(string(id[:]) + "+" + e.instance)
+			if e.request != 0 {
+				sum ^= xxhash.Sum64String(string(id[:]) + "+" + e.instance + "/" + strconv.FormatUint(e.request, 16))
+			}
 		}
 	}
 	for _, instance := range r.cleared {
@@ -122,5 +211,12 @@
 }
 
 func (r *record) snapshot(now time.Time, id Identity) Entry {
-	return Entry{Identity: id, Ends: slices.Clone(r.ends), Cleared: slices.Clone(r.cleared), Age: max(0, now.Sub(r.changedAt))}
+	w := Entry{Identity: id, Ends: r.instances(), Cleared: slices.Clone(r.cleared), Age: max(0, now.Sub(r.changedAt)), Trials: r.trials}
+	if r.part {
+		w.Span = max(0, r.lastAt.Sub(r.firstAt))
+		for _, e := range r.ends {
+			w.Requests = append(w.Requests, e.request)
+		}
+	}
+	return w
 }
--- a/quarantiner/identity.go
+++ b/quarantiner/identity.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 
 	"github.com/pkg/errors"
 )
@@ -42,17 +43,34 @@
 	Body      []byte
 }
 
-// Identify returns the identity of a request. The hash is cryptographic so that a workspace cannot forge
-// a request with the identity of another workspace's.
-func Identify(p Parts) Identity {
+// IdentifyPart returns the identity of a part of prompts for a model. workspace is empty unless the workspace shares
+// no parts with others.
+func IdentifyPart(workspace, model, part string) Identity {
 	h := sha256.New()
-	for _, s := range []string{p.Workspace, p.Method, p.Host, p.Target} {
+	h.Write([]byte{0xff}) // no request begins with it, as that is a length
+	writeStrings(h, workspace, model, part)
+	return sumIdentity(h)
+}
+
+func writeStrings(h hash.Hash, list ...string) {
+	for _, s := range list {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(s)))
-		h.Write(length[:]) // the length separates the part from the next
+		h.Write(length[:]) // the length separates the string from the next
 		h.Write([]byte(s))
 	}
-	h.Write(p.Body)
+}
+
+func sumIdentity(h hash.Hash) Identity {
 	var sum [sha256.Size]byte
 	return Identity(h.Sum(sum[:0])[:len(Identity{})])
 }
+
+// Identify returns the identity of a request. The hash is cryptographic so that a workspace cannot forge
+// a request with the identity of another workspace's.
+func Identify(p Parts) Identity {
+	h := sha256.New()
+	writeStrings(h, p.Workspace, p.Method, p.Host, p.Target)
+	h.Write(p.Body)
+	return sumIdentity(h)
+}
--- a/quarantiner/ledger.go
+++ b/quarantiner/ledger.go
@@ -59,33 +59,41 @@
 type Options struct {
 	// Changed is called, if set, when TakeChanges has new entries. It must not block or call the Ledger.
 	Changed func()
-	// Barred is called, if set, when a request becomes barred. It must not block or call the Ledger.
+	// Barred is called, if set, when a request or a part becomes barred. It must not block or call the Ledger.
 	Barred func(w Entry)
+	// Tries reports whether this host is the one that suspends the bar of a part for a request; nil means that none
+	// does. It must not block or call the Ledger.
+	Tries func(part Identity) bool
 }
 
 // Ledger records the upstream ends of each request. It is safe for concurrent use.
 type Ledger struct {
 	opts Options
 	size atomic.Int64 // size is len(records), readable without the lock.
-
-	mu        sync.Mutex
-	records   map[Identity]*record
-	unsent    map[Identity]struct{} // unsent are identities whose changes TakeChanges has not returned yet.
-	digest    uint64                // digest is the XOR of the digests of all records.
-	served    recentSet
-	abandoned []abandonment // abandoned are recently abandoned requests, oldest first.
+	// parts is the number of records of parts, readable without the lock.
+	parts atomic.Int64
+
+	mu      sync.Mutex
+	records map[Identity]*record
+	unsent  map[Identity]struct{} // unsent are identities whose changes TakeChanges has not returned yet.
+	digest  uint64                // digest is the XOR of the digests of all records.
+	served  recentSet
+	begun   recentTimes // begun are the parts with which upstreams have lately begun answers.
+	// barredParts are the parts that are barred.
+	barredParts map[Identity]struct{}
+	abandoned   []abandonment // abandoned are recently abandoned requests, oldest first.
 }
 
 // abandonment is a request that was abandoned while it was running at an upstream instance.
 type abandonment struct {
-	id       Identity
+	evidence Evidence
 	instance string
 	at       time.Time
 }
 
 // New returns an empty ledger.
 func New(opts Options) *Ledger {
-	return &Ledger{opts: opts, records: make(map[Identity]*record), unsent: make(map[Identity]struct{})}
+	return &Ledger{opts: opts, records: make(map[Identity]*record), unsent: make(map[Identity]struct{}), barredParts: make(map[Identity]struct{})}
 }
 
 // Standing returns the status of a request.
@@ -100,34 +108,42 @@
 	case r == nil || len(r.ends) == 0 || now.Sub(r.changedAt) >= r.ttl():
 		return Verdict{Standing: Free}
 	case r.barred():
-		return Verdict{Standing: Barred, Ends: slices.Clone(r.ends)}
+		return Verdict{Standing: Barred, Ends: r.instances()}
 	}
-	return Verdict{Standing: Suspect, Ends: slices.Clone(r.ends)}
+	return Verdict{Standing: Suspect, Ends: r.instances()}
 }
 
 // Ended records that an upstream instance ended while running a request that was sent at the given time.
 // A request sent after the previous end was a retry, and its upstream may have ended by the same event;
-// copies that were sent concurrently count separately.
-func (l *Ledger) Ended(now time.Time, id Identity, instance string, sent time.Time) {
+// copies that were sent concurrently count separately. The end counts for the parts of its prompt as well.
+func (l *Ledger) Ended(now time.Time, ev Evidence, instance string, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countAbandoned(now, map[string]bool{instance: true})
-	if r := l.records[id]; r != nil && now.Sub(r.lastLocalEnd) < sameEventWindow && !sent.Before(r.lastLocalEnd) {
+	if r := l.records[ev.Request]; r != nil && now.Sub(r.lastLocalEnd) < sameEventWindow && !sent.Before(r.lastLocalEnd) {
 		return
 	}
-	l.recordEnd(now, id, instance)
+	l.recordEnds(now, &ev, instance)
+}
+
+// recordEnds records an end for a request and its parts; l.mu is held.
+func (l *Ledger) recordEnds(now time.Time, ev *Evidence, instance string) {
+	l.recordEnd(now, ev.Request, instance)
+	for _, part := range ev.Parts {
+		l.recordPartEnd(now, part, ev.Request, instance)
+	}
 }
 
 // Abandoned records that a request was abandoned, by its caller or at its deadline, while it may have been
 // running at an upstream instance. Otherwise callers that disconnect and retry could end one upstream
 // after another unnoticed.
-func (l *Ledger) Abandoned(now time.Time, id Identity, instance string) {
+func (l *Ledger) Abandoned(now time.Time, ev Evidence, instance string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if over := len(l.abandoned) - maxAbandoned + 1; over > 0 {
 		l.abandoned = l.abandoned[over:]
 	}
-	l.abandoned = append(l.abandoned, abandonment{id: id, instance: instance, at: now})
+	l.abandoned = append(l.abandoned, abandonment{evidence: ev, instance: instance, at: now})
 }
 
 // InstanceEnded records that an upstream instance ended without a running request of this host.
@@ -148,7 +164,7 @@
 	l.abandoned = l.abandoned[fresh:]
 	for _, d := range l.abandoned {
 		if ended[d.instance] {
-			l.recordEnd(now, d.id, d.instance)
+			l.recordEnds(now, &d.evidence, d.instance)
 		}
 	}
 }
@@ -158,7 +174,7 @@
 	if l.served.has(id) {
 		return // a request that crashes upstreams is never served
 	}
-	if l.update(now, id, func(r *record) bool { return r.add(instance) }) {
+	if l.update(now, id, func(r *record) bool { return r.add(end{instance: instance}) }) {
 		l.records[id].lastLocalEnd = now
 		l.announce(id)
 	}
@@ -182,7 +198,7 @@
 // clear clears the ends of a request; l.mu is held.
 func (l *Ledger) clear(now time.Time, id Identity) bool {
 	r := l.records[id]
-	if r == nil || !l.update(now, id, (*record).clearAll) {
+	if r == nil || len(r.ends) == 0 || !l.update(now, id, (*record).clearAll) {
 		return false
 	}
 	if r.multipleEnds() {
@@ -210,18 +226,24 @@
 	for _, w := range entries {
 		if w.Age < w.ttl() {
 			free := !l.barred(w.Identity)
-			l.update(now.Add(-w.Age), w.Identity, func(r *record) bool { return r.merge(w) })
+			l.mergeEntry(now, w)
 			if free && l.barred(w.Identity) {
 				barred = append(barred, l.records[w.Identity].snapshot(now, w.Identity))
 			}
 		}
-		if l.served.has(w.Identity) {
+		if l.served.has(w.Identity) || l.begun.has(now, w.Identity) {
 			l.clear(now, w.Identity)
 		}
 	}
 	return barred
 }
 
+// mergeEntry merges the record of another host; l.mu is held.
+func (l *Ledger) mergeEntry(now time.Time, w Entry) {
+	at := now.Add(-w.Age)
+	l.updateEnds(at, at.Add(-w.Span), w.Identity, func(r *record) bool { return r.merge(w) })
+}
+
 // barred reports whether a request is barred; l.mu is held.
 func (l *Ledger) barred(id Identity) bool {
 	r := l.records[id]
@@ -231,23 +253,39 @@
 // update applies do to a record, of which an entry arrived at the given time, and reports whether it changed;
 // l.mu is held.
 func (l *Ledger) update(at time.Time, id Identity, do func(r *record) bool) bool {
+	return l.updateEnds(at, time.Time{}, id, do)
+}
+
+// updateEnds is update with ends of which the first was at an earlier time, zero for no ends; l.mu is held.
+func (l *Ledger) updateEnds(at, first time.Time, id Identity, do func(r *record) bool) bool {
 	r := l.records[id]
 	if r == nil {
 		l.evict()
 		r = &record{}
 		l.records[id] = r
 	}
-	before, free := r.digest(id), !r.barred()
+	before, free, part := r.digest(id), !r.barred(), r.part
 	changed := do(r)
+	if !part && r.part {
+		l.parts.Add(1)
+	}
 	if changed && at.After(r.changedAt) {
 		r.changedAt = at
 	}
+	if !first.IsZero() && len(r.ends) > 0 {
+		r.extend(first, at)
+	}
 	l.digest ^= before ^ r.digest(id)
 	if free && r.barred() && l.opts.Barred != nil {
 		l.opts.Barred(r.snapshot(at, id))
 	}
+	if r.part && r.barred() {
+		l.barredParts[id] = struct{}{}
+	} else {
+		delete(l.barredParts, id)
+	}
 	if r.empty() {
-		delete(l.records, id)
+		l.remove(id)
 	}
 	l.size.Store(int64(len(l.records)))
 	return changed
@@ -269,8 +307,12 @@
 
 func (l *Ledger) remove(id Identity) {
 	l.digest ^= l.records[id].digest(id)
+	if l.records[id].part {
+		l.parts.Add(-1)
+	}
 	delete(l.records, id)
 	delete(l.unsent, id)
+	delete(l.barredParts, id)
 	l.size.Store(int64(len(l.records)))
 }
 
@@ -342,5 +384,8 @@
 	return l.digest
 }
 
-// Len returns the number of identities recorded.
-func (l *Ledger) Len() int { return int(l.size.Load()) }
+// Len returns the number of requests recorded.
+func (l *Ledger) Len() int { return int(l.size.Load() - l.parts.Load()) }
+
+// Parts returns the number of parts of prompts recorded.
+func (l *Ledger) Parts() int { return int(l.parts.Load()) }
--- a/quarantiner/ledger_test.go
+++ b/quarantiner/ledger_test.go
@@ -20,6 +20,12 @@
 
 func identityOf(name string) Identity { return Identify(Parts{Target: name}) }
 
+// partOf returns the identity of a part.
+func partOf(n int) Identity { return IdentifyPart("", "m", fmt.Sprint(n)) }
+
+// evidenceOf returns the evidence of a request without parts.
+func evidenceOf(name string) Evidence { return Evidence{Request: identityOf(name)} }
+
 type step struct {
 	Host string // Host is where the step happens.
 	// Do is "ended REQUEST START" or "ended REQUEST START RUN", "left REQUEST START", "gone REQUEST START",
@@ -73,9 +79,9 @@
 		verb := strings.Fields(s.Do)
 		switch verb[0] {
 		case "ended":
-			l.Ended(now, identityOf(verb[1]), verb[2], sentAt(t, now, s, verb))
+			l.Ended(now, evidenceOf(verb[1]), verb[2], sentAt(t, now, s, verb))
 		case "left":
-			l.Abandoned(now, identityOf(verb[1]), verb[2])
+			l.Abandoned(now, evidenceOf(verb[1]), verb[2])
 		case "gone":
 			l.InstanceEnded(now, verb[2])
 		case "served":
@@ -114,8 +120,11 @@
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
 				l.Lift(now, id)
+			case 1:
+				l.Begun(now, []Identity{partOf(rapid.IntRange(0, 1).Draw(t, "begun"))})
 			default:
-				l.Ended(now, id, fmt.Sprint("start-", rapid.IntRange(0, 5).Draw(t, "start")), now)
+				ev := Evidence{Request: id, Parts: []Identity{partOf(rapid.IntRange(0, 1).Draw(t, "part"))}}
+				l.Ended(now, ev, fmt.Sprint("start-", rapid.IntRange(0, 5).Draw(t, "start")), now)
 			}
 			entries = append(entries, l.Entries(now)...)
 		}
@@ -128,6 +137,12 @@
 			id := identityOf(fmt.Sprint(i))
 			assert.Equal(t, a.Standing(now, id).Standing, b.Standing(now, id).Standing)
 		}
+		for i := range 2 {
+			parts := []Identity{partOf(i)}
+			s, _ := a.PartsStanding(now, parts)
+			other, _ := b.PartsStanding(now, parts)
+			assert.Equal(t, s, other)
+		}
 	})
 }
 
@@ -138,11 +153,11 @@
 	l := New(Options{})
 	for i := range BarThreshold {
 		now = now.Add(time.Second)
-		l.Ended(now, identityOf("bad"), fmt.Sprint(i), now)
+		l.Ended(now, evidenceOf("bad"), fmt.Sprint(i), now)
 	}
 	for i := range 3 * maxRecords {
 		now = now.Add(time.Millisecond)
-		l.Ended(now, identityOf(fmt.Sprint("request-", i)), "start", now)
+		l.Ended(now, evidenceOf(fmt.Sprint("request-", i)), "start", now)
 	}
 	assert.Assert(t, l.Len() <= maxRecords)
 	assert.Equal(t, l.Standing(now, identityOf("bad")).Standing, Barred)
@@ -163,7 +178,7 @@
 	now := time.Unix(1000, 0)
 	l := New(Options{})
 	for i := range 1000 {
-		l.Ended(now, identityOf(fmt.Sprint(i)), "start", now)
+		l.Ended(now, evidenceOf(fmt.Sprint(i)), "start", now)
 	}
 	id := identityOf("innocent")
 	b.ReportAllocs()
