explainer: Say where an answer of a request was broken off

The lines of answers that were broken off (ORDER) name framing, ending and bytes, and 'explain' did not show them: a caller's report of a cut answer led to the line of its request only. It lists them now, with the upstream or the host that the request was passed on to, as logged by any host; explainer.TestExplainParts has one.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -16,6 +16,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -60,8 +61,11 @@
 	Answered  int
 	Ambiguous bool // Ambiguous reports that hosts named different origins.
 
-	Part  string   // Part is the part of the prompt for which the request was refused; empty for none.
-	Parts endParts // Parts are those of a prompt under which an upstream has ended.
+	Part    string   // Part is the part of the prompt for which the request was refused; empty for none.
+	Parts   endParts // Parts are those of a prompt under which an upstream has ended.
+	Framing string   // Framing and Ending say how an answer was framed and where it broke off.
+	Ending  string
+	Bytes   int // Bytes is the length of the body received of that answer.
 
 	Configuration uint64 // Configuration is the version that handled the request.
 	Error         string `json:"error"`
@@ -163,6 +167,7 @@
 			l.write(&b)
 			l.writeStream(&b, lines)
 			chosen.writeConfiguration(&b)
+			writeBroken(&b, lines, l)
 			writeEnds(&b, lines, l)
 			writeContext(&b, lines, l)
 		case l.Message == logger.UpstreamChosen:
@@ -351,6 +356,17 @@
 	}
 }
 
+// writeBroken writes the answers of a request's attempts that were broken off.
+func writeBroken(b *strings.Builder, lines []Line, end *Line) {
+	for i := range lines {
+		l := &lines[i]
+		if l.Message == logger.AnswerBrokenOff && l.RequestID == end.RequestID {
+			fmt.Fprintf(b, "  answer of %s broke off after %d bytes: framing %s, ending %s, seen by %s\n",
+				cmp.Or(l.Upstream, l.PassedTo), l.Bytes, l.Framing, l.Ending, l.source)
+		}
+	}
+}
+
 // writeContext writes what the host logged shortly before about the upstreams tried and about its
 // dependencies.
 func writeContext(b *strings.Builder, lines []Line, end *Line) {
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -96,20 +96,23 @@
 }
 
 // TestExplainParts checks that the report on a request that was refused for a part of its prompt has the upstreams that
-// ended under that part.
+// ended under that part, and that on an answer has where it broke off.
 func TestExplainParts(t *testing.T) {
 	f, err := os.Open("testdata/parts.txt")
 	assert.NilError(t, err)
 	defer func() { _ = f.Close() }()
 	lines, err := Read(f, "")
 	assert.NilError(t, err)
-	assert.Equal(t, len(lines), 5)
+	assert.Equal(t, len(lines), 7)
 	report, ok := Explain(lines, "bad-3")
 	assert.Assert(t, ok)
 	for _, w := range []string{"ended under part 91bd: u1@a", "ended under part 91bd: u2@b at 2026-03-12T03:00:02Z, seen by host-2"} {
 		assert.Assert(t, strings.Contains(report, w), "%q is not in\n%s", w, report)
 	}
 	assert.Assert(t, !strings.Contains(report, "u4@d"), report)
+	report, ok = Explain(lines, "cut")
+	assert.Assert(t, ok)
+	assert.Assert(t, strings.Contains(report, "answer of u1@a broke off after 62 bytes: framing Connection, ending InsideEvent, seen by host-1"), report)
 }
 
 // TestExplainPassedOn checks that the report on a request that was passed on has both hosts, and that it counts once.
