quarantiner: Ask for three different requests before a part is barred

A sound part was barred and 116 requests with it were refused. The host's lines show why: one deadly request ended two engines, the second by its repeat, and a sound request with the same other part was in progress at a third one, so that three ends under two requests spoke against that part. Nothing with it had begun since the start of the hosts.

A repeat of one request shows nothing new of its parts, so that a part is barred by ends under three different requests now. And a part of which all ends but one are also those of another barred part, which has two more of its own, is no reason to refuse a request without that one.

--- a/quarantiner/entry.go
+++ b/quarantiner/entry.go
@@ -81,9 +81,15 @@
 	return len(seen)
 }
 
-// covers reports whether all ends of another record are also ends of this one.
-func (r *record) covers(other *record) bool {
-	return !slices.ContainsFunc(other.ends, func(e end) bool { return r.index(e.instance) < 0 })
+// endsBeside returns the number of ends that another record lacks.
+func (r *record) endsBeside(other *record) int {
+	n := 0
+	for _, e := range r.ends {
+		if other.index(e.instance) < 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // index returns the index of the end of an instance, or -1.
--- a/quarantiner/parts.go
+++ b/quarantiner/parts.go
@@ -11,13 +11,17 @@
 const (
 	// minPartRequests is the number of different requests with a part under which upstreams must have ended before the
 	// part is barred. Repeats of one request may have another cause.
-	minPartRequests = 2
+	minPartRequests = 3
 	// minPartSpan is the least time from the first end to the last one of a part that is barred. Upstreams that end
 	// together, as with their rack or zone, end for another cause.
 	minPartSpan = 100 * time.Millisecond
 	// begunTTL is how long no end counts for a part after an upstream has begun an answer with it; it may be up to
 	// twice as long.
 	begunTTL = 2 * time.Second
+	// maxUnexplained is the number of ends of a part that may have had another cause if those before are also ends of a
+	// part with minOwnEnds more.
+	maxUnexplained = 1
+	minOwnEnds     = 2
 	// maxBegun bounds the parts remembered for each begunTTL.
 	maxBegun = 16384
 )
@@ -48,8 +52,8 @@
 }
 
 // PartsStanding returns the status of a request by the parts of its prompt, and the part that bars it. A part is no
-// reason to refuse a request if all its ends are also those of another barred part that the request lacks: the other one
-// may be the cause, and an answer to this request shows whether it is.
+// reason to refuse a request if another barred part, which the request lacks, explains its ends: an answer to this request
+// shows whether it does.
 func (l *Ledger) PartsStanding(now time.Time, parts []Identity) (Standing, Identity) {
 	if l.size.Load() == 0 || len(parts) == 0 {
 		return Free, Identity{}
@@ -66,10 +70,16 @@
 	return Free, Identity{}
 }
 
-// explained reports whether another barred part, which is not among parts, has all ends of a record; l.mu is held.
+// explained reports whether another barred part, which is not among parts, explains the ends of a record: it has all of
+// them, or all but a few and more of its own; l.mu is held.
 func (l *Ledger) explained(r *record, parts []Identity) bool {
 	for id := range l.barredParts {
-		if other := l.records[id]; other != r && !slices.Contains(parts, id) && other.covers(r) {
+		other := l.records[id]
+		if other == r || slices.Contains(parts, id) {
+			continue
+		}
+		switch rest := r.endsBeside(other); {
+		case rest == 0, rest <= maxUnexplained && other.endsBeside(r) >= minOwnEnds:
 			return true
 		}
 	}
