exchanger: Keep the suspended bar of a part for the request that got it

The ledger says Suspect for a trial, and the request keeps it for all its attempts. exchanger.TestTrialOfPart: 503 without that, 200 with it, and the answer lifts the bar.

--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -46,6 +46,7 @@
 	retryAfter    time.Duration // retryAfter is when the caller may retry, if placementReason gives a time.
 	unreached     int           // unreached is the number of upstreams to which no connection could be opened.
 	passing       passing
+	triesPart     bool // triesPart reports that the bar of a part of the prompt is suspended for the request.
 	// origin is where the caller's stream began, once the caller has a part of it; zero before, and if it is not known.
 	origin registrar.Origin
 }
--- a/exchanger/quarantine.go
+++ b/exchanger/quarantine.go
@@ -33,12 +33,12 @@
 		parts.Workspace = e.workspace.Name
 	}
 	e.outcome.Identity = quarantiner.Identify(parts)
-	walled := ""
+	isolated := ""
 	if e.workspace != nil && e.workspace.Isolated {
-		walled = e.workspace.Name
+		isolated = e.workspace.Name
 	}
 	for _, id := range e.sharedParts() {
-		e.parts = append(e.parts, quarantiner.IdentifyPart(walled, e.request.Prompt.Model, id))
+		e.parts = append(e.parts, quarantiner.IdentifyPart(isolated, e.request.Prompt.Model, id))
 	}
 }
 
@@ -114,6 +114,23 @@
 	return ids
 }
 
+// partsAllowed reports whether the request may be sent with the parts of its prompt. A request for which a bar is
+// suspended keeps that.
+func (d *delivery) partsAllowed() bool {
+	if d.triesPart {
+		return true
+	}
+	standing, part := d.opts.Quarantine.PartsStanding(d.opts.Timer.Now(), d.parts)
+	switch standing {
+	case quarantiner.Barred:
+		d.placementReason, d.outcome.BarredPart = ReasonBarred, d.partName(part)
+		return false
+	case quarantiner.Suspect:
+		d.triesPart = true
+	}
+	return true
+}
+
 // partName returns the ID of a part of the prompt by its identity.
 func (e *exchange) partName(id quarantiner.Identity) string {
 	i := slices.Index(e.parts, id)
@@ -144,8 +161,7 @@
 // upstreams does not take down one after another as callers retry it.
 func (d *delivery) allowed(ask *placer.PlacementRequest) bool {
 	id := d.outcome.Identity
-	if s, part := d.opts.Quarantine.PartsStanding(d.opts.Timer.Now(), d.parts); s == quarantiner.Barred {
-		d.placementReason, d.outcome.BarredPart = ReasonBarred, d.partName(part)
+	if !d.partsAllowed() {
 		return false
 	}
 	switch v := d.opts.Quarantine.Standing(d.opts.Timer.Now(), id); v.Standing {
--- a/exchanger/quarantine_test.go
+++ b/exchanger/quarantine_test.go
@@ -4,6 +4,8 @@
 package exchanger
 
 import (
+	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -86,3 +88,40 @@
 		})
 	}
 }
+
+// TestTrialOfPart guards against a request that is refused although the bar of a part of its prompt is suspended for it.
+func TestTrialOfPart(t *testing.T) {
+	view := testView("Resumable")
+	var views atomic.Pointer[follower.View]
+	views.Store(view)
+	p := placer.New(placer.Options{})
+	p.Update(view)
+	tries := false
+	ledger := quarantiner.New(quarantiner.Options{Tries: func(quarantiner.Identity) bool { return tries }})
+	part := quarantiner.IdentifyPart("", "m", "bad")
+	at := time.Now().Add(-time.Hour)
+	for i := range quarantiner.BarThreshold {
+		ev := quarantiner.Evidence{Request: quarantiner.Identify(quarantiner.Parts{Target: fmt.Sprint(i)}), Parts: []quarantiner.Identity{part}}
+		ledger.Ended(at.Add(time.Duration(i)*time.Second), ev, fmt.Sprint("start-", i), at)
+	}
+	x := New(Options{
+		Views: &views, Placer: p, Sender: &scriptedSender{script: []string{"events 3", "events 3"}}, Timer: timer.NewSystem(), Quarantine: ledger,
+		Budget: retrier.NewSharedBudgets(retrier.Allowance{Share: 1, Slack: 100}),
+	})
+	ask := func(id string) (Outcome, int) {
+		caller := &recorder{}
+		prompt := &placer.Prompt{Model: "m", Parts: []placer.Part{{ID: "bad", Tokens: 10}, {ID: id, Tokens: 10}}}
+		o := x.Handle(t.Context(), &Request{ID: id, Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key", Prompt: prompt}, caller)
+		return o, caller.status
+	}
+	o, status := ask("1")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, o.Reason, ReasonBarred)
+	assert.Equal(t, o.BarredPart, "bad")
+	tries = true
+	o, status = ask("2")
+	assert.Equal(t, status, http.StatusOK, "%+v", o)
+	tries = false
+	_, status = ask("3")
+	assert.Equal(t, status, http.StatusOK, "the answer has lifted the bar")
+}
--- a/exchanger/ready_test.go
+++ b/exchanger/ready_test.go
@@ -35,6 +35,18 @@
 	return b.view
 }
 
+// handle has an Exchanger with this view handle a request, whose upstreams answer at once, and returns the status.
+func (b *lateView) handle(r *Request) (int, Outcome) {
+	p := placer.New(placer.Options{})
+	p.Update(b.view)
+	sender := &blockingSender{release: make(chan struct{})}
+	close(sender.release)
+	x := New(Options{Views: b, Placer: p, Sender: sender, Budget: retrier.NewSharedBudgets(retrier.Allowance{}), Timer: timer.NewSystem()})
+	caller := &recorder{}
+	o := x.Handle(context.Background(), r, caller)
+	return caller.status, o
+}
+
 // TestHostBecomesReady checks that a request waits for a starting host within the limit,
 // and is refused at once if the caller gives no timeout.
 func TestHostBecomesReady(t *testing.T) {
@@ -51,15 +63,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := &lateView{after: c.after, view: testView("Idempotent")}
-			p := placer.New(placer.Options{})
-			p.Update(b.view)
-			sender := &blockingSender{release: make(chan struct{})}
-			close(sender.release)
-			x := New(Options{Views: b, Placer: p, Sender: sender, Budget: retrier.NewSharedBudgets(retrier.Allowance{}), Timer: timer.NewSystem()})
-			caller := &recorder{}
 			r := &Request{ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key", Timeout: c.patience}
-			x.Handle(context.Background(), r, caller)
-			assert.Equal(t, caller.status, c.want)
+			status, _ := b.handle(r)
+			assert.Equal(t, status, c.want)
 		})
 	}
 }
@@ -80,18 +86,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := &lateView{after: c.after, early: versionedView(1), view: versionedView(2)}
-			p := placer.New(placer.Options{})
-			p.Update(b.view)
-			sender := &blockingSender{release: make(chan struct{})}
-			close(sender.release)
-			x := New(Options{Views: b, Placer: p, Sender: sender, Budget: retrier.NewSharedBudgets(retrier.Allowance{}), Timer: timer.NewSystem()})
-			caller := &recorder{}
 			r := &Request{
 				ID: "1", Start: time.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key", Timeout: time.Second,
 				PassedBy: "host", Configuration: c.configuration,
 			}
-			o := x.Handle(context.Background(), r, caller)
-			assert.Equal(t, caller.status, c.want)
+			status, o := b.handle(r)
+			assert.Equal(t, status, c.want)
 			if c.want != http.StatusOK {
 				assert.Equal(t, o.Reason, ReasonNotReady)
 				assert.Assert(t, !isFinal(o.Reason), "the other host tries the next one")
--- a/quarantiner/parts.go
+++ b/quarantiner/parts.go
@@ -51,7 +51,8 @@
 	}
 }
 
-// PartsStanding returns the status of a request by the parts of its prompt, and the part that bars it. A part is no
+// PartsStanding returns the status of a request by the parts of its prompt, and the part that decides it. The request is
+// Suspect if the bar of that part is suspended for it, which is said once. A part is no
 // reason to refuse a request if another barred part, which the request lacks, explains its ends: an answer to this request
 // shows whether it does.
 func (l *Ledger) PartsStanding(now time.Time, parts []Identity) (Standing, Identity) {
@@ -60,14 +61,18 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	standing, decisive := Free, Identity{}
 	for _, id := range parts {
 		r := l.records[id]
-		if r == nil || !r.part || !r.barred() || now.Sub(r.changedAt) >= r.ttl() || l.explained(r, parts) || l.tries(now, id, r) {
+		if r == nil || !r.part || !r.barred() || now.Sub(r.changedAt) >= r.ttl() || l.explained(r, parts) {
 			continue
 		}
-		return Barred, id
+		if !l.tries(now, id, r) {
+			return Barred, id
+		}
+		standing, decisive = Suspect, id
 	}
-	return Free, Identity{}
+	return standing, decisive
 }
 
 // explained reports whether another barred part, which is not among parts, explains the ends of a record: it has all of
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -69,7 +69,7 @@
 		case "ask":
 			got, part := l.PartsStanding(now, partsOf(verb[1]))
 			assert.Equal(t, string(got), s.Want, "step %d: %s at %s", i+1, s.Do, s.Host)
-			assert.Equal(t, got == Barred, part != Identity{})
+			assert.Equal(t, got != Free, part != Identity{})
 		default:
 			t.Fatalf("unknown step %q", s.Do)
 		}
