quarantiner: Count no end under a part that another cause explains

Three sound requests with a part were in progress at three engines that ended within some seconds, mostly by requests that end engines by themselves, and no answer with the part had begun since all hosts had started again.

- An end counts for no part if it is also that of a barred request that is not known to have the part, or of another barred part that the request lacks and that has more ends of its own.
- A part is barred after four ends instead of three, under three requests or more as before.
A bad request that is repeated causes two.
- A trial has one attempt: its repeat could have ended a second engine.

--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -277,7 +277,7 @@
 		d.beginPassing(a)
 		return a
 	}
-	d.entered = false
+	d.entered, d.triesPart = false, false
 	a.origin = registrar.Origin{Service: choice.Upstream.Service, Software: choice.Upstream.Software}
 	d.tried = append(d.tried, choice.Upstream.ID)
 	d.outcome.Upstream = choice.Upstream.ID
--- a/exchanger/quarantine.go
+++ b/exchanger/quarantine.go
@@ -115,7 +115,7 @@
 }
 
 // partsAllowed reports whether the request may be sent with the parts of its prompt. A request for which a bar is
-// suspended keeps that.
+// suspended keeps that until its next attempt has been sent.
 func (d *delivery) partsAllowed() bool {
 	if d.triesPart {
 		return true
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -19,9 +19,9 @@
 // A part of prompts may crash each upstream that begins to answer, in requests of which no two are alike. The ends of
 // upstreams therefore count for the parts of the prompt as well, except the last one, which no other request has.
 // They count only if the answer had not begun, and not for a part with which an answer has begun lately at that host. A
-// part is barred after BarThreshold ends under as many different requests, unless all were at once; an answer that
-// begins clears it. Where the ends of a barred part are also those of another one, only requests with both are refused,
-// until an answer or another end tells them apart. A bar is suspended for one request after a minute, and once more after an
+// part is barred after PartBarThreshold ends under different requests, unless all were at once; an answer that begins
+// clears it. Ends that a barred request or another barred part explains do not count: of two parts that come together
+// only requests with both are refused, until an answer or another end tells them apart. A bar is suspended for one request after a minute, and once more after an
 // hour.
 //
 // Hosts exchange Entries, each the whole record of one identity. Merging is a union in
--- a/quarantiner/entry.go
+++ b/quarantiner/entry.go
@@ -66,10 +66,10 @@
 // barred reports whether no request may be sent. A part is barred only if upstreams have ended under different requests
 // with it, and not all at once.
 func (r *record) barred() bool {
-	if len(r.ends) < BarThreshold {
-		return false
+	if !r.part {
+		return len(r.ends) >= BarThreshold
 	}
-	return !r.part || r.requests() >= minPartRequests && r.lastAt.Sub(r.firstAt) >= minPartSpan
+	return len(r.ends) >= PartBarThreshold && r.requests() >= minPartRequests && r.lastAt.Sub(r.firstAt) >= minPartSpan
 }
 
 // requests returns the number of different requests of the ends.
@@ -81,6 +81,11 @@
 	return len(seen)
 }
 
+// hasRequest reports whether a request is known to have the part.
+func (r *record) hasRequest(key uint64) bool {
+	return slices.ContainsFunc(r.ends, func(e end) bool { return e.request == key })
+}
+
 // endsBeside returns the number of ends that another record lacks.
 func (r *record) endsBeside(other *record) int {
 	n := 0
--- a/quarantiner/ledger.go
+++ b/quarantiner/ledger.go
@@ -79,9 +79,10 @@
 	digest  uint64                // digest is the XOR of the digests of all records.
 	served  recentSet
 	begun   recentTimes // begun are the parts with which upstreams have lately begun answers.
-	// barredParts are the parts that are barred.
-	barredParts map[Identity]struct{}
-	abandoned   []abandonment // abandoned are recently abandoned requests, oldest first.
+	// barredParts and barredRequests are the parts and requests that are barred.
+	barredParts    map[Identity]struct{}
+	barredRequests map[Identity]struct{}
+	abandoned      []abandonment // abandoned are recently abandoned requests, oldest first.
 }
 
 // abandonment is a request that was abandoned while it was running at an upstream instance.
@@ -93,7 +94,7 @@
 
 // New returns an empty ledger.
 func New(opts Options) *Ledger {
-	return &Ledger{opts: opts, records: make(map[Identity]*record), unsent: make(map[Identity]struct{}), barredParts: make(map[Identity]struct{})}
+	return &Ledger{opts: opts, records: make(map[Identity]*record), unsent: make(map[Identity]struct{}), barredParts: make(map[Identity]struct{}), barredRequests: make(map[Identity]struct{})}
 }
 
 // Standing returns the status of a request.
@@ -279,11 +280,7 @@
 	if free && r.barred() && l.opts.Barred != nil {
 		l.opts.Barred(r.snapshot(at, id))
 	}
-	if r.part && r.barred() {
-		l.barredParts[id] = struct{}{}
-	} else {
-		delete(l.barredParts, id)
-	}
+	l.noteBar(id, r)
 	if r.empty() {
 		l.remove(id)
 	}
@@ -291,6 +288,19 @@
 	return changed
 }
 
+// noteBar keeps barredParts and barredRequests up to date; l.mu is held.
+func (l *Ledger) noteBar(id Identity, r *record) {
+	bars := l.barredRequests
+	if r.part {
+		bars = l.barredParts
+	}
+	if r.barred() {
+		bars[id] = struct{}{}
+	} else {
+		delete(bars, id)
+	}
+}
+
 // Expire removes expired records. It must be called periodically.
 func (l *Ledger) Expire(now time.Time) {
 	if l.size.Load() == 0 {
@@ -313,6 +323,7 @@
 	delete(l.records, id)
 	delete(l.unsent, id)
 	delete(l.barredParts, id)
+	delete(l.barredRequests, id)
 	l.size.Store(int64(len(l.records)))
 }
 
--- a/quarantiner/parts.go
+++ b/quarantiner/parts.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// PartBarThreshold is the number of ends from which a part of prompts is barred.
+	PartBarThreshold = 4
 	// minPartRequests is the number of different requests with a part under which upstreams must have ended before the
 	// part is barred. Repeats of one request may have another cause.
 	minPartRequests = 3
@@ -18,10 +20,6 @@
 	// begunTTL is how long no end counts for a part after an upstream has begun an answer with it; it may be up to
 	// twice as long.
 	begunTTL = 2 * time.Second
-	// maxUnexplained is the number of ends of a part that may have had another cause if those before are also ends of a
-	// part with minOwnEnds more.
-	maxUnexplained = 1
-	minOwnEnds     = 2
 	// maxBegun bounds the parts remembered for each begunTTL.
 	maxBegun = 16384
 )
@@ -53,8 +51,8 @@
 
 // PartsStanding returns the status of a request by the parts of its prompt, and the part that decides it. The request is
 // Suspect if the bar of that part is suspended for it, which is said once. A part is no
-// reason to refuse a request if another barred part, which the request lacks, explains its ends: an answer to this request
-// shows whether it does.
+// reason to refuse a request if the ends under it have another known cause, which the request lacks: an answer to this
+// request shows whether it is the cause.
 func (l *Ledger) PartsStanding(now time.Time, parts []Identity) (Standing, Identity) {
 	if l.size.Load() == 0 || len(parts) == 0 {
 		return Free, Identity{}
@@ -75,20 +73,32 @@
 	return standing, decisive
 }
 
-// explained reports whether another barred part, which is not among parts, explains the ends of a record: it has all of
-// them, or all but a few and more of its own; l.mu is held.
+// explained reports whether so many ends of a part have another known cause that the others are no reason to bar it;
+// l.mu is held. An end has another cause if it is also that of a barred request without the part, or of a barred part
+// that is not among parts and has all ends of this one, or more of its own than this one has beside it.
 func (l *Ledger) explained(r *record, parts []Identity) bool {
+	var causes []*record
+	for id := range l.barredRequests {
+		if !r.hasRequest(id.Key()) {
+			causes = append(causes, l.records[id])
+		}
+	}
 	for id := range l.barredParts {
 		other := l.records[id]
 		if other == r || slices.Contains(parts, id) {
 			continue
 		}
-		switch rest := r.endsBeside(other); {
-		case rest == 0, rest <= maxUnexplained && other.endsBeside(r) >= minOwnEnds:
-			return true
+		if rest := r.endsBeside(other); rest == 0 || other.endsBeside(r) > rest {
+			causes = append(causes, other)
+		}
+	}
+	left := record{part: true}
+	for _, e := range r.ends {
+		if !slices.ContainsFunc(causes, func(c *record) bool { return c.index(e.instance) >= 0 }) {
+			left.ends = append(left.ends, e)
 		}
 	}
-	return false
+	return len(left.ends) < PartBarThreshold || left.requests() < minPartRequests
 }
 
 // tries reports whether the bar of a part is suspended for a request now; l.mu is held. One host does so, and an answer
