--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -254,6 +254,15 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_feed_reads_refused_total{feed=%q}", string(f))).Inc()
 }
 
+// pageNoted counts a page of a feed that was dropped, or that lacked records.
+func (c *counters) pageNoted(kind LogKind, f follower.Feed) {
+	name := "amaranthgate_feed_pages_dropped_total"
+	if kind == LogPageIncomplete {
+		name = "amaranthgate_feed_pages_incomplete_total"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("%s{feed=%q}", name, string(f))).Inc()
+}
+
 func (c *counters) order(r updater.OrderResult) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_orders_total{result=%q}", string(r))).Inc()
 }
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -235,9 +235,12 @@
 	Offset int64
 	Era    uint64 // Era is that of Offset; 0 if the store states none.
 	Age    time.Duration
-	Before follower.Position // Before is the last known position before a loss of records.
+	Before follower.Position // Before is the last known position before a page or a loss of records.
 	// Records is the number of records read after it.
 	Records int
+	From    int64 // From is the first offset that a page covers.
+	Newest  int64 // Newest is the offset of the newest known record.
+	Version uint64
 	Err     error
 }
 
@@ -259,6 +262,9 @@
 	LogLapsedRemoved      LogKind = logger.LapsedEntriesRemoved
 	LogVersionDoubted     LogKind = logger.VersionDoubted
 	LogListingApplied     LogKind = logger.ListingApplied
+	LogPageDropped        LogKind = logger.PageDropped
+	LogPageIncomplete     LogKind = logger.PageIncomplete
+	LogConfigurationTaken LogKind = logger.ConfigurationTaken
 	LogContentionRejected LogKind = logger.ContentionRejected
 )
 
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -184,8 +184,12 @@
 func (n *Node) applyPage(now time.Time, page follower.FeedPage, asOf time.Time) (forwarded []follower.Record) {
 	f := n.feeds[page.Feed]
 	if f.loaded && page.Era < f.next.Era || !page.Full && !f.continuedBy(page) {
+		n.notePage(LogPageDropped, page, f)
 		return nil
 	}
+	if f.lacksRecords(page) {
+		n.notePage(LogPageIncomplete, page, f)
+	}
 	lost := f.loaded && f.next.Era < page.Era
 	for _, r := range page.History {
 		n.applyRecord(now, page.Feed, f, r, true)
@@ -203,6 +207,7 @@
 	}
 	if page.Full {
 		f.lastListing = now
+		n.emit(LogEvent{Kind: LogListingApplied, Feed: page.Feed, Host: n.source.host, Offset: page.Next, Era: page.Era, Newest: f.newestPosition().Offset})
 		n.applyListing(now, page, f)
 	}
 	if lost {
@@ -272,7 +277,6 @@
 			f.drop(key, lastPosition(page))
 		}
 	}
-	n.emit(LogEvent{Kind: LogListingApplied, Feed: page.Feed, Offset: page.Next, Era: page.Era})
 	n.viewDirty = n.state.Replace(now, listed, page.End()) || n.viewDirty
 }
 
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -249,9 +249,13 @@
 	return int(math.Ceil(float64(hosts) / (1 - activeShare)))
 }
 
+// limitedLines are the kinds of lines of which there may be thousands at once. Those of the operators' feed are few.
+var limitedLines = map[LogKind]bool{LogRecordApplied: true, LogHostChanged: true, LogContentionRejected: true,
+	LogPageDropped: true, LogPageIncomplete: true}
+
 func (h *Host) logEvent(e LogEvent) {
 	ev := h.log.Info()
-	if e.Kind == LogRecordApplied || e.Kind == LogHostChanged || e.Kind == LogContentionRejected {
+	if limitedLines[e.Kind] && e.Feed != follower.FeedOperator {
 		ev = h.log.StateChange()
 	}
 	if e.Err != nil {
@@ -271,6 +275,13 @@
 		ev = ev.Uint64("Before", e.Before.Era)
 	case LogFeedRecovered:
 		ev = ev.Stringer("Before", e.Before).Int("Records", e.Records)
+	case LogListingApplied:
+		ev = ev.Int64("Newest", e.Newest)
+	case LogPageDropped, LogPageIncomplete:
+		h.counters.pageNoted(e.Kind, e.Feed)
+		ev = ev.Int64("From", e.From).Stringer("Before", e.Before).Int("Records", e.Records)
+	case LogConfigurationTaken:
+		ev = ev.Uint64("Version", e.Version).Dur("Age", e.Age)
 	}
 	if e.Host != "" {
 		ev = ev.Str("Peer", e.Host)
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -10,6 +10,7 @@
 	"amaranthgate.example/amaranthgate/arbiter"
 	"amaranthgate.example/amaranthgate/follower"
 	"amaranthgate.example/amaranthgate/introducer"
+	"amaranthgate.example/amaranthgate/matcher"
 	"amaranthgate.example/amaranthgate/messenger"
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
@@ -227,8 +228,10 @@
 func (n *Node) publish() {
 	if n.viewDirty {
 		n.viewDirty = false
+		before := n.view.Table
 		n.view = n.state.View()
 		n.emit(PublishView{View: n.view})
+		n.noteConfiguration(before)
 	}
 	n.markReady()
 	if n.hostsDirty && n.hostsPublishDue() {
@@ -241,6 +244,13 @@
 	}
 }
 
+// noteConfiguration logs the configuration of a published view if it is another one than before.
+func (n *Node) noteConfiguration(before *matcher.Table) {
+	if t := n.view.Table; t != before {
+		n.emit(LogEvent{Kind: LogConfigurationTaken, Version: t.Version(), Way: n.source.way, Host: n.source.host, Age: n.source.age})
+	}
+}
+
 // markReady marks this host as ready in its record, once it can serve callers and is active.
 // Standby hosts don't, to save messages. Sent by each of 299 hosts after each start, such records
 // were a fifth of the traffic of the median host.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -53,6 +53,8 @@
 	Offset    int64
 	Era       uint64 // Era is that of Offset; 0 if the store states none.
 	Peer      string
+	Way       string // Way is how a record reached the host.
+	Version   uint64 // Version is that of a configuration that the host has taken.
 
 	StreamID  string  // StreamID is the request that brought the first event of the stream that a request takes up.
 	Source    string  // Source says how the host knew where that stream began; empty if it did not.
@@ -166,7 +168,7 @@
 			ended = true
 			l.write(&b)
 			l.writeStream(&b, lines)
-			chosen.writeConfiguration(&b)
+			chosen.writeConfiguration(&b, lines)
 			writeBroken(&b, lines, l)
 			writeEnds(&b, lines, l)
 			writeContext(&b, lines, l)
@@ -315,11 +317,40 @@
 	}
 }
 
-// writeConfiguration writes what handled a request that was sent to an upstream.
-func (l *Line) writeConfiguration(b *strings.Builder) {
-	if l != nil {
-		fmt.Fprintf(b, "  handled by configuration %d, weights %d\n", l.Configuration, l.Weights)
+// writeConfiguration writes what handled a request that was sent to an upstream, how the host had got that, and the
+// newest configuration that any host had by then.
+func (l *Line) writeConfiguration(b *strings.Builder, lines []Line) {
+	if l == nil {
+		return
+	}
+	fmt.Fprintf(b, "  handled by configuration %d, weights %d\n", l.Configuration, l.Weights)
+	var own, newest *Line
+	for i := range lines {
+		o := &lines[i]
+		if o.Message != logger.ConfigurationTaken || o.Time.After(l.Time) {
+			continue
+		}
+		if o.source == l.source && o.Version == l.Configuration {
+			own = o
+		}
+		if o.Version > l.Configuration && (newest == nil || o.Version > newest.Version) {
+			newest = o
+		}
+	}
+	own.writeTaken(b)
+	newest.writeTaken(b)
+}
+
+// writeTaken writes how a host got a configuration.
+func (l *Line) writeTaken(b *strings.Builder) {
+	if l == nil {
+		return
+	}
+	way := l.Way
+	if l.Peer != "" {
+		way += " from " + l.Peer
 	}
+	fmt.Fprintf(b, "  configuration %d taken by %s at %s: %s\n", l.Version, l.source, l.Time.Format(time.RFC3339), way)
 }
 
 // endParts are the parts of a prompt in a line about the end of an upstream. Other lines have a number of parts.
@@ -397,7 +428,7 @@
 	switch l.Message {
 	case logger.StoreRestored, logger.FeedRecovered, logger.FeedReadRefused, logger.RecordOutdated:
 		return true
-	case logger.RecordApplied:
+	case logger.RecordApplied, logger.ListingApplied, logger.PageDropped, logger.PageIncomplete:
 		return l.Feed == string(follower.FeedOperator)
 	}
 	return false
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -158,3 +158,20 @@
 		}
 	}
 }
+
+// TestExplainConfiguration checks that the report on a request names the configuration that decided it, the newest one that
+// any host had then, and how both had come.
+func TestExplainConfiguration(t *testing.T) {
+	f, err := os.Open("testdata/configuration.txt")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	lines, err := Read(f, "")
+	assert.NilError(t, err)
+	report, ok := Explain(lines, "old")
+	assert.Assert(t, ok)
+	for _, w := range []string{"handled by configuration 10", "configuration 10 taken by host-1 at 2026-03-12T03:00:01Z: Page from host-2",
+		"configuration 12 taken by host-2 at 2026-03-12T03:00:04Z: Listing", "before: PageIncomplete Operator"} {
+		assert.Assert(t, strings.Contains(report, w), "%q is not in\n%s", w, report)
+	}
+	assert.Assert(t, !strings.Contains(report, "configuration 13"), report)
+}
