--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -104,12 +104,13 @@
 	isolated         bool    // isolated makes starting hosts find only themselves.
 	searches         int     // searches counts reads of all announcements.
 	announcements    map[string]tracker.HostRecord
-	announcementsEnd int64             // announcementsEnd counts changes of announcements.
-	partition        map[string]bool   // partition are the hosts on one side of a network partition.
-	idle             bool              // idle makes all hosts report no work.
-	onMessage        func(PeerMessage) // onMessage, if set, is called with each message that arrives.
-	recipient        *simNode          // recipient is the host that onMessage's message has reached.
-	sent             map[string]int    // sent counts messages by sender.
+	announcementsEnd int64               // announcementsEnd counts changes of announcements.
+	partition        map[string]bool     // partition are the hosts on one side of a network partition.
+	idle             bool                // idle makes all hosts report no work.
+	onMessage        func(PeerMessage)   // onMessage, if set, is called with each message that arrives.
+	recipient        *simNode            // recipient is the host that onMessage's message has reached.
+	sent             map[string]int      // sent counts messages by sender.
+	betweenPages     func(follower.Feed) // betweenPages, if set, is called between the calls of a listing.
 }
 
 const (
@@ -256,19 +257,36 @@
 
 func (c *cluster) listing(f follower.Feed) follower.FeedPage {
 	page := follower.FeedPage{Feed: f, Full: true, Next: int64(len(c.logs[f])), Era: c.era, FromEra: c.era}
+	keys, newest := c.newest(f)
+	first := keys[:len(keys)/2]
+	for _, key := range first {
+		page.Records = append(page.Records, newest[key])
+	}
+	if c.betweenPages != nil {
+		c.betweenPages(f)
+	}
+	keys, newest = c.newest(f)
+	for _, key := range keys {
+		if len(first) == 0 || key > first[len(first)-1] {
+			page.Records = append(page.Records, newest[key])
+		}
+	}
 	if f == follower.FeedOperator {
 		page.History = inEra(c.era, c.logs[f][c.oldest[f]:])
 	}
+	return page
+}
+
+// newest returns the newest record of each key of a feed that was not removed, and their keys in order.
+func (c *cluster) newest(f follower.Feed) ([]string, map[string]follower.Record) {
 	newest := make(map[string]follower.Record)
 	for _, r := range inEra(c.era, c.logs[f]) {
 		newest[r.Key] = r
-	}
-	for _, r := range newest {
-		if len(r.Value) > 0 {
-			page.Records = append(page.Records, r)
+		if len(r.Value) == 0 {
+			delete(newest, r.Key)
 		}
 	}
-	return page
+	return slices.Sorted(maps.Keys(newest)), newest
 }
 
 // lose makes the store lose the last records of each feed, up to n, and returns those of operators.
