--- a/conductor/coverage.go
+++ b/conductor/coverage.go
@@ -8,7 +8,7 @@
 // lacksRecords reports whether a page of the operators' feed has not all records between the known ones and its end. Of
 // the upstreams' feed, pages have only the records that changed something.
 func (f *feed) lacksRecords(page follower.FeedPage) bool {
-	if page.Feed != follower.FeedOperator || page.Full || page.FromMemory || page.AcrossEras() {
+	if page.Feed != follower.FeedOperator || page.Full || page.FromMemory || page.AcrossEras() || page.Era != f.next.Era {
 		return false
 	}
 	covered := make(map[int64]bool, len(page.Records))
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -195,13 +195,7 @@
 		n.applyRecord(now, page.Feed, f, r, true)
 	}
 	for _, r := range page.Records {
-		if !page.Full && !lost && r.Position().Before(f.next) {
-			if f.changedState(page.Feed, r) {
-				forwarded = append(forwarded, r)
-			}
-			continue // already applied, and perhaps later records too
-		}
-		if n.applyRecord(now, page.Feed, f, r, page.Full) {
+		if n.applyRecord(now, page.Feed, f, r, page.Full) || f.changedState(page.Feed, r) {
 			forwarded = append(forwarded, r)
 		}
 	}
@@ -252,8 +246,8 @@
 	n.emit(PublishFeeds{Feeds: states})
 }
 
-// changedState reports whether a record that is already applied changed the state. It must be
-// forwarded with the page that covers it: a host that missed it would otherwise advance past it.
+// changedState reports whether a record has changed the state, also if this host applied it before it read the page that
+// covers it. It must be forwarded with that page: a host that missed it would otherwise advance past it.
 func (f *feed) changedState(name follower.Feed, r follower.Record) bool {
 	if name != follower.FeedUpstreams || !f.dropped[r.Key].Before(r.Position()) {
 		return true
@@ -403,7 +397,7 @@
 // is forwarded nevertheless, since hosts may differ in what they knew before it.
 func (n *Node) applyRecord(now time.Time, name follower.Feed, f *feed, r follower.Record, listed bool) (forward bool) {
 	old, known := f.newest[r.Key]
-	if known && !old.Position().Before(r.Position()) && !retained(name, old, r) {
+	if f.supersedes(name, r, listed) {
 		return false
 	}
 	change, err := n.opts.Decoder.Decode(name, r)
@@ -429,6 +423,17 @@
 	return name != follower.FeedUpstreams || len(r.Value) == 0 || f.newest[r.Key].changed == r.Position()
 }
 
+// supersedes reports whether what is known of a record's key is at least as new as the record.
+func (f *feed) supersedes(name follower.Feed, r follower.Record, listed bool) bool {
+	if known, ok := f.newest[r.Key]; ok {
+		return !known.Position().Before(r.Position()) && !retained(name, known, r)
+	}
+	if at, ok := f.dropped[r.Key]; ok {
+		return !at.Before(r.Position())
+	}
+	return !listed && r.Position().Before(f.droppedFrom)
+}
+
 // retained reports whether a record is one that another host kept when the store lost it. It may be newer than
 // the one that the store has.
 func retained(name follower.Feed, known keyRecord, r follower.Record) bool {
