--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -187,9 +187,6 @@
 		n.notePage(LogPageDropped, page, f)
 		return nil
 	}
-	if f.lacksRecords(page) {
-		n.notePage(LogPageIncomplete, page, f)
-	}
 	lost := f.loaded && f.next.Era < page.Era
 	for _, r := range page.History {
 		n.applyRecord(now, page.Feed, f, r, true)
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -245,6 +245,13 @@
 		if page.Full || page.FromMemory {
 			n.source.way = WayHandover
 		}
+		if f.lacksRecords(page) {
+			n.notePage(LogPageIncomplete, page, f)
+			if now.Sub(f.lastPeerRequest) >= n.askInterval(f) {
+				f.requestFrom(n, now, page.Feed, from)
+			}
+			continue
+		}
 		n.applyPage(now, page, now.Add(-page.Age))
 	}
 }
--- a/conductor/listing_test.go
+++ b/conductor/listing_test.go
@@ -74,6 +74,30 @@
 	}
 }
 
+// TestPagesWithoutTheirRecords guards against hosts that move past records which a page covers and lacks.
+func TestPagesWithoutTheirRecords(t *testing.T) {
+	for _, hosts := range []int{2, 6, 40} {
+		c := newCluster(hosts)
+		c.write(follower.FeedOperator, "config", "version 1")
+		c.run(8 * time.Second)
+		emptied := 0
+		c.onMessage = func(m PeerMessage) {
+			for i := range m.Message.FeedPages {
+				if p := &m.Message.FeedPages[i]; !p.FromMemory && !p.Full && len(p.Records) > 0 {
+					p.Records = nil
+					emptied++
+				}
+			}
+		}
+		c.write(follower.FeedOperator, "config", "version 2")
+		c.run(2 * time.Second)
+		assert.Assert(t, emptied > 0)
+		for _, s := range c.nodes {
+			assert.Equal(t, s.version, uint64(2), "%s of %d", s.name, hosts)
+		}
+	}
+}
+
 // reader returns the first host in rank as a reader of a feed.
 func (c *cluster) reader(f follower.Feed) *simNode {
 	for _, s := range c.nodes {
