--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -254,13 +254,17 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_feed_reads_refused_total{feed=%q}", string(f))).Inc()
 }
 
-// pageNoted counts a page of a feed that was dropped, or that lacked records.
-func (c *counters) pageNoted(kind LogKind, f follower.Feed) {
-	name := "amaranthgate_feed_pages_dropped_total"
-	if kind == LogPageIncomplete {
-		name = "amaranthgate_feed_pages_incomplete_total"
-	}
-	c.set.GetOrCreateCounter(fmt.Sprintf("%s{feed=%q}", name, string(f))).Inc()
+// feedCounters are the counters of lines about feeds.
+var feedCounters = map[LogKind]string{
+	LogPageDropped:    "amaranthgate_feed_pages_dropped_total",
+	LogPageIncomplete: "amaranthgate_feed_pages_incomplete_total",
+	LogFeedDiffers:    "amaranthgate_feed_differences_total",
+	LogRecordMissed:   "amaranthgate_feed_records_missed_total",
+}
+
+// noted counts a line about a feed.
+func (c *counters) noted(kind LogKind, f follower.Feed) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("%s{feed=%q}", feedCounters[kind], string(f))).Inc()
 }
 
 func (c *counters) order(r updater.OrderResult) {
--- a/conductor/coverage.go
+++ b/conductor/coverage.go
@@ -23,18 +23,6 @@
 	return false
 }
 
-// newestPosition returns that of the newest known record. It is beyond the end of the feed as this host knows it if a
-// listing had records that were written while it was read.
-func (f *feed) newestPosition() follower.Position {
-	var newest follower.Position
-	for _, r := range f.newest {
-		if newest.Before(r.Position()) {
-			newest = r.Position()
-		}
-	}
-	return newest
-}
-
 // notePage logs a page that another host sent, or that this one read, with what is known of its feed.
 func (n *Node) notePage(kind LogKind, page follower.FeedPage, f *feed) {
 	n.emit(LogEvent{Kind: kind, Feed: page.Feed, Host: n.source.host, Way: n.source.way, Offset: page.Next, Era: page.Era,
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -211,6 +211,9 @@
 // FeedState says up to where a host knows a feed.
 type FeedState struct {
 	Position  follower.Position // Position is the one after the last known record.
+	Newest    follower.Position // Newest is that of the newest known record.
+	Digest    uint32            // Digest is that of the known records; it is the same at all hosts at one position.
+	Missed    int               // Missed counts records that other hosts had and this one had passed without them.
 	CurrentAt time.Time         // CurrentAt is when the host last knew all records; zero if it never did.
 }
 
@@ -262,6 +265,8 @@
 	LogLapsedRemoved      LogKind = logger.LapsedEntriesRemoved
 	LogVersionDoubted     LogKind = logger.VersionDoubted
 	LogListingApplied     LogKind = logger.ListingApplied
+	LogFeedDiffers        LogKind = logger.FeedDiffers
+	LogRecordMissed       LogKind = logger.RecordMissed
 	LogPageDropped        LogKind = logger.PageDropped
 	LogPageIncomplete     LogKind = logger.PageIncomplete
 	LogConfigurationTaken LogKind = logger.ConfigurationTaken
--- a/conductor/feed.go
+++ b/conductor/feed.go
@@ -23,6 +23,7 @@
 	retryAt          time.Time // retryAt is the earliest time of the next read.
 	lastPeerRequest  time.Time // lastPeerRequest is when another host was last asked.
 	lastListing      time.Time // lastListing is when a listing last arrived; it may have been long in transit.
+	checkedAt        time.Time // checkedAt is when this host last compared what it knows with a listing, or was not the one to do so.
 	listingRequests  int       // listingRequests counts requests to peers for the whole feed.
 	behindSince      time.Time // behindSince is since when another host has known more.
 	newest           map[string]keyRecord
@@ -35,6 +36,12 @@
 	unlistedUntil    map[string]time.Time // unlistedUntil are evacuations that the store lost, with when they end unless written again.
 	unreadableLogged map[string]time.Time // unreadableLogged is when a key was last logged as unreadable.
 	outdatedLogged   map[string]time.Time // outdatedLogged is when a record of a key was last logged as outdated.
+	digest           uint32               // digest is that of newest.
+	bytes            int                  // bytes is the length of the values of newest.
+	newestAt         follower.Position    // newestAt is the position of the newest record applied; a listing may have ones beyond next.
+	difference       difference
+	passages         []passage // passages are the last changes of next, oldest first.
+	missed           int       // missed counts records that other hosts had and this one had passed without them.
 }
 
 func newFeed() *feed {
@@ -46,6 +53,7 @@
 type keyRecord struct {
 	follower.Record
 	changed follower.Position // changed is the position of the key's last record that changed the state.
+	content uint32            // content is the digest of what the record says.
 }
 
 // abandonRead stops waiting for a pending read, as the store's offsets have another meaning now.
@@ -63,8 +71,9 @@
 	if f.reading || now.Before(f.retryAt) || !f.loaded && n.awaitsPeers(now) {
 		return
 	}
-	r := Read{Feed: name, Full: !f.loaded || n.hasLost(f), From: f.next}
-	if f.loaded {
+	verify := f.verifies(now) || n.checkDue(now, name, f)
+	r := Read{Feed: name, Full: !f.loaded || n.hasLost(f) || verify, From: f.next}
+	if f.loaded && !verify {
 		age := n.readAge(name)
 		switch {
 		case r.Full:
@@ -197,8 +206,8 @@
 		}
 	}
 	if page.Full {
-		f.lastListing = now
-		n.emit(LogEvent{Kind: LogListingApplied, Feed: page.Feed, Host: n.source.host, Offset: page.Next, Era: page.Era, Newest: f.newestPosition().Offset})
+		f.lastListing, f.checkedAt = now, now
+		n.emit(LogEvent{Kind: LogListingApplied, Feed: page.Feed, Host: n.source.host, Offset: page.Next, Era: page.Era, Newest: f.newestAt.Offset})
 		n.applyListing(now, page, f)
 	}
 	if lost {
@@ -210,7 +219,7 @@
 		n.awaitRewrites(now, page, f)
 	}
 	if page.End().After(f.next) {
-		f.next, f.behindSince = page.End(), time.Time{}
+		f.advance(now, page.End())
 	}
 	if asOf.After(f.currentAt) {
 		f.currentAt = asOf
@@ -238,7 +247,7 @@
 func (n *Node) publishFeeds() {
 	states := make(map[follower.Feed]FeedState, len(n.feeds))
 	for name, f := range n.feeds {
-		states[name] = FeedState{Position: f.next, CurrentAt: f.currentAt}
+		states[name] = FeedState{Position: f.next, Newest: f.newestAt, Digest: f.digest, Missed: f.missed, CurrentAt: f.currentAt}
 	}
 	n.emit(PublishFeeds{Feeds: states})
 }
@@ -311,11 +320,12 @@
 
 // Values of Way.
 const (
-	WayRead     Way = "Read"     // WayRead means that this host read it from the store.
-	WayListing  Way = "Listing"  // WayListing means that this host read the whole feed.
-	WayPage     Way = "Page"     // WayPage means that another host passed on what it had read.
-	WayHandover Way = "Handover" // WayHandover means that another host sent what this one lacked.
-	WayExpired  Way = "Expired"  // WayExpired means that a record that the store has lost was not written again.
+	WayRead       Way = "Read"       // WayRead means that this host read it from the store.
+	WayListing    Way = "Listing"    // WayListing means that this host read the whole feed.
+	WayPage       Way = "Page"       // WayPage means that another host passed on what it had read.
+	WayHandover   Way = "Handover"   // WayHandover means that another host sent what this one lacked.
+	WayComparison Way = "Comparison" // WayComparison means that another host at the same position sent all that it had.
+	WayExpired    Way = "Expired"    // WayExpired means that a record that the store has lost was not written again.
 )
 
 // pageSource is where a page came from.
@@ -410,8 +420,11 @@
 	if !changed && known && r.Position().Before(old.Position()) {
 		return false
 	}
-	f.store(r, changed || known && !listed && old.changed.Era < r.Era)
+	f.store(r, contentDigest(r, n.believed(change)), changed || known && !listed && old.changed.Era < r.Era)
 	if changed {
+		if f.loaded && r.Era == f.next.Era && r.Position().Before(f.next) {
+			n.noteMissed(now, name, f, r)
+		}
 		n.emit(n.recordLogEvent(name, r, change))
 		n.viewDirty = true
 		return true
@@ -420,6 +433,14 @@
 	return name != follower.FeedUpstreams || len(r.Value) == 0 || f.newest[r.Key].changed == r.Position()
 }
 
+// believed returns what is believed of the upstream that a change is about; nil if it is about none.
+func (n *Node) believed(change follower.Change) *follower.Upstream {
+	if change.Upstream == nil {
+		return nil
+	}
+	return n.state.Upstream(change.Upstream.ID)
+}
+
 // supersedes reports whether what is known of a record's key is at least as new as the record.
 func (f *feed) supersedes(name follower.Feed, r follower.Record, listed bool) bool {
 	if known, ok := f.newest[r.Key]; ok {
--- a/conductor/handover.go
+++ b/conductor/handover.go
@@ -184,17 +184,23 @@
 }
 
 // store keeps the newest record of a key, for hosts that request it.
-func (f *feed) store(r follower.Record, changed bool) {
+func (f *feed) store(r follower.Record, content uint32, changed bool) {
+	if f.newestAt.Before(r.Position()) {
+		f.newestAt = r.Position()
+	}
 	if len(r.Value) == 0 {
 		f.drop(r.Key, r.Position())
 		delete(f.unreadableLogged, r.Key)
 		delete(f.outdatedLogged, r.Key)
 		return
 	}
-	next := keyRecord{Record: r, changed: r.Position()}
-	if old, ok := f.newest[r.Key]; ok && !changed {
+	next := keyRecord{Record: r, changed: r.Position(), content: content}
+	old, ok := f.newest[r.Key]
+	if ok && !changed {
 		next.changed = old.changed
 	}
+	f.digest += content - old.content
+	f.bytes += len(r.Value) - len(old.Value)
 	f.newest[r.Key] = next
 	delete(f.dropped, r.Key)
 }
@@ -205,6 +211,8 @@
 
 // drop removes the record of a key.
 func (f *feed) drop(key string, at follower.Position) {
+	f.digest -= f.newest[key].content
+	f.bytes -= len(f.newest[key].Value)
 	delete(f.newest, key)
 	if len(f.dropped) >= maxDropped {
 		clear(f.dropped)
@@ -242,7 +250,10 @@
 			n.state.StoreAnswered(now) // the store has answered another host, so it is reachable
 		}
 		n.source = pageSource{way: WayPage, host: from, age: page.Age}
-		if page.Full || page.FromMemory {
+		switch {
+		case page.FromMemory && !page.End().After(f.next):
+			n.source.way = WayComparison
+		case page.Full || page.FromMemory:
 			n.source.way = WayHandover
 		}
 		if f.lacksRecords(page) {
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -39,6 +39,7 @@
 		EndedDigest: n.opts.Quarantine.Digest(), RateLimits: n.opts.Throttler.Limits(now)}
 	if now.Sub(n.lastStandbyHeartbeat) >= n.opts.Timing.HeartbeatStandby {
 		n.lastStandbyHeartbeat = now
+		m.FeedDigests = n.feedDigests()
 		n.sendAll(fast, "", m)
 		n.sendAll(slow, "", m)
 	} else if now.Sub(n.lastReport) >= n.opts.Timing.Heartbeat {
@@ -133,6 +134,8 @@
 		n.viewDirty = n.state.MergeVersionAges(now, m.VersionAges) || n.viewDirty
 	}
 	n.compareOffsets(now, ev.From, m.Era, m.Offsets)
+	n.compareDigests(now, ev.From, m)
+	n.answerComparisons(now, ev.From, m.FeedComparisons)
 	if m.Renewal != nil {
 		n.observeEra(now, m.Renewal.Lease.Era)
 		n.updater.HandleStatus(now, m.Renewal)
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -251,7 +251,7 @@
 
 // limitedLines are the kinds of lines of which there may be thousands at once. Those of the operators' feed are few.
 var limitedLines = map[LogKind]bool{LogRecordApplied: true, LogHostChanged: true, LogContentionRejected: true,
-	LogPageDropped: true, LogPageIncomplete: true}
+	LogPageDropped: true, LogPageIncomplete: true, LogRecordMissed: true, LogFeedDiffers: true}
 
 func (h *Host) logEvent(e LogEvent) {
 	ev := h.log.Info()
@@ -277,8 +277,10 @@
 		ev = ev.Stringer("Before", e.Before).Int("Records", e.Records)
 	case LogListingApplied:
 		ev = ev.Int64("Newest", e.Newest)
+	case LogFeedDiffers, LogRecordMissed:
+		h.counters.noted(e.Kind, e.Feed)
 	case LogPageDropped, LogPageIncomplete:
-		h.counters.pageNoted(e.Kind, e.Feed)
+		h.counters.noted(e.Kind, e.Feed)
 		ev = ev.Int64("From", e.From).Stringer("Before", e.Before).Int("Records", e.Records)
 	case LogConfigurationTaken:
 		ev = ev.Uint64("Version", e.Version).Dur("Age", e.Age)
--- a/conductor/operators.go
+++ b/conductor/operators.go
@@ -103,13 +103,16 @@
 type FeedDump struct {
 	Era    uint64        // Era is that of Offset.
 	Offset int64         // Offset is the one after the last known record.
+	Newest int64         // Newest is the offset of the newest known record.
+	Digest uint32        // Digest is that of the known records; it is the same at all hosts at one offset.
+	Missed int           // Missed counts records that other hosts had and this one had passed without them.
 	Age    time.Duration // Age is the time since the host last knew all records; negative if it never did.
 }
 
 func (h *Host) dumpFeeds() map[follower.Feed]FeedDump {
 	out := make(map[follower.Feed]FeedDump)
 	for name, f := range *h.feeds.Load() {
-		d := FeedDump{Era: f.Position.Era, Offset: f.Position.Offset, Age: -1}
+		d := FeedDump{Era: f.Position.Era, Offset: f.Position.Offset, Newest: f.Newest.Offset, Digest: f.Digest, Missed: f.Missed, Age: -1}
 		if !f.CurrentAt.IsZero() {
 			d.Age = h.opts.Timer.Now().Sub(f.CurrentAt)
 		}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -428,7 +428,7 @@
 	switch l.Message {
 	case logger.StoreRestored, logger.FeedRecovered, logger.FeedReadRefused, logger.RecordOutdated:
 		return true
-	case logger.RecordApplied, logger.ListingApplied, logger.PageDropped, logger.PageIncomplete:
+	case logger.RecordApplied, logger.ListingApplied, logger.PageDropped, logger.PageIncomplete, logger.FeedDiffers, logger.RecordMissed:
 		return l.Feed == string(follower.FeedOperator)
 	}
 	return false
--- a/follower/state.go
+++ b/follower/state.go
@@ -370,6 +370,14 @@
 	return true
 }
 
+// Upstream returns what is known of an upstream, which must not be changed; nil if it is not known.
+func (s *State) Upstream(id string) *Upstream {
+	if e := s.upstreams[id]; e != nil {
+		return e.upstream
+	}
+	return nil
+}
+
 // Table returns the configuration in force; nil if none is known.
 func (s *State) Table() *matcher.Table { return s.table }
 
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -49,6 +49,8 @@
 	FeedRecovered        = "FeedRecovered"
 	FeedReadRefused      = "FeedReadRefused"
 	ListingApplied       = "ListingApplied"
+	FeedDiffers          = "FeedDiffers"
+	RecordMissed         = "RecordMissed"
 	PageDropped          = "PageDropped"
 	PageIncomplete       = "PageIncomplete"
 	ConfigurationTaken   = "ConfigurationTaken"
@@ -81,7 +83,7 @@
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
 	UpstreamChosen, RequestEnded, AnswerBrokenOff, UpstreamEnded, RequestBarred, PartBarred, PartTried, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
-	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, PageDropped, PageIncomplete, ConfigurationTaken, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
+	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, FeedDiffers, RecordMissed, PageDropped, PageIncomplete, ConfigurationTaken, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
 	ConfigurationInForce, ChangePublished, AppendUnanswered, PageFailed,
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -59,11 +59,15 @@
 	EndedDigest uint64              `cbor:"31,keyasint,omitempty"`
 	// RateLimits holds the rate limits that upstreams have declared; Permits the asks for and grants of
 	// requests under them.
-	RateLimits []throttler.Limit   `cbor:"32,keyasint,omitempty"`
-	Permits    *throttler.Permits  `cbor:"33,keyasint,omitempty"`
-	Contention *arbiter.Message    `cbor:"34,keyasint,omitempty"` // Contention is what waits at the sender.
-	Origins    *registrar.Message  `cbor:"36,keyasint,omitempty"` // Origins says where streams began; a message with it has nothing else.
-	FeedPages  []follower.FeedPage `cbor:"20,keyasint,omitempty"` // FeedPages holds pages of feeds that the sender has read.
+	RateLimits []throttler.Limit  `cbor:"32,keyasint,omitempty"`
+	Permits    *throttler.Permits `cbor:"33,keyasint,omitempty"`
+	Contention *arbiter.Message   `cbor:"34,keyasint,omitempty"` // Contention is what waits at the sender.
+	Origins    *registrar.Message `cbor:"36,keyasint,omitempty"` // Origins says where streams began; a message with it has nothing else.
+	// FeedDigests says which records the sender holds at Offsets; FeedComparisons requests all records and removals of
+	// feeds.
+	FeedDigests     *follower.Digests   `cbor:"37,keyasint,omitempty"`
+	FeedComparisons []follower.Feed     `cbor:"38,keyasint,omitempty"`
+	FeedPages       []follower.FeedPage `cbor:"20,keyasint,omitempty"` // FeedPages holds pages of feeds that the sender has read.
 }
 
 // WithFeedPages returns a shallow copy of m in which FeedPages is replaced.
