--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -30,13 +30,15 @@
 
 // Limits of a connection.
 const (
-	queueLength  = 1024
-	dialTimeout  = time.Second
-	writeTimeout = 2 * time.Second
-	minBackoff   = 50 * time.Millisecond
-	maxBackoff   = 2 * time.Second
-	idleTimeout  = time.Minute
-	// defaultGiveUp is the default of Options.GiveUp. Hosts reconnect within maxBackoff after a
+	queueLength = 1024
+	dialTimeout = time.Second
+	// connectTimeout bounds the part of dialTimeout for which the peer's system must answer. It is the same on a busy host.
+	connectTimeout        = 400 * time.Millisecond
+	writeTimeout          = 2 * time.Second
+	defaultInitialBackoff = 50 * time.Millisecond // defaultInitialBackoff is the default of Options.InitialBackoff.
+	defaultMaxBackoff     = time.Second           // defaultMaxBackoff is the default of Options.MaxBackoff.
+	idleTimeout           = time.Minute
+	// defaultGiveUp is the default of Options.GiveUp. Hosts reconnect within Options.MaxBackoff after a
 	// network partition of up to this length.
 	defaultGiveUp = 10 * time.Minute
 	// pingInterval and pingTimeout bound the time to detect a half-open connection, on which a
@@ -47,12 +49,15 @@
 
 // Options configures a Messenger.
 type Options struct {
-	Self      Hello
-	Secret    []byte
-	Receive   func(from string, m *Message) // Receive is called for each message, in order per connection.
-	OnConnect func(host, address string)    // OnConnect is called after a connection to a host was opened.
-	Log       zerolog.Logger
-	GiveUp    time.Duration // GiveUp is how long an unreachable host without new messages is dialled; default 10 min.
+	Self           Hello
+	Secret         []byte
+	Receive        func(from string, m *Message) // Receive is called for each message, in order per connection.
+	OnConnect      func(host, address string)    // OnConnect is called after a connection to a host was opened.
+	Log            zerolog.Logger
+	GiveUp         time.Duration // GiveUp is how long an unreachable host without new messages is dialled; default 10 min.
+	InitialBackoff time.Duration // InitialBackoff is the time after the first failed attempt to dial a host; default 50 ms.
+	// MaxBackoff is the longest time between two attempts to dial a host that has not connected meanwhile; default 1 s.
+	MaxBackoff time.Duration
 }
 
 // Messenger manages one host's connections to the others. It is safe for concurrent use.
@@ -84,8 +89,14 @@
 	if opts.GiveUp == 0 {
 		opts.GiveUp = defaultGiveUp
 	}
+	if opts.InitialBackoff == 0 {
+		opts.InitialBackoff = defaultInitialBackoff
+	}
+	if opts.MaxBackoff == 0 {
+		opts.MaxBackoff = defaultMaxBackoff
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.New(dialer.Options{Timeout: dialTimeout}).DialContext}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.New(dialer.Options{Timeout: connectTimeout}).DialContext}}
 	return &Messenger{opts: opts, http: client, ctx: ctx, cancel: cancel, links: make(map[string]*link)}
 }
 
@@ -164,6 +175,7 @@
 	host      string
 	address   string
 	queue     chan []byte
+	reachable chan struct{} // reachable signals that the host has connected to this one.
 	ctx       context.Context
 	cancel    context.CancelFunc
 }
@@ -171,7 +183,7 @@
 // newLink registers and starts a link. m.mu must be held.
 func (m *Messenger) newLink(host, address string) *link {
 	ctx, cancel := context.WithCancel(m.ctx)
-	l := &link{messenger: m, host: host, address: address, queue: make(chan []byte, queueLength), ctx: ctx, cancel: cancel}
+	l := &link{messenger: m, host: host, address: address, queue: make(chan []byte, queueLength), reachable: make(chan struct{}, 1), ctx: ctx, cancel: cancel}
 	m.links[host] = l
 	go l.run()
 	return l
@@ -182,20 +194,20 @@
 // replaced by others with new names.
 func (l *link) run() {
 	defer l.unregister()
-	backoff, lastNeeded := minBackoff, time.Now()
+	backoff, lastNeeded := l.messenger.opts.InitialBackoff, time.Now()
 	for l.ctx.Err() == nil {
 		conn, err := l.dial()
 		if err != nil {
 			if l.discardQueued() > 0 {
 				lastNeeded = time.Now()
 			}
-			if time.Since(lastNeeded) > l.messenger.opts.GiveUp || !sleep(l.ctx, backoff) {
+			if time.Since(lastNeeded) > l.messenger.opts.GiveUp {
 				return
 			}
-			backoff = min(2*backoff, maxBackoff)
+			backoff = l.wait(backoff)
 			continue
 		}
-		backoff, lastNeeded = minBackoff, time.Now()
+		backoff, lastNeeded = l.messenger.opts.InitialBackoff, time.Now()
 		l.messenger.opts.OnConnect(l.host, l.address)
 		idle := l.writeLoop(conn)
 		_ = conn.CloseNow()
@@ -205,6 +217,34 @@
 	}
 }
 
+// wait waits for a backoff, or until the host has connected to this one. It returns the next backoff.
+func (l *link) wait(backoff time.Duration) time.Duration {
+	timer := time.NewTimer(backoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return min(2*backoff, l.messenger.opts.MaxBackoff)
+	case <-l.reachable:
+		return l.messenger.opts.InitialBackoff
+	case <-l.ctx.Done():
+		return backoff
+	}
+}
+
+// connected ends the backoff before the next attempt to dial a host that has connected to this one.
+func (m *Messenger) connected(host string) {
+	m.mu.Lock()
+	l := m.links[host]
+	m.mu.Unlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.reachable <- struct{}{}:
+	default:
+	}
+}
+
 func (l *link) unregister() {
 	l.messenger.mu.Lock()
 	defer l.messenger.mu.Unlock()
@@ -305,6 +345,7 @@
 	}
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(maxMessageBytes)
+	m.connected(from)
 	m.readLoop(from, conn)
 }
 
