--- /dev/null
+++ b/conductor/cut_test.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The Amaranthgate Authors. All rights reserved.
+// Use of this source code is governed by the MIT license in the LICENSE file.
+
+package conductor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthgate.example/amaranthgate/follower"
+)
+
+// reconnectBound is half of the time within which a host must have a change after it was cut off.
+const reconnectBound = 1500 * time.Millisecond
+
+// TestChangeBesideEndOfCut guards against hosts that wait long to ask the store again after they were cut off from it and
+// from all others.
+func TestChangeBesideEndOfCut(t *testing.T) {
+	for _, hosts := range []int{2, 6} {
+		for _, cut := range []access{accessSilent, accessRefuse} {
+			for lasts := 2500 * time.Millisecond; lasts <= 8500*time.Millisecond; lasts += 170 * time.Millisecond {
+				c := newCluster(hosts)
+				c.write(follower.FeedOperator, "config", "version 1")
+				c.run(3 * time.Second)
+				s := c.nodes[0]
+				c.set(s, cut)
+				c.partition = map[string]bool{s.name: true}
+				c.run(lasts - 400*time.Millisecond)
+				c.write(follower.FeedOperator, "config", "version 2")
+				c.run(400 * time.Millisecond)
+				c.set(s, accessOK) // other hosts stay out of reach
+				c.run(reconnectBound)
+				assert.Equal(t, s.version, uint64(2), "1 of %d, store %s for %v", hosts, cut, lasts)
+			}
+		}
+	}
+}
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -116,6 +116,7 @@
 func (n *Node) handlePeerMessage(now time.Time, ev PeerMessage) {
 	m := ev.Message
 	n.introducer.Contacted()
+	n.met = true
 	n.hostsDirty = n.hosts.RecordContact(now, ev.From) || n.hostsDirty
 	if n.arrivals.mayBeStale(now, ev.From) {
 		m = m.WithFeedPages(withUnknownAge(m.FeedPages))
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -71,6 +71,7 @@
 	lastRelayed          time.Time            // lastRelayed is when this host last sent its zone a message.
 	lastHosts            time.Time            // lastHosts is when the hosts were last published.
 	wasActive            bool                 // wasActive is whether this host was active in a large fleet.
+	met                  bool                 // met reports whether another host ever sent a message.
 	wasIdle              bool                 // wasIdle is whether this host's last report was empty.
 	foundAt              time.Time            // foundAt is when announcements were last read.
 	firstEvent           time.Time            // firstEvent is the time of the first event.
--- a/conductor/readers.go
+++ b/conductor/readers.go
@@ -121,7 +121,7 @@
 	standbyRetryFactor = 16 // standbyRetryFactor multiplies the delay of standby hosts.
 )
 
-// maxRetryDelay bounds the backoff of a host that knows no other. Many hosts may be in that state
+// maxRetryDelay bounds the backoff of a host that has never heard of another. Many hosts may be in that state
 // after a store outage.
 const maxRetryDelay = 2 * time.Second
 
@@ -129,7 +129,7 @@
 func (n *Node) retryDelay(name follower.Feed, failures int) time.Duration {
 	t, delay := n.topology(), n.opts.Timing.RetryDelay
 	switch {
-	case t.small && len(n.hosts.Live()) == 1:
+	case t.small && len(n.hosts.Live()) == 1 && !n.met:
 		return min(delay<<min(failures-1, 3), maxRetryDelay)
 	case t.small:
 		return delay
