--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -76,6 +76,7 @@
 	inbox      []Event
 	starts     uint64
 	unreadable int                      // unreadable counts log events about unreadable records.
+	suspected  []string                 // suspected are hosts that were taken for silent or gone.
 	applied    LogEvent                 // applied is the last log event of a record that changed the state.
 	version    uint64                   // version is the last published version.
 	reports    map[string]placer.Report // reports are the newest reports, by sender.
@@ -360,6 +361,9 @@
 			if a.Kind == LogUnreadable {
 				s.unreadable++
 			}
+			if a.Kind == LogHostChanged && (a.Key == string(tracker.HostSuspect) || a.Key == string(tracker.HostGone)) {
+				s.suspected = append(s.suspected, a.Host)
+			}
 			if a.Kind == LogRecordApplied {
 				s.applied = a
 			}
--- a/conductor/hosts.go
+++ b/conductor/hosts.go
@@ -29,9 +29,12 @@
 	}
 	n.lastHeartbeat = now
 	n.publishFeeds()
-	if changed := n.hosts.Tick(now); len(changed) > 0 {
+	changed, forwarded := n.hosts.Tick(now)
+	if len(changed) > 0 {
 		n.recordHostChanges(changed)
-		n.sendHostsToNeighbours("", changed)
+	}
+	if len(forwarded) > 0 {
+		n.sendHostsToNeighbours("", forwarded)
 	}
 	fast, slow := n.neighboursByPace()
 	n.opts.Quarantine.Expire(now)
@@ -117,7 +120,7 @@
 	m := ev.Message
 	n.introducer.Contacted()
 	n.met = true
-	n.hostsDirty = n.hosts.RecordContact(now, ev.From) || n.hostsDirty
+	n.recordContact(now, ev.From)
 	if n.arrivals.mayBeStale(now, ev.From) {
 		m = m.WithFeedPages(withUnknownAge(m.FeedPages))
 	}
@@ -222,6 +225,15 @@
 	}
 }
 
+// recordContact records direct contact with a host.
+func (n *Node) recordContact(now time.Time, host string) {
+	before, _ := n.hosts.Lookup(host)
+	n.hostsDirty = n.hosts.RecordContact(now, host) || n.hostsDirty
+	if r, _ := n.hosts.Lookup(host); r.State != before.State {
+		n.recordHostChanges([]tracker.HostRecord{r})
+	}
+}
+
 // markLeaving marks this host as leaving in its record.
 func (n *Node) markLeaving() {
 	self, changed := n.hosts.UpdateSelf(func(r *tracker.HostRecord) { r.State = tracker.HostLeaving })
--- a/conductor/node.go
+++ b/conductor/node.go
@@ -153,7 +153,7 @@
 	case PeerMessage:
 		n.handlePeerMessage(now, ev)
 	case PeerConnected:
-		n.hostsDirty = n.hosts.RecordContact(now, ev.Host) || n.hostsDirty
+		n.recordContact(now, ev.Host)
 		n.greet(now, ev.Host, ev.Address)
 	case AnnouncementsRead:
 		n.handleAnnouncementsRead(now, ev)
@@ -214,7 +214,7 @@
 	if n.stalled(now) {
 		n.stalledAt = now
 		for _, r := range n.hosts.All() {
-			n.hosts.RecordContact(now, r.Host)
+			n.recordContact(now, r.Host)
 		}
 	}
 	n.lastTick = now
--- a/conductor/search.go
+++ b/conductor/search.go
@@ -164,7 +164,7 @@
 		m.Buckets = n.hosts.Buckets()
 	}
 	if n.topology().small {
-		m.Hosts = n.hosts.All()
+		m.Hosts = n.hosts.Told()
 	}
 	return m
 }
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -31,9 +31,10 @@
 		return
 	}
 	n.lastHeartbeat = now
-	if changed := n.hosts.Tick(now); len(changed) > 0 {
-		n.sendHosts("", changed)
-		n.viewDirty = true
+	changed, forwarded := n.hosts.Tick(now)
+	n.viewDirty = n.viewDirty || len(changed) > 0
+	if len(forwarded) > 0 {
+		n.sendHosts("", forwarded)
 	}
 	m := &messenger.Message{Digest: n.hosts.Digest()}
 	for _, h := range n.hosts.Neighbours() {
@@ -56,7 +57,7 @@
 }
 
 func (n *Node) peerUp(now time.Time, host string) {
-	n.hosts.RecordContact(now, host)
+	n.viewDirty = n.hosts.RecordContact(now, host) || n.viewDirty
 	n.sendFullSync(now, host)
 }
 
@@ -66,14 +67,14 @@
 	n.emit(Send{To: host, Message: &messenger.Message{
 		Full:      true,
 		Digest:    n.hosts.Digest(),
-		Hosts:     n.hosts.All(),
+		Hosts:     n.hosts.Told(),
 		Upstreams: n.upstreams.All(),
 		Loads:     n.upstreams.Loads(),
 	}})
 }
 
 func (n *Node) peerMessage(now time.Time, ev PeerMessage) {
-	n.hosts.RecordContact(now, ev.From)
+	n.viewDirty = n.hosts.RecordContact(now, ev.From) || n.viewDirty
 	n.notifySuspect(now, ev.From)
 	m := ev.Message
 	if m.Digest != 0 && !m.Full && !slices.Contains(n.hosts.Neighbours(), ev.From) {
--- a/tracker/active_test.go
+++ b/tracker/active_test.go
@@ -52,7 +52,8 @@
 	}
 	suspected := make(map[string]time.Duration)
 	for since := time.Duration(0); since < 6*time.Second; since += 100 * time.Millisecond {
-		for _, r := range h.Tick(now.Add(since)) {
+		changed, _ := h.Tick(now.Add(since))
+		for _, r := range changed {
 			if _, before := suspected[r.Host]; !before {
 				suspected[r.Host] = since
 			}
--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -42,10 +42,10 @@
 func (h *Hosts) Differing(theirs []uint64) []HostRecord {
 	ours := h.Buckets()
 	if len(theirs) != len(ours) {
-		return h.All() // the peer runs another version
+		return h.Told() // the peer runs another version
 	}
 	var out []HostRecord
-	for _, r := range h.All() {
+	for _, r := range h.Told() {
 		if b := r.bucket(); ours[b] != theirs[b] {
 			out = append(out, r)
 		}
--- a/tracker/doc.go
+++ b/tracker/doc.go
@@ -22,5 +22,5 @@
 //
 //	h := tracker.NewHosts(self, tracker.HostOptions{SuspectAfter: 2 * time.Second})
 //	changed := h.Merge(now, record)
-//	changed = h.Tick(now)
+//	changed, forwarded := h.Tick(now)
 package tracker
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -39,6 +39,8 @@
 	allCache        []HostRecord        // allCache caches All; nil if stale.
 	liveCache       []string            // liveCache caches Live; nil if stale.
 	sortedNames     []string            // sortedNames holds the names of all records.
+	heardAt         time.Time           // heardAt is when this host last had contact with any other.
+	hearsSince      time.Time           // hearsSince is since when it has had contact all the time; zero if it has none.
 	unhealthy       map[string]bool     // unhealthy holds the hosts that are neither live nor leaving.
 	bucketDigests   [bucketCount]uint64 // bucketDigests holds the sum of each bucket's digests.
 }
@@ -49,6 +51,8 @@
 	lastContact time.Time // lastContact is the time of the last direct contact.
 	contacted   bool      // contacted reports whether there was any direct contact.
 	suspectedAt time.Time // suspectedAt is when this host last suspected it.
+	unheard     bool      // unheard reports that record.State was set while this host heard from nobody.
+	told        HostState // told is the state that others are told meanwhile.
 
 	distance uint64 // distance is its distance from this host on the hash ring.
 	order    uint64 // order ranks hosts as neighbours, lowest first.
@@ -153,8 +157,8 @@
 	if before := e.record; before.State == HostGone != (r.State == HostGone) || before.Peers != r.Peers {
 		h.neighbourCache = nil
 	}
-	h.removeDigest(e.record)
-	e.record = r
+	h.removeDigest(e.toldRecord())
+	e.record, e.unheard = r, false
 	h.addDigest(r)
 	h.updateUnhealthy(r)
 	h.invalidate()
@@ -162,7 +166,7 @@
 
 // drop removes the record of a host.
 func (h *Hosts) drop(name string) {
-	h.removeDigest(h.records[name].record)
+	h.removeDigest(h.records[name].toldRecord())
 	delete(h.records, name)
 	delete(h.unhealthy, name)
 	if at, found := slices.BinarySearch(h.sortedNames, name); found {
@@ -195,7 +199,7 @@
 		h.add(now, r)
 		return []HostRecord{r}
 	}
-	if !r.supersedes(e.record) {
+	if !r.supersedes(e.toldRecord()) {
 		return nil
 	}
 	if r.Incarnation > e.record.Incarnation {
@@ -222,15 +226,42 @@
 	return []HostRecord{next}
 }
 
-// RecordContact records direct contact with a host, and reports whether it was the first.
+// RecordContact records direct contact with a host, and reports whether it was the first, or has ended a state that was
+// set while this host heard from nobody.
 func (h *Hosts) RecordContact(now time.Time, host string) bool {
 	e := h.records[host]
 	if e == nil {
 		return false
 	}
-	first := !e.contacted
+	news := !e.contacted || e.unheard
 	e.lastContact, e.contacted = now, true
-	return first
+	h.heardAt = now
+	if e.unheard {
+		h.set(e, e.toldRecord())
+		e.changedAt = now
+	}
+	return news
+}
+
+// toldRecord returns the record that other hosts are told.
+func (e *hostEntry) toldRecord() HostRecord {
+	r := e.record
+	if e.unheard {
+		r.State = e.told
+	}
+	return r
+}
+
+// Told returns what other hosts are told: all records, sorted by name, without the states that were set while this host
+// heard from nobody. It can't know then whether the others or itself were cut off.
+func (h *Hosts) Told() []HostRecord {
+	out := slices.Clone(h.All())
+	for i, r := range out {
+		if e := h.records[r.Host]; e != nil {
+			out[i] = e.toldRecord()
+		}
+	}
+	return out
 }
 
 // Uncontacted returns the neighbours without direct contact since this host started. They are known from
@@ -269,9 +300,20 @@
 }
 
 // Tick suspects silent neighbours, declares suspected hosts gone after GoneAfter and removes the
-// records of gone hosts after ForgetAfter. It returns the records that must be forwarded.
-func (h *Hosts) Tick(now time.Time) []HostRecord {
-	var updates []HostRecord
+// records of gone hosts after ForgetAfter. It returns the records that have changed, and those of them that must be
+// forwarded: what a host concludes that hears from nobody, it keeps to itself.
+func (h *Hosts) Tick(now time.Time) (changed, forwarded []HostRecord) {
+	set := func(e *hostEntry, s HostState) {
+		var r HostRecord
+		if h.hearsNobody(now, e) {
+			r = h.setUnheard(now, e, s)
+		} else {
+			r = h.setState(now, e, s)
+			forwarded = append(forwarded, r)
+		}
+		changed = append(changed, r)
+	}
+	h.updateHearsSince(now)
 	for _, name := range slices.Clone(h.Neighbours()) {
 		e := h.records[name]
 		if s := e.record.State; s != HostLive && s != HostLeaving {
@@ -281,16 +323,19 @@
 		mayRepeat := now.Sub(e.suspectedAt) > h.opts.GoneAfter
 		if silent && mayRepeat {
 			e.suspectedAt = now
-			updates = append(updates, h.setState(now, e, HostSuspect))
+			set(e, HostSuspect)
 		}
 	}
 	for name := range h.unhealthy {
 		e := h.records[name]
 		_, stillListed := h.listed[name]
+		if e.unheard && !h.hearsSince.IsZero() && now.Sub(h.hearsSince) > h.suspectTimeout(name) {
+			set(e, e.record.State) // others are heard again, and this one is not
+		}
 		switch e.record.State {
 		case HostSuspect:
 			if now.Sub(e.changedAt) > h.opts.GoneAfter {
-				updates = append(updates, h.setState(now, e, HostGone))
+				set(e, HostGone)
 			}
 		case HostGone:
 			if !stillListed && now.Sub(e.changedAt) > h.opts.ForgetAfter {
@@ -302,7 +347,47 @@
 			}
 		}
 	}
-	return updates
+	return changed, forwarded
+}
+
+// hearsNobody reports whether this host has had no contact with any other for half of the silence after which it suspects
+// one. A neighbour other than e would have sent something by then.
+func (h *Hosts) hearsNobody(now time.Time, e *hostEntry) bool {
+	silence := time.Duration(-1)
+	for _, name := range h.Neighbours() {
+		o := h.records[name]
+		if s := o.record.State; o == e || s != HostLive && s != HostLeaving {
+			continue
+		}
+		if t := h.suspectTimeout(name); silence < 0 || t < silence {
+			silence = t
+		}
+	}
+	return silence < 0 || now.Sub(h.heardAt) > silence/2
+}
+
+// updateHearsSince updates since when this host has had contact with others.
+func (h *Hosts) updateHearsSince(now time.Time) {
+	switch {
+	case h.hearsNobody(now, nil):
+		h.hearsSince = time.Time{}
+	case h.hearsSince.IsZero():
+		h.hearsSince = now
+	}
+}
+
+// setUnheard sets the state of a host here, but not in what others are told.
+func (h *Hosts) setUnheard(now time.Time, e *hostEntry, s HostState) HostRecord {
+	if !e.unheard {
+		e.unheard, e.told = true, e.record.State
+	}
+	if e.record.State == HostGone != (s == HostGone) {
+		h.neighbourCache = nil
+	}
+	e.record.State, e.changedAt = s, now
+	h.updateUnhealthy(e.record)
+	h.invalidate()
+	return e.record
 }
 
 // suspectTimeout returns the silence after which a neighbour is suspected.
--- a/tracker/random_test.go
+++ b/tracker/random_test.go
@@ -32,6 +32,8 @@
 				h.Tick(at)
 			case 1:
 				h.SetActive(at, map[string]bool{"host-0": true, name: true})
+			case 3:
+				h.RecordContact(at, name)
 			case 2:
 				h.UpdateSelf(func(r *HostRecord) { r.Ready = !r.Ready })
 			default:
@@ -48,8 +50,10 @@
 	assert.Equal(t, len(all), len(h.records)+1)
 	assert.Assert(t, slices.IsSortedFunc(all, func(a, b HostRecord) int { return strings.Compare(a.Host, b.Host) }))
 	var sums [bucketCount]uint64
-	for _, r := range all {
+	for _, r := range h.Told() {
 		sums[r.bucket()] += r.digest()
+	}
+	for _, r := range all {
 		known, _ := h.Lookup(r.Host)
 		assert.Equal(t, known, r)
 		unhealthy := r.State != HostLive && r.State != HostLeaving && r.Host != h.self.Host
