--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -111,6 +111,7 @@
 	onMessage        func(PeerMessage)   // onMessage, if set, is called with each message that arrives.
 	recipient        *simNode            // recipient is the host that onMessage's message has reached.
 	sent             map[string]int      // sent counts messages by sender.
+	mute             map[string]bool     // mute are hosts whose messages are lost.
 	betweenPages     func(follower.Feed) // betweenPages, if set, is called between the calls of a listing.
 }
 
@@ -378,7 +379,7 @@
 }
 
 func (c *cluster) reaches(from, to *simNode) bool {
-	return !to.down && c.partition[from.name] == c.partition[to.name]
+	return !to.down && !c.mute[from.name] && c.partition[from.name] == c.partition[to.name]
 }
 
 // healPartition ends the partition; connections across it open again.
--- a/conductor/listing_test.go
+++ b/conductor/listing_test.go
@@ -98,6 +98,42 @@
 	}
 }
 
+// TestChangeBesideMuteReader guards against hosts that wait for a reader which reads and is not heard.
+func TestChangeBesideMuteReader(t *testing.T) {
+	for _, hosts := range []int{2, 6, 40} {
+		c := newCluster(hosts)
+		c.write(follower.FeedOperator, "config", "version 1")
+		c.run(8 * time.Second)
+		c.mute = map[string]bool{c.reader(follower.FeedOperator).name: true}
+		c.write(follower.FeedOperator, "config", "version 2")
+		c.run(2 * time.Second)
+		for _, s := range c.nodes {
+			assert.Equal(t, s.version, uint64(2), "%s of %d", s.name, hosts)
+		}
+	}
+}
+
+// TestUnlistedHostFollows guards against hosts that are up, unknown to all others, and get no pages.
+func TestUnlistedHostFollows(t *testing.T) {
+	for _, hosts := range []int{3, 6} {
+		c := newCluster(hosts)
+		c.write(follower.FeedOperator, "config", "version 1")
+		c.run(3 * time.Second)
+		unlisted := c.nodes[hosts-1]
+		c.partition = map[string]bool{unlisted.name: true}
+		c.isolated = true
+		c.act("kill", unlisted)
+		c.run(5 * time.Second)
+		c.act("start", unlisted)
+		c.run(3 * time.Second)
+		c.write(follower.FeedOperator, "config", "version 2")
+		c.run(2 * time.Second)
+		for _, s := range c.nodes {
+			assert.Equal(t, s.version, uint64(2), "%s of %d", s.name, hosts)
+		}
+	}
+}
+
 // reader returns the first host in rank as a reader of a feed.
 func (c *cluster) reader(f follower.Feed) *simNode {
 	for _, s := range c.nodes {
--- a/conductor/node_test.go
+++ b/conductor/node_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -262,30 +263,62 @@
 var clusterActions = []string{"write", "write", "write", "silent", "refuse", "ok", "ok", "kill", "start", "pause", "resume", "forget", "upstream"}
 
 // TestRandomFaults: versions never decrease on a host, and two seconds after a change it is known
-// to every host that could reach the store for three seconds before it and since.
+// to every host that could reach the store for three seconds before it and since. Changes are also written between the calls
+// of a listing. Once all works again, all hosts have the newest one, and none had passed a record that it lacked.
 func TestRandomFaults(t *testing.T) {
+	actions := append(slices.Clone(clusterActions), "writeWhileListed", "writeWhileListed")
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(rapid.IntRange(1, 5).Draw(t, "hosts"))
 		version := uint64(1)
+		write := func() {
+			version++
+			c.write(follower.FeedOperator, "config", fmt.Sprint("version ", version))
+		}
 		c.write(follower.FeedOperator, "config", "version 1")
 		c.run(4 * time.Second)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			s := rapid.SampledFrom(c.nodes).Draw(t, "host")
-			do := rapid.SampledFrom(clusterActions).Draw(t, "do")
+			do := rapid.SampledFrom(actions).Draw(t, "do")
 			c.act(do, s)
-			if do == "write" {
-				version++
-				c.write(follower.FeedOperator, "config", fmt.Sprint("version ", version))
+			switch do {
+			case "write":
+				write()
 				c.checkPropagation(version)
+			case "writeWhileListed":
+				c.betweenPages = func(f follower.Feed) {
+					if f == follower.FeedOperator {
+						c.betweenPages = nil
+						write()
+					}
+				}
 			}
 			c.run(rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, time.Second, 3 * time.Second}).Draw(t, "after"))
 			if len(c.violations) > 0 {
 				t.Fatalf("broken: %q", c.violations)
 			}
 		}
+		c.betweenPages = nil
+		c.checkSettled(t, version)
 	})
 }
 
+// checkSettled ends all faults and checks that all hosts have the newest configuration, and that none had passed a record
+// that it lacked.
+func (c *cluster) checkSettled(t *rapid.T, version uint64) {
+	for _, s := range c.nodes {
+		for _, do := range []string{"ok", "resume", "start"} {
+			c.act(do, s)
+		}
+	}
+	c.run(5 * time.Second)
+	for _, s := range c.nodes {
+		assert.Equal(t, s.version, version, s.name)
+		for name, f := range s.node.feeds {
+			assert.Equal(t, f.missed, 0, "%s, %s", s.name, name)
+		}
+	}
+}
+
 func (c *cluster) act(do string, s *simNode) {
 	switch do {
 	case "silent":
