--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/logger"
+	"amaranthgate.example/amaranthgate/tracker"
 )
 
 const (
@@ -26,9 +29,13 @@
 // Drain removes this host from the directory and keeps serving requests until callers have had time
 // to move to other hosts, or until ctx ends. It returns the number of requests that were cut.
 func (h *Host) Drain(ctx context.Context) int {
+	start := h.opts.Timer.Now()
+	refuses := start.Add(addressTTLFactor * h.opts.Settings.Timing.AddressTTL.Std())
+	if deadline, ok := ctx.Deadline(); ok {
+		h.drain.Store(&exchanger.Drain{Refuses: refuses, End: start.Add(time.Until(deadline) - closeTimeout - refusalTime)})
+	}
 	h.leaving.Store(true)
 	h.post(DrainStarted{})
-	start := h.opts.Timer.Now()
 	h.log.Info().Int64("Open", h.open.Load()).Msg(logger.Draining)
 	minDrain := addressTTLFactor*h.opts.Settings.Timing.AddressTTL.Std() + drainIdleTime
 	for ctx.Err() == nil {
@@ -40,12 +47,30 @@
 		if now.Sub(start) > minDrain && idle && h.open.Load() == 0 {
 			break
 		}
+		if d, ok := h.draining(); ok && d.Alone && now.After(refuses) && h.open.Load() <= h.exchanger.Brief() {
+			break
+		}
 		pause(ctx, drainPollInterval)
 	}
 	h.exchanger.Close()
 	return h.stop()
 }
 
+// draining reports whether this host drains.
+func (h *Host) draining() (exchanger.Drain, bool) {
+	drain := h.drain.Load()
+	if drain == nil {
+		return exchanger.Drain{}, false
+	}
+	self := h.opts.Settings.Host
+	others := slices.ContainsFunc(*h.hosts.Load(), func(r tracker.HostRecord) bool {
+		return r.Host != self && r.State == tracker.HostLive && r.Ready
+	})
+	d := *drain
+	d.Alone = !others
+	return d, true
+}
+
 // stop closes listeners and idle connections, waits briefly for requests in flight, and ends the others. It returns
 // their number.
 func (h *Host) stop() int {
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -130,8 +130,9 @@
 	originsDue        chan struct{} // originsDue signals that the registrar has messages for other hosts.
 	capacityFreed     chan struct{} // capacityFreed signals that upstreams may have room.
 	leaving           atomic.Bool
-	evictsStores      atomic.Bool // evictsStores is set on the host that evicts unused KV caches.
-	saveAgain         atomic.Bool // saveAgain is set if the store may have lost saved state.
+	drain             atomic.Pointer[exchanger.Drain] // drain is nil while this host does not drain, or has no deadline.
+	evictsStores      atomic.Bool                     // evictsStores is set on the host that evicts unused KV caches.
+	saveAgain         atomic.Bool                     // saveAgain is set if the store may have lost saved state.
 	open              atomic.Int64
 	started           time.Time
 	lastRequest       atomic.Int64 // lastRequest is when the last request arrived, in ns after started.
@@ -199,6 +200,7 @@
 		Peers:      h.peers(),
 		Relay:      h.relay(),
 		Origins:    h.registrar,
+		Draining:   h.draining,
 
 		SoleSoftware: h.soleSoftware,
 	})
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -70,6 +70,8 @@
 	// Forecaster forecasts waits, so that requests that can't start before their deadline are refused at
 	// once; nil for none. It must not be used by others.
 	Forecaster *forecaster.Forecaster
+	// Draining reports whether this host drains; nil if it never does.
+	Draining func() (Drain, bool)
 	// Peers tells the Forecaster what waits at other hosts; nil for none.
 	Peers PeerBacklogs
 	// Relay passes requests on to other hosts while this one reaches no upstream; nil for none.
@@ -100,7 +102,10 @@
 	handle  dispatcher.Handler[*exchange, Outcome]
 	watcher watcher
 	returns *returns
-	closed  atomic.Bool // closed is set by Close.
+	// durations are those of answered requests.
+	durations durations
+	brief     atomic.Int64 // brief is the number of requests in progress that were taken during a drain since they end before it.
+	closed    atomic.Bool  // closed is set by Close.
 	// failures are requests that upstreams have answered with a 5xx.
 	failures failedRequests
 	// stopped is done when requests in progress are to end, which stop causes.
@@ -116,7 +121,7 @@
 	if opts.Origins == nil {
 		opts.Origins = registrar.New(registrar.Options{Timer: opts.Timer})
 	}
-	x := &Exchanger{opts: opts, gate: newGate(&opts), returns: newReturns(), handle: dispatcher.Chain(forward, requireReady, matchRoute, authenticate, limitTime)}
+	x := &Exchanger{opts: opts, gate: newGate(&opts), returns: newReturns(), handle: dispatcher.Chain(forward, requireReady, matchRoute, authenticate, limitTime, refuseUnfinishable)}
 	x.watcher.opts = &x.opts
 	x.stopped, x.stop = context.WithCancel(context.Background())
 	return x
@@ -145,6 +150,9 @@
 	e := &exchange{Exchanger: x, request: r, responder: w, view: x.opts.Views.Load()}
 	o := x.handle(ctx, e)
 	o.Took = x.opts.Timer.Now().Sub(r.Start)
+	if o.Reason == ReasonNone && e.route != nil {
+		x.durations.record(e.route.Name, o.Took)
+	}
 	o.Late = e.route != nil && e.route.Objective > 0 && o.First > e.route.Objective
 	return o
 }
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -62,6 +62,7 @@
 	ReasonLeaving       Reason = "Leaving"       // ReasonLeaving means that this host ends, and that another one passed the request on.
 	ReasonOriginUnknown Reason = "OriginUnknown" // ReasonOriginUnknown means that nobody knows at which software version a stream began.
 	ReasonSoftwareGone  Reason = "SoftwareGone"  // ReasonSoftwareGone means that no upstream has the software version at which a stream began.
+	ReasonDraining      Reason = "Draining"      // ReasonDraining means that this host ends before the request may have ended.
 	ReasonCutOff        Reason = "CutOff"        // ReasonCutOff means that this host reaches no upstream, and no other host took the request.
 )
 
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -136,6 +136,7 @@
 	"TooLarge":      "the prompt is larger than the memory of any engine; the request has not run",
 	"Full":          "every upstream that was asked refused; the request has not run",
 	"Leaving":       "the host that it was passed on to ended before an upstream had room; the request has not run",
+	"Draining":      "the host was about to end, and others of its route have lasted longer than was left; the request has not run",
 	"CutOff":        "the host reached no upstream and no other host could serve the request; it has not run",
 	"Unreached":     "no connection to an upstream could be opened; the request has not run",
 	"Unknown":       "an upstream may have run the request but gave no complete answer",
