review: Show that others use what a tenant made before it was isolated

Claim: WALL is broken after a change of the configuration that isolates a tenant. Requests of other tenants go on using the parts that its earlier requests left under the shared salt.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 type scenario func(ctx context.Context, r *rig) (broken []string, err error)
 
 var scenarios = map[string]scenario{
+	"isolation":      isolation,
 	"second-answers": secondAnswers,
 }
 
