review: Show the engines that go back to older weights by a script as well

The script has six hosts and engines of its own, so that the order of events at each engine can be read in record.txt.

Hosts end with the rig now.

--- a/review/rig/hosts.go
+++ b/review/rig/hosts.go
@@ -102,6 +102,7 @@
 	h := &host{name: name, callers: a[0], ready: a[3], done: make(chan struct{})}
 	h.cmd = exec.Command(binary, "serve", "--settings", settings)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the rig
 	if err := h.cmd.Start(); err != nil {
 		return nil, err
 	}
--- a/review/rig/isolation.go
+++ b/review/rig/isolation.go
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	r.record.add("hosts: %s", addresses(hosts))
-	p := &prompter{hosts: hosts, record: r.record, rng: rand.New(rand.NewPCG(3, 4))}
+	p := &prompter{hosts: hosts, record: r.record, rng: rand.New(rand.NewPCG(3, 4)), prefix: "p", gap: requestGap}
 	for range requestsOfEach {
 		p.ask(isolatedTenant, isolatedKey)
 	}
@@ -127,6 +127,8 @@
 	hosts  []*host
 	record *recorder
 	rng    *rand.Rand
+	prefix string        // prefix begins the IDs of its requests.
+	gap    time.Duration // gap is the time between an answer and the next request.
 	sent   int
 	read   map[string]string // read says how many tokens of each request's prompt its engine prefilled.
 }
@@ -134,7 +136,7 @@
 // ask sends a prompt of a tenant and waits for the answer.
 func (p *prompter) ask(tenant, key string) {
 	p.sent++
-	id := fmt.Sprintf("p%04d", p.sent)
+	id := fmt.Sprintf("%s%04d", p.prefix, p.sent)
 	to := p.hosts[p.rng.IntN(len(p.hosts))]
 	p.record.add("client  request %s of %s  sent to %s", id, tenant, to.name)
 	resp, err := p.exchange(id, key, to)
@@ -145,9 +147,9 @@
 			p.read = make(map[string]string)
 		}
 		p.read[id] = resp.Header.Get(standin.HeaderPrefilled)
-		p.record.add("client  request %s  gets %d, the engine prefilled %s", id, resp.StatusCode, p.read[id])
+		p.record.add("client  request %s  gets %d, the engine prefilled %q", id, resp.StatusCode, p.read[id])
 	}
-	time.Sleep(requestGap)
+	time.Sleep(p.gap)
 }
 
 func (p *prompter) exchange(id, key string, to *host) (*http.Response, error) {
@@ -173,7 +175,7 @@
 }
 
 // ownPart returns the ID of the last part of a prompt, which no other request has.
-func ownPart(id string) string { return fmt.Sprintf("%08x", []byte(id)[1:]) }
+func ownPart(id string) string { return fmt.Sprintf("%x", id) }
 
 // foreignUses returns the requests after a time that used the shared part as a request of another tenant made it, where
 // one of the two tenants is isolated by then.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 
 var scenarios = map[string]scenario{
 	"isolation":      isolation,
+	"late-orders":    lateOrders,
 	"second-answers": secondAnswers,
 }
 
@@ -39,6 +41,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	runtime.LockOSThread() // processes end with the thread that has started them
 	name := flag.String("case", "", "`NAME` of the case")
 	record := flag.String("record", "record.txt", "output `FILE`")
 	trouble := flag.Bool("trouble", true, "cause the disruption")
--- a/review/rig/names.go
+++ b/review/rig/names.go
@@ -20,6 +20,7 @@
 	NotExecuted         string
 	Authorization       string
 	AuthorizationScheme string
+	ExpectVersion       string
 	Model               string
 	Tokens              string
 	Parts               string
