--- a/review/rig-2/thaw.go
+++ b/review/rig-2/thaw.go
@@ -23,6 +23,7 @@
 	fillerTokens = 34000
 	ownTokens    = 400
 	readyTimeout = 30 * time.Second
+	rounds       = 4 // rounds bounds how often the disruption comes, each time with other parts.
 )
 
 // Times of the disruption: a freeze of freezeTime, in which the store of kept prompts is down for downTime.
@@ -74,13 +75,17 @@
 		return false, errors.New("the hosts do not get ready")
 	}
 	time.Sleep(2 * time.Second)
-	seed(rec, hosts)
-	if err := disturb(rec, cache, hosts, trouble); err != nil {
-		return false, err
+	for round := 0; round < rounds && !broken; round++ {
+		rec.logf("round %d", round+1)
+		seed(rec, hosts, round)
+		if err := disturb(rec, cache, hosts, round, trouble); err != nil {
+			return false, err
+		}
+		fetched, mixed := cache.counts()
+		rec.logf("%d fetches of whole parts, %d of parts that were being written", fetched, mixed)
+		broken = mixed > 0
 	}
-	fetched, mixed := cache.counts()
-	rec.logf("%d fetches of whole parts, %d of parts that were being written", fetched, mixed)
-	return mixed > 0, nil
+	return broken, nil
 }
 
 func awaitReady(hosts []*host) bool {
@@ -106,15 +111,16 @@
 
 // seed has engines read the shared parts, which are saved to the store, and then others, so that the engines do not
 // keep the shared ones.
-func seed(rec *record, hosts []*host) {
+func seed(rec *record, hosts []*host, round int) {
 	var work sync.WaitGroup
 	for i := range sharedCount {
-		work.Go(func() { ask(rec, hosts[i%2], shared("seed", i)) })
+		work.Go(func() { ask(rec, hosts[i%2], shared("seed", round*sharedCount+i)) })
 	}
 	work.Wait()
 	time.Sleep(2 * time.Second)
 	for at := 0; at < fillerCount; at += engineCount {
-		for i := at; i < at+engineCount; i++ {
+		for n := at; n < at+engineCount; n++ {
+			i := round*fillerCount + n
 			r := request{id: fmt.Sprint("filler-", i), parts: fmt.Sprintf("c%04x:%d,d%04x:%d", i, fillerTokens, i, ownTokens)}
 			work.Go(func() { ask(rec, hosts[i%2], r) })
 		}
@@ -125,7 +131,7 @@
 
 // disturb freezes the last host, has the store crash, and sends requests for the shared parts to another host and then
 // to the frozen one, which wakes.
-func disturb(rec *record, cache *cacheStore, hosts []*host, trouble bool) error {
+func disturb(rec *record, cache *cacheStore, hosts []*host, round int, trouble bool) error {
 	frozen, other := hosts[2], hosts[0]
 	var queued []*client
 	for range 2 * sharedCount {
@@ -152,11 +158,11 @@
 	at(resaveAt)
 	var work sync.WaitGroup
 	for i := range sharedCount {
-		work.Go(func() { ask(rec, other, shared("again", i)) })
+		work.Go(func() { ask(rec, other, shared("again", round*sharedCount+i)) })
 	}
 	at(queueAt)
 	for i, c := range queued {
-		r := shared(fmt.Sprint("late", i/sharedCount), i%sharedCount)
+		r := shared(fmt.Sprint("late", i/sharedCount), round*sharedCount+i%sharedCount)
 		if err := c.send(frozen, r); err != nil {
 			return err
 		}
