Review case: hosts are killed for the memory of bodies that the limits allow

Claim: nothing bounds the request bodies that a host holds. Bodies of the size that the configuration allows, sent by 20 clients of each host at the same moment, bring every host over its memory limit, and the platform kills them all. Requests from kept connections that had been passed on to sound engines get no answer (LOST; a process that ends by itself counts as running).

--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -30,6 +31,7 @@
 	id      string
 	address string
 	store   *cacheStore
+	events  int // events is the length of a stream.
 
 	mu     sync.Mutex
 	kept   []prompted // kept are the parts in order of use, least recently used first.
@@ -49,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{rec: rec, id: id, address: l.Addr().String(), store: store}
+	e := &engine{rec: rec, id: id, address: l.Addr().String(), store: store, events: streamEvents}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+names["report"], e.serveReport)
 	mux.HandleFunc("POST "+names["order"], func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -85,13 +87,17 @@
 		return
 	}
 	id := h.Get(names["id"])
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	e.rec.arrived(id, e.id)
 	e.read(id, h)
 	e.rec.ran(id, e.id)
 	w.Header().Set(names["id"], id)
 	w.Header().Set(names["seal"], "seal."+e.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for i := 1; i <= streamEvents; i++ {
+	for i := 1; i <= e.events; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", i)
 		_ = control.Flush()
 		time.Sleep(eventInterval)
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	TROUBLE=1 rig-2 thaw review/5
+//	TROUBLE=1 rig-2 thaw review/4
 //
 // The exit code is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
@@ -44,10 +44,11 @@
 
 // record writes what was sent, answered and run.
 type record struct {
-	mu    sync.Mutex
-	file  *os.File
-	start time.Time
-	runs  map[string]int
+	mu       sync.Mutex
+	file     *os.File
+	start    time.Time
+	runs     map[string]int
+	arrivals map[string]bool
 }
 
 func newRecord(dir string) (*record, error) {
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, start: time.Now(), runs: make(map[string]int)}, nil
+	return &record{file: f, start: time.Now(), runs: make(map[string]int), arrivals: make(map[string]bool)}, nil
 }
 
 func (r *record) logf(format string, args ...any) {
@@ -71,9 +72,25 @@
 	r.logf("engine %s runs %s", engine, id)
 }
 
+// arrived records that a request has reached an engine.
+func (r *record) arrived(id, engine string) {
+	r.mu.Lock()
+	r.arrivals[id] = true
+	r.mu.Unlock()
+	r.logf("engine %s gets %s", engine, id)
+}
+
+// hasArrived reports whether a request has reached an engine.
+func (r *record) hasArrived(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivals[id]
+}
+
 func main() {
-	if len(os.Args) != 3 || os.Args[1] != "thaw" {
-		fmt.Fprintln(os.Stderr, "usage: rig-2 thaw DIR")
+	plays := map[string]func(*record, bool) (bool, error){"thaw": playThaw, "memory": playMemory}
+	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig-2 thaw|memory DIR")
 		os.Exit(2)
 	}
 	rec, err := newRecord(os.Args[2])
@@ -83,7 +100,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.logf("trouble: %v", trouble)
-	broken, err := playThaw(rec, trouble)
+	broken, err := plays[os.Args[1]](rec, trouble)
 	switch {
 	case err != nil:
 		rec.logf("the case could not run: %v", err)
