Log on which connection an attempt was made, and what a refusal rests on

The hypotheses about REFUSED and TWICE could not be told apart by logs: no line named the connection of an attempt, the answers to other requests that were skipped there, or what the attempts of a refused request had shown. RequestEnded of a request that failed or was late has Results now, one for each attempt: its number, its connection and how many requests that had carried before, the status, and what it shows of whether the request ran. AnswersSkipped names the request and the upstream where answers to other requests were skipped; their bytes are counted. Lines of what an upstream says of itself name the request and the attempt in whose answer it did, RateLimitStated among them. explain writes them all.

No decision changes. Test: explainer.TestExplainAttempts.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -163,6 +163,11 @@
 	}
 }
 
+// skippedBytes counts the bytes of answers to other requests.
+func (c *counters) skippedBytes(n int64) {
+	c.set.GetOrCreateCounter("amaranthgate_answers_crossed_bytes_total").Add(int(n))
+}
+
 // answerEnded counts the end of an answer.
 func (c *counters) answerEnded(e *exchanger.AnswerEnd) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("amaranthgate_answers_ended_total{framing=%q,ending=%q}", string(e.Framing), string(e.Ending))).Inc()
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -319,6 +319,7 @@
 	defer h.open.Add(-1)
 	o := h.exchanger.Handle(ctx, r, w)
 	h.counters.request(r, o)
+	h.logSkipped(r, &o)
 	h.logRequest(r, o)
 }
 
--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"amaranthgate.example/amaranthgate/exchanger"
 	"amaranthgate.example/amaranthgate/loader"
 	"amaranthgate.example/amaranthgate/logger"
@@ -30,7 +32,7 @@
 	instance := n.Upstream.InstanceID()
 	if n.Leaving && h.placer.MarkLeaving(instance) {
 		h.counters.upstreamLeaving()
-		h.log.StateChange().Str("Upstream", instance).Msg(logger.UpstreamLeaving)
+		h.logNotice(&n, instance).Msg(logger.UpstreamLeaving)
 	}
 	h.noticeRest(n, instance)
 	h.noticeLoad(n, instance)
@@ -40,7 +42,14 @@
 		h.log.StateChange().Str("Upstream", instance).Str("Value", n.Rate.Malformed).Msg(logger.RateLimitMalformed)
 		return
 	}
-	h.throttler.Declare(n.At, n.Sent, instance, n.Rate.PerSecond)
+	if h.throttler.Declare(n.At, n.Sent, instance, n.Rate.PerSecond) {
+		h.logNotice(&n, instance).Float64("PerSecond", n.Rate.PerSecond).Msg(logger.RateLimitStated)
+	}
+}
+
+// logNotice begins a line about what an upstream has said in the answer to an attempt.
+func (h *Host) logNotice(n *exchanger.Notice, instance string) *zerolog.Event {
+	return h.log.StateChange().Str("Upstream", instance).Str("RequestID", n.RequestID).Int("Number", n.Attempt).Dur("Age", n.At.Sub(n.Sent))
 }
 
 // noticeRest handles an upstream that asks this host for rest.
@@ -50,7 +59,7 @@
 		h.log.StateChange().Str("Upstream", instance).Str("Value", n.Rest.Malformed).Msg(logger.RestMalformed)
 	case n.Rest.For > 0 && h.placer.Rest(n.At, instance, n.At.Add(n.Rest.For)):
 		h.counters.restBegun()
-		h.log.StateChange().Str("Upstream", instance).Dur("For", n.Rest.For).Msg(logger.RestBegun)
+		h.logNotice(&n, instance).Dur("For", n.Rest.For).Msg(logger.RestBegun)
 	}
 }
 
@@ -82,11 +91,11 @@
 	case n.Brittle.Stated:
 		if h.placer.MarkBrittle(n.At, instance, n.Brittle.PerSecond) {
 			h.counters.upstreamBrittle()
-			h.log.StateChange().Str("Upstream", instance).Float64("PerSecond", n.Brittle.PerSecond).Msg(logger.UpstreamBrittle)
+			h.logNotice(&n, instance).Float64("PerSecond", n.Brittle.PerSecond).Msg(logger.UpstreamBrittle)
 		}
 	default:
 		if h.placer.MarkSound(n.At, n.Sent, instance) {
-			h.log.StateChange().Str("Upstream", instance).Msg(logger.UpstreamSound)
+			h.logNotice(&n, instance).Msg(logger.UpstreamSound)
 		}
 	}
 }
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -57,6 +57,9 @@
 	if failed && len(o.Choices) > 0 {
 		ev.Array("Attempts", attempts(o.Choices))
 	}
+	if failed && len(o.Results) > 0 {
+		ev.Array("Results", results(o.Results))
+	}
 	if o.Origin.Known() {
 		ev.Str("Software", o.Origin.Software)
 	}
@@ -78,6 +81,50 @@
 		Dur("Awaited", o.PrefillWait).Dur("First", o.First).Dur("Took", o.Took).Msg(logger.RequestEnded)
 }
 
+// logSkipped counts and logs the answers to other requests that were skipped while this one waited for its own.
+func (h *Host) logSkipped(r *exchanger.Request, o *exchanger.Outcome) {
+	for i := range o.Results {
+		a := &o.Results[i]
+		if a.Trace.Foreign == 0 {
+			continue
+		}
+		h.counters.skippedBytes(a.Trace.ForeignBytes)
+		h.log.Failure().Str("RequestID", r.ID).Object("Attempt", (*result)(a)).Msg(logger.AnswersSkipped)
+	}
+}
+
+// results encodes what attempts have shown in a log line.
+type results []exchanger.AttemptResult
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (r results) MarshalZerologArray(arr *zerolog.Array) {
+	for i := range r {
+		arr.Object((*result)(&r[i]))
+	}
+}
+
+type result exchanger.AttemptResult
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (r *result) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("Number", r.Number)
+	if r.PassedTo != "" {
+		e.Str("PassedTo", r.PassedTo)
+	} else {
+		e.Str("Upstream", r.Upstream)
+	}
+	e.Uint64("Connection", r.Trace.Connection).Int("Earlier", r.Trace.Earlier).Int("Status", r.Status).Str("Verdict", string(r.Verdict))
+	if r.Cause != "" {
+		e.Str("Cause", string(r.Cause))
+	}
+	if r.Held {
+		e.Bool("Held", true)
+	}
+	if r.Trace.Foreign > 0 {
+		e.Int("Foreign", r.Trace.Foreign).Int64("ForeignBytes", r.Trace.ForeignBytes)
+	}
+}
+
 // maxLoggedID bounds the part of an ID of a caller that is logged.
 const maxLoggedID = 64
 
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -232,6 +232,7 @@
 
 // attempt is one attempt of a request.
 type attempt struct {
+	number  int // number is that of the attempt among those of the request, from 1.
 	choice  destination
 	options *SendOptions // options are nil if the request is passed on.
 	sent    time.Time    // sent is zero if the request is passed on.
@@ -271,7 +272,7 @@
 // begin records an attempt that is about to be sent.
 func (d *delivery) begin(ctx context.Context, choice destination) *attempt {
 	d.outcome.Attempts++
-	a := &attempt{choice: choice}
+	a := &attempt{number: d.outcome.Attempts, choice: choice}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if choice.host != nil {
 		d.beginPassing(a)
@@ -365,6 +366,13 @@
 
 // end records how an attempt ended.
 func (d *delivery) end(ctx context.Context, a *attempt, r dispatcher.Result) dispatcher.Result {
+	r = d.settle(ctx, a, r)
+	d.recordAttempt(a, r)
+	return r
+}
+
+// settle tells placement and quarantine how an attempt ended, and returns its result.
+func (d *delivery) settle(ctx context.Context, a *attempt, r dispatcher.Result) dispatcher.Result {
 	upstream := a.choice.Upstream
 	d.mayHaveRun = d.mayHaveRun || r.Verdict == dispatcher.MayHaveRun
 	if a.choice.host != nil {
@@ -389,6 +397,7 @@
 	a.resting = n.Rest.For > 0
 	if d.opts.Noticed != nil {
 		n.Upstream, n.Sent, n.At = a.choice.Upstream, a.sent, d.opts.Timer.Now()
+		n.RequestID, n.Attempt = d.request.ID, a.number
 		d.opts.Noticed(n)
 	}
 }
--- a/exchanger/notice.go
+++ b/exchanger/notice.go
@@ -12,14 +12,16 @@
 
 // Notice is what an upstream says of itself in the header of an answer.
 type Notice struct {
-	Upstream follower.Upstream
-	Sent     time.Time // Sent is when the request was sent, At when the header had been read.
-	At       time.Time
-	Rate     RateNotice
-	Leaving  bool // Leaving reports whether the upstream is leaving and accepts no new work.
-	Rest     RestNotice
-	Load     LoadNotice
-	Brittle  BrittleNotice
+	Upstream  follower.Upstream
+	RequestID string
+	Attempt   int       // Attempt is the number of the attempt whose answer it is, as in AttemptResult.
+	Sent      time.Time // Sent is when the request was sent, At when the header had been read.
+	At        time.Time
+	Rate      RateNotice
+	Leaving   bool // Leaving reports whether the upstream is leaving and accepts no new work.
+	Rest      RestNotice
+	Load      LoadNotice
+	Brittle   BrittleNotice
 }
 
 // RateNotice is what an answer says of the upstream's rate limit.
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -88,6 +88,7 @@
 	Resumed      bool              // Resumed reports that the caller took a stream up.
 	Finding      registrar.Finding // Finding is what was known of that stream.
 	Choices      []placer.Choice   // Choices are the upstreams that were tried, in order.
+	Results      []AttemptResult   // Results are those of the attempts, in the order in which they ended.
 	Late         bool              // Late reports whether First exceeds the route's objective.
 	Waited       time.Duration     // Waited is the time spent waiting for an upstream.
 	PrefillWait  time.Duration     // PrefillWait is the part of Waited spent waiting for the prefill of a shared prefix.
--- a/exchanger/standby.go
+++ b/exchanger/standby.go
@@ -189,7 +189,7 @@
 // clone returns a delivery for attempts beside those of d.
 func (d *delivery) clone() *delivery {
 	e := *d.exchange
-	e.outcome.Choices = slices.Clone(e.outcome.Choices)
+	e.outcome.Choices, e.outcome.Results = slices.Clone(e.outcome.Choices), slices.Clone(e.outcome.Results)
 	c := *d
 	c.exchange, c.tried, c.failed, c.beside = &e, slices.Clone(d.tried), slices.Clone(d.failed), nil
 	c.mayHaveRun, c.retry = true, true
@@ -209,7 +209,7 @@
 	d.unreached, d.passing.avoid, d.passing.unserved = c.unreached, c.passing.avoid, c.passing.unserved
 	o := &c.outcome
 	d.outcome.Attempts, d.outcome.Choices, d.outcome.HeldFull = o.Attempts, o.Choices, o.HeldFull
-	d.outcome.BrokenOff = o.BrokenOff
+	d.outcome.BrokenOff, d.outcome.Results = o.BrokenOff, o.Results
 	d.outcome.PassedTo = o.PassedTo
 	if o.RetrySkipped != SkipNone {
 		d.outcome.RetrySkipped = o.RetrySkipped
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -46,7 +46,8 @@
 	First     float64 // First is the time to the first byte, in milliseconds.
 	Took      float64 // Took is the total time, in milliseconds.
 	Attempts  []Attempt
-	Attempt   // Attempt is the chosen upstream, or names the one that the line is about.
+	Results   []AttemptResult // Results are what the attempts have shown, in the order in which they ended.
+	Attempt                   // Attempt is the chosen upstream, or names the one that the line is about.
 	Result    string
 	Feed      string
 	Key       string
@@ -96,6 +97,19 @@
 	Resting   int
 }
 
+// AttemptResult is what an attempt has shown of whether the request ran.
+type AttemptResult struct {
+	Number     int
+	Upstream   string
+	PassedTo   string // PassedTo is the host to which the request was passed on; empty if it was not.
+	Connection uint64 // Connection is the number of the connection at the host.
+	Earlier    int    // Earlier is the number of requests that the connection carried before.
+	Status     int    // Status is 0 if there was no answer.
+	Verdict    string
+	Cause      string // Cause is why the attempt failed; empty if it did not.
+	Foreign    int    // Foreign is the number of answers to other requests that were skipped.
+}
+
 const maxLineBytes = 1 << 20
 
 // Read reads log lines and skips those that are not JSON. name is put before the host name of each.
@@ -296,6 +310,27 @@
 			fmt.Fprintf(b, "    passed over: %d upstreams at their declared rate limits, %d that had asked for rest\n", a.Throttled, a.Resting)
 		}
 	}
+	for i := range l.Results {
+		l.Results[i].write(b)
+	}
+}
+
+// verdicts explains each verdict on an attempt.
+var verdicts = map[string]string{"Done": "the caller has its answer", "NotRun": "it did not run", "Maybe": "it may have run"}
+
+// write writes what an attempt has shown.
+func (r *AttemptResult) write(b *strings.Builder) {
+	fmt.Fprintf(b, "  result of attempt %d at %s: status %d, %s", r.Number, cmp.Or(r.Upstream, r.PassedTo), r.Status, cmp.Or(verdicts[r.Verdict], r.Verdict))
+	if r.Cause != "" {
+		fmt.Fprintf(b, " (%s)", r.Cause)
+	}
+	if r.Connection > 0 {
+		fmt.Fprintf(b, "; connection %d had carried %d requests before", r.Connection, r.Earlier)
+	}
+	if r.Foreign > 0 {
+		fmt.Fprintf(b, "; %d answers to other requests were skipped", r.Foreign)
+	}
+	b.WriteString("\n")
 }
 
 // writeStream writes what the host knew of the stream that a request takes up, and where its beginning was logged.
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -175,3 +175,21 @@
 	}
 	assert.Assert(t, !strings.Contains(report, "configuration 13"), report)
 }
+
+// TestExplainAttempts checks that the report on a request has what each of its attempts has shown, and on which connection.
+func TestExplainAttempts(t *testing.T) {
+	f, err := os.Open("testdata/attempts.txt")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	lines, err := Read(f, "")
+	assert.NilError(t, err)
+	report, ok := Explain(lines, "copied")
+	assert.Assert(t, ok)
+	for _, w := range []string{
+		"result of attempt 1 at u1: status 503, it did not run (Refused); connection 14 had carried 2 requests before\n",
+		"result of attempt 2 at u1: status 503, it did not run (Refused); connection 14 had carried 3 requests before; 1 answers to other requests were skipped\n",
+		"result of attempt 3 at host-2: status 0, it may have run (Lost); connection 1 had carried 0 requests before\n",
+	} {
+		assert.Assert(t, strings.Contains(report, w), "%q is not in\n%s", w, report)
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,7 @@
 	Detail     string
 	NoListener bool // NoListener reports whether the upstream's address refused the connection.
 	NoRoom     bool // NoRoom reports that no connection was attempted, as all that are allowed are in use.
+	Trace      Trace
 }
 
 // Attempt is one attempt of a request.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -94,6 +94,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	started     time.Time // started is when a connection was begun on which nothing was received yet; otherwise zero.
+	number      uint64    // number is Trace.Connection.
+	carried     int       // carried is the number of requests that were sent on it.
 }
 
 // Call is one request as it is sent.
@@ -121,6 +123,7 @@
 	Length int64 // Length is the declared length of the body, or -1.
 	// Framing is what marks the end of the body.
 	Framing Framing
+	Trace   Trace
 
 	pool       *Pool
 	conn       *pooledConn
@@ -209,7 +212,8 @@
 		return nil, fail
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
-	r := &Reply{pool: p, conn: c, stop: stop, ctx: ctx}
+	r := &Reply{pool: p, conn: c, stop: stop, ctx: ctx, Trace: Trace{Connection: c.number, Earlier: c.carried}}
+	c.carried++
 	sent, err := r.send(call)
 	if err == nil {
 		err = r.receive(call)
@@ -222,7 +226,7 @@
 	}
 	stop()
 	p.discard(c)
-	fail = &Failure{Cause: CauseLost, Ran: RanUnknown, Detail: err.Error()}
+	fail = &Failure{Cause: CauseLost, Ran: RanUnknown, Detail: err.Error(), Trace: r.Trace}
 	if sent == 0 {
 		fail.Ran = RanNo
 	}
@@ -269,8 +273,7 @@
 		}
 		return nil, &Failure{Cause: cause, Ran: RanNo, Detail: err.Error(), NoListener: errors.Is(err, syscall.ECONNREFUSED)}
 	}
-	p.Opened.Add(1)
-	c := newPooledConn(conn, call.Address)
+	c := p.newConn(conn, call.Address)
 	c.started = started
 	return c, nil
 }
@@ -282,8 +285,9 @@
 	return p.opts.Dial(ctx, "tcp4", address)
 }
 
-func newPooledConn(conn net.Conn, address string) *pooledConn {
-	return &pooledConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
+// newConn counts a new connection.
+func (p *Pool) newConn(conn net.Conn, address string) *pooledConn {
+	return &pooledConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout, number: p.Opened.Add(1)}
 }
 
 // reserve counts a new connection to an address, and closes an idle one if the limit
@@ -413,10 +417,13 @@
 			return nil
 		}
 		r.pool.Crossed.Add(1)
+		r.Trace.Foreign++
 		if resp.Close {
 			return errForeign
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, resp.Body)
+		r.Trace.ForeignBytes += n
+		if err != nil {
 			return err
 		}
 	}
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -46,8 +46,7 @@
 		p.observed(address, started, err)
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	p.Opened.Add(1)
-	p.putIdle(newPooledConn(conn, address))
+	p.putIdle(p.newConn(conn, address))
 	return false
 }
 
@@ -70,8 +69,7 @@
 		p.release(address)
 		return err
 	}
-	p.Opened.Add(1)
-	defer p.discard(newPooledConn(conn, address))
+	defer p.discard(p.newConn(conn, address))
 	if err := conn.SetReadDeadline(time.Now().Add(resetWait)); err != nil {
 		return err
 	}
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -20,6 +20,7 @@
 	PartTried            = "PartTried"
 	UpstreamLeaving      = "UpstreamLeaving"
 	AnswerBrokenOff      = "AnswerBrokenOff"
+	AnswersSkipped       = "AnswersSkipped"
 	RestBegun            = "RestBegun"
 	RestEnded            = "RestEnded"
 	RestMalformed        = "RestMalformed"
@@ -32,6 +33,7 @@
 	UpstreamBrittle      = "UpstreamBrittle"
 	UpstreamSound        = "UpstreamSound"
 	BrittleMalformed     = "BrittleMalformed"
+	RateLimitStated      = "RateLimitStated"
 	RateLimitChanged     = "RateLimitChanged"
 	RateLimitMalformed   = "RateLimitMalformed"
 	LoadMalformed        = "LoadMalformed"
@@ -82,7 +84,7 @@
 // Kinds lists all events.
 var Kinds = []string{
 	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
-	UpstreamChosen, RequestEnded, AnswerBrokenOff, UpstreamEnded, RequestBarred, PartBarred, PartTried, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
+	UpstreamChosen, RequestEnded, AnswerBrokenOff, AnswersSkipped, UpstreamEnded, RequestBarred, PartBarred, PartTried, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleMalformed, RateLimitStated, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, FeedDiffers, RecordMissed, PageDropped, PageIncomplete, ConfigurationTaken, RecordApplied, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
 	NamingsUnnoted, NamingsUnread, VersionDoubted, LeaseUnread, LeaseWritten, OrderGiven, KeptStoreChanged, KeptContextFreed,
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -116,10 +116,11 @@
 
 // Declare applies what an answer of an upstream said of its limit; perSecond is 0 if the answer
 // named none. sent is when the request was sent: an answer to a request that was sent before the
-// current statement was known may be older than that and can only make the limit stricter.
-func (t *Throttler) Declare(now, sent time.Time, instance string, perSecond float64) {
+// current statement was known may be older than that and can only make the limit stricter. It returns
+// whether the limit has changed.
+func (t *Throttler) Declare(now, sent time.Time, instance string, perSecond float64) bool {
 	if perSecond == 0 && !t.Active() {
-		return
+		return false
 	}
 	t.mu.Lock()
 	s := t.limits[instance]
@@ -132,13 +133,14 @@
 	later := s == nil || sent.After(s.since)
 	if next.PerSecond == known.PerSecond || !later && !next.stricter(known) {
 		t.mu.Unlock()
-		return
+		return false
 	}
 	next.Sequence++
 	c := t.set(now, next, SourceAnswer)
 	t.queued[instance] = true
 	t.mu.Unlock()
 	t.notify(c)
+	return true
 }
 
 // Merge applies statements of another host and returns those that were new to this one.
