Send no two attempts of a request on one connection

Callers got 503 for requests that had run, and requests that must run at most once ran twice. Upstreams may send a second copy of an answer late, where the answer to a later request on the connection is expected. Answers are told apart by the request's ID, which all attempts of a request share: a host that sent a refused request to the same upstream again, on the same connection, took the copy of the refusal for the answer to the new attempt, while the upstream ran it. The host then sent the request a third time, or refused it as not run. What such a copy says of the upstream, a rate limit among it, was dated by the new attempt and withdrew what the upstream had declared since.

The request's ID can't tell attempts apart, and it is the caller's, so that it can't be changed. The connection can: a copy arrives on the one on which its answer came. The pool knows which IDs a connection has carried and sends none of them there again; with another ID the copy is skipped as before.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,7 +59,8 @@
 
 // Pool sends HTTP/1.1 requests over a pool of persistent connections. Unlike
 // http.Transport it never sends a request twice, skips answers to other requests,
-// and reports whether a failed request may have run. It is safe for concurrent use.
+// keeps the attempts of a request apart by their connections, and reports whether a
+// failed request may have run. It is safe for concurrent use.
 type Pool struct {
 	opts    PoolOptions
 	timer   timer.System
@@ -95,7 +97,8 @@
 	idleTimeout time.Duration
 	started     time.Time // started is when a connection was begun on which nothing was received yet; otherwise zero.
 	number      uint64    // number is Trace.Connection.
-	carried     int       // carried is the number of requests that were sent on it.
+	carried     int       // carried is the number of requests that were sent on it, ids are the IDs of those that have one.
+	ids         identities
 }
 
 // Call is one request as it is sent.
@@ -112,6 +115,9 @@
 	// Once marks a request that must run at most once. It is not sent on a connection
 	// that was idle for long.
 	Once bool
+	// ID is what answers are told apart by, if they are. All attempts of a request share it, and an upstream may send
+	// an answer again late, so that no connection carries an ID twice.
+	ID string
 	// Accept reports whether an answer belongs to this call; nil accepts all answers.
 	Accept func(h http.Header) bool
 }
@@ -214,6 +220,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	r := &Reply{pool: p, conn: c, stop: stop, ctx: ctx, Trace: Trace{Connection: c.number, Earlier: c.carried}}
 	c.carried++
+	c.ids = c.ids.with(call.ID)
 	sent, err := r.send(call)
 	if err == nil {
 		err = r.receive(call)
@@ -329,21 +336,25 @@
 	return true
 }
 
-// takeIdle returns the most recently used idle connection that can be reused, or nil.
+// takeIdle returns the most recently used idle connection that can be reused for a call, or nil.
 func (p *Pool) takeIdle(call *Call) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.timer.Now()
 	list := p.idle[call.Address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
 		idle := now.Sub(c.idleSince)
-		if call.Once && idle > maxOnceIdle && idle < c.idleTimeout {
+		open := idle < c.idleTimeout
+		switch {
+		case open && call.Once && idle > maxOnceIdle:
 			return nil
+		case open && c.ids.has(call.ID):
+			continue
 		}
-		list = list[:len(list)-1]
+		list = slices.Delete(list, i, i+1)
 		p.idle[call.Address] = list
-		if idle < c.idleTimeout && isQuiet(c) {
+		if open && isQuiet(c) {
 			return c
 		}
 		p.closeLocked(c)
@@ -456,7 +467,7 @@
 // the upstream can read another request from it.
 func (r *Reply) Close() {
 	open := r.stop()
-	if !open || !r.complete || r.closeAfter || !r.bodySent() {
+	if !open || !r.complete || r.closeAfter || len(r.conn.ids) >= maxIdentities || !r.bodySent() {
 		r.pool.discard(r.conn)
 		return
 	}
--- a/forwarder/pool_test.go
+++ b/forwarder/pool_test.go
@@ -6,11 +6,13 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -31,6 +33,7 @@
 }
 
 type poolWant struct {
+	ID      string // ID is that of the request; its index by default.
 	Status  int
 	Body    string
 	Framing Framing // Framing is not checked if it is empty.
@@ -113,7 +116,7 @@
 			s := newPoolServer(t, c.Answers)
 			p := NewPool(PoolOptions{})
 			for i, want := range c.Want {
-				checkCall(t, p, s, strconv.Itoa(i), want)
+				checkCall(t, p, s, cmp.Or(want.ID, strconv.Itoa(i)), want)
 			}
 			assert.Equal(t, int(s.count.Load()), c.Connections)
 		})
@@ -125,7 +128,7 @@
 	answered := s.written.Load()
 	reply, fail := p.Do(context.Background(), &Call{
 		Address: s.listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h",
-		Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
+		Header: http.Header{"X-Id": {id}}, Body: []byte("body"), ID: id,
 		Accept: func(h http.Header) bool { return h.Get("X-Id") == id },
 	})
 	if want.Cause != "" {
@@ -154,6 +157,17 @@
 	reply.Close()
 }
 
+// TestPoolEndsOldConnections checks that a connection is closed once it has carried as many requests as it knows.
+func TestPoolEndsOldConnections(t *testing.T) {
+	const calls = maxIdentities + 1
+	s := newPoolServer(t, slices.Repeat([]poolAnswer{{Text: "200 OK|X-Id: {id}|Content-Length: 2||ok"}}, calls))
+	p := NewPool(PoolOptions{})
+	for i := range calls {
+		checkCall(t, p, s, strconv.Itoa(i), poolWant{Status: http.StatusOK})
+	}
+	assert.Equal(t, int(s.count.Load()), 2)
+}
+
 // TestPoolNotConnected checks that a request without a connection is reported as not
 // run.
 func TestPoolNotConnected(t *testing.T) {
