Bound what an upstream can make a host read before an answer

An upstream that sent bytes without end where the head of an answer was expected filled the memory of its hosts: http.ReadResponse reads a line or a header of any length, and stopped only at the caller's deadline. A host has 134 MB and was gone in under a second with all that it served. Interim answers and bodies of answers to other requests were read until the deadline as well.

The bounds are on the connection, below the parser: 64 KB for a head with its interim answers, 16 of those, 1 MB for the body of an answer to another request, and 5 s for either if it arrives in more than 16 parts, so that bytes that trickle end too.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -96,6 +96,7 @@
 	c.set.NewGauge("amaranthgate_turns_yielded_total", func() float64 { return float64(h.placer.TurnsYielded()) })
 	c.set.NewGauge("amaranthgate_connections_opened_total", func() float64 { return float64(h.opts.Pool.Opened.Load()) })
 	c.set.NewGauge("amaranthgate_answers_crossed_total", func() float64 { return float64(h.opts.Pool.Crossed.Load()) })
+	c.set.NewGauge("amaranthgate_answers_exceeded_total", func() float64 { return float64(h.opts.Pool.Exceeded.Load()) })
 	c.set.NewGauge("amaranthgate_log_lines_left_out_total", func() float64 { return float64(h.log.Omitted()) })
 	c.set.NewGauge("amaranthgate_log_lines_dropped_total", func() float64 { return float64(h.opts.Dropped()) })
 	c.set.NewGauge("amaranthgate_peer_bytes_sent_total", func() float64 { return float64(h.messenger.Traffic().SentBytes) })
--- a/exchanger/events.go
+++ b/exchanger/events.go
@@ -5,8 +5,8 @@
 
 import "bytes"
 
-// maxEventBytes limits the length of an event.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the length of an event. Each stream may hold that much, and an event holds a few tokens.
+const maxEventBytes = 128 << 10
 
 // eventLength returns the length of the first event in b with the blank line that ends it, or 0 if b has no whole
 // event. Lines end with LF, CRLF or CR. ended reports that nothing follows b: a CR at its end is the end of a line
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -75,6 +75,8 @@
 
 	Opened  atomic.Uint64 // Opened counts new connections.
 	Crossed atomic.Uint64 // Crossed counts answers to other requests.
+	// Exceeded counts connections that were closed since too much arrived, or too slowly, before the body of an answer.
+	Exceeded atomic.Uint64
 }
 
 // NewPool returns a Pool without connections.
@@ -91,6 +93,7 @@
 // pooledConn is a connection used by one request at a time.
 type pooledConn struct {
 	conn        net.Conn
+	bounds      *boundedReader // bounds is what reader reads from.
 	reader      *bufio.Reader
 	address     string
 	idleSince   time.Time
@@ -234,6 +237,10 @@
 	stop()
 	p.discard(c)
 	fail = &Failure{Cause: CauseLost, Ran: RanUnknown, Detail: err.Error(), Trace: r.Trace}
+	if exceeded := c.bounds.exceeded; exceeded != nil { // err may be that of decoding what was cut there
+		p.Exceeded.Add(1)
+		fail.Cause, fail.Detail = CauseMalformed, exceeded.Error()
+	}
 	if sent == 0 {
 		fail.Ran = RanNo
 	}
@@ -294,7 +301,11 @@
 
 // newConn counts a new connection.
 func (p *Pool) newConn(conn net.Conn, address string) *pooledConn {
-	return &pooledConn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout, number: p.Opened.Add(1)}
+	bounds := &boundedReader{conn: conn}
+	return &pooledConn{
+		conn: conn, bounds: bounds, reader: bufio.NewReaderSize(bounds, readBufferBytes),
+		address: address, idleTimeout: defaultIdleTimeout, number: p.Opened.Add(1),
+	}
 }
 
 // reserve counts a new connection to an address, and closes an idle one if the limit
@@ -432,6 +443,7 @@
 		if resp.Close {
 			return errForeign
 		}
+		r.conn.bounds.bound(maxForeignBytes)
 		n, err := io.Copy(io.Discard, resp.Body)
 		r.Trace.ForeignBytes += n
 		if err != nil {
@@ -443,7 +455,9 @@
 
 // readHeader reads the status line and header of the next final answer.
 func (r *Reply) readHeader(call *Call) (*http.Response, error) {
-	for {
+	r.conn.bounds.bound(maxHeadBytes)
+	defer r.conn.bounds.unbound()
+	for range maxInterimAnswers + 1 {
 		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: call.Method})
 		if err != nil {
 			return nil, err
@@ -452,6 +466,8 @@
 			return resp, nil
 		}
 	}
+	r.conn.bounds.exceeded = errInterim
+	return nil, errInterim
 }
 
 // Read reads the body. It returns io.EOF only after the complete body.
