Send orders and queries of engines on connections of their own

A late copy of a request's answer counted as the answer to an order: with status 200 the host believed that the engine had the version already and gave no further order, and an older report said what the engine no longer held. Nothing in these answers shows which call they belong to.

News of stores keep theirs: a page says from where it goes on.

platform.TestCopiedAnswersAreNoneToOrders failed before: the first order counted as carried out.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -123,6 +123,9 @@
 	ID string
 	// Accept reports whether an answer belongs to this call; nil accepts all answers.
 	Accept func(h http.Header) bool
+	// Alone gives the call a connection of its own, which is closed afterwards. It is for calls of which nothing in the
+	// answer shows that it belongs to them.
+	Alone bool
 }
 
 // Reply is an answer of which the body has not been read.
@@ -269,8 +272,10 @@
 }
 
 func (p *Pool) acquire(ctx context.Context, call *Call) (*pooledConn, *Failure) {
-	if c := p.takeIdle(call); c != nil {
-		return c, nil
+	if !call.Alone {
+		if c := p.takeIdle(call); c != nil {
+			return c, nil
+		}
 	}
 	if !p.reserveWithin(call.Address, call.MaxConns) {
 		return nil, &Failure{Cause: CauseConnect, Ran: RanNo, NoRoom: true, Detail: "all connections to the upstream are in use"}
@@ -435,7 +440,7 @@
 		if call.Accept == nil || call.Accept(resp.Header) {
 			r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
 			r.Framing = framingOf(resp)
-			r.body, r.closeAfter = resp.Body, resp.Close || r.Framing == FramingConnection
+			r.body, r.closeAfter = resp.Body, resp.Close || r.Framing == FramingConnection || call.Alone
 			return nil
 		}
 		r.pool.Crossed.Add(1)
