Take a version for the only one after no shorter time than streams may be taken up

All hosts were killed at once, and callers took their streams up again 10 to 18 s later: the answers were 200 and joined events of two software versions. A host that has no record of a stream, as it started after the stream began, went on with it at the only version of the service, if it had watched that for the deadline of the request that takes the stream up and 10 s. That deadline says nothing of when the stream began; a try with 0.4 s left made 10.4 s enough. Upstreams of the older version had left while or before the hosts were down, so that the new hosts never saw them.

A host concludes that now only after the time for which any record is kept, 2 minutes, and 10 s more for upstreams that others still list. Until then a stream without a record is refused at once, as not run and without a time to come back. What that costs: such streams, also those whose callers name nothing, are refused for 130 s instead of the deadline and 10 s after a start or after a version has gone.

--- a/exchanger/origin.go
+++ b/exchanger/origin.go
@@ -28,6 +28,9 @@
 	retryAfterReturn = time.Second
 	// lingerTime is how long after its removal an upstream may still begin streams for hosts that have not heard of it.
 	lingerTime = 10 * time.Second
+	// soleSpan is how long a service must have had one software version for a stream without a record to have begun at it.
+	// The deadline of the try that takes it up says nothing of when the stream began.
+	soleSpan = registrar.MaxLife + lingerTime
 	// findShare is the share of the time left to a request for which other hosts are asked.
 	findShare = 0.25
 )
@@ -89,7 +92,7 @@
 	if d.opts.SoleSoftware == nil || len(d.route.Services) != 1 {
 		return f
 	}
-	if version, ok := d.opts.SoleSoftware(d.opts.Timer.Now(), d.service, d.timeout()+lingerTime); ok {
+	if version, ok := d.opts.SoleSoftware(d.opts.Timer.Now(), d.service, soleSpan); ok {
 		f.Origin, f.Source = registrar.Origin{Service: d.service, Software: version}, registrar.SourceSole
 	}
 	return f
--- a/exchanger/origin_test.go
+++ b/exchanger/origin_test.go
@@ -104,8 +104,8 @@
 	sender := &choiceRecorder{}
 	opts := Options{
 		Views: &views, Placer: p, Sender: sender, Budget: retrier.NewSharedBudgets(retrier.Allowance{}), Timer: manual, Origins: origins,
-		SoleSoftware: func(_ time.Time, service string, _ time.Duration) (string, bool) {
-			return c.Sole, c.Sole != "" && service == "s"
+		SoleSoftware: func(_ time.Time, service string, span time.Duration) (string, bool) {
+			return c.Sole, c.Sole != "" && service == "s" && span >= registrar.MaxLife+lingerTime
 		},
 	}
 	if c.Silent {
--- a/placer/software.go
+++ b/placer/software.go
@@ -16,7 +16,7 @@
 	// one that has crashed restarts.
 	returnTime = 10 * time.Second
 	// maxSoftwareLife is how long a version without upstreams is remembered, if there are more than maxUnused.
-	maxSoftwareLife = 2 * time.Minute
+	maxSoftwareLife = 3 * time.Minute
 	maxUnused       = 256
 )
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -15,8 +15,9 @@
 const (
 	// ResumeTime is how long after its deadline a caller may take a stream up again.
 	ResumeTime = 15 * time.Second
-	// maxLife bounds the time for which a record is kept, as another host states it.
-	maxLife = 2 * time.Minute
+	// MaxLife bounds the time for which a record is kept, as another host states it, and with it the time for which a
+	// stream may be taken up after its last event.
+	MaxLife = 2 * time.Minute
 	// maxRecords bounds the memory of records, at about 150 bytes each.
 	maxRecords = 1 << 16
 	// expireInterval is the least time between two searches for expired records.
@@ -100,7 +101,7 @@
 // recorded again with its new deadline.
 func (r *Registrar) Record(key Key, o Origin, deadline time.Time) {
 	now := r.opts.Timer.Now()
-	life := min(max(deadline.Sub(now), 0)+ResumeTime, maxLife)
+	life := min(max(deadline.Sub(now), 0)+ResumeTime, MaxLife)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.Recorded++
@@ -295,7 +296,7 @@
 
 // valid reports whether an entry of another host can be recorded.
 func (e *Entry) valid() bool {
-	return e.Service != "" && len(e.Service) <= maxNameBytes && len(e.Software) <= maxNameBytes && e.For > 0 && e.For <= maxLife
+	return e.Service != "" && len(e.Service) <= maxNameBytes && len(e.Software) <= maxNameBytes && e.For > 0 && e.For <= MaxLife
 }
 
 // answer answers the questions of another host; r.mu is held.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -232,7 +232,7 @@
 	r.Receive("b1", &Message{Entries: []Entry{
 		{Software: "v1", For: time.Second},
 		{Service: "s", Software: "v1"},
-		{Service: "s", Software: "v1", For: maxLife + 1},
+		{Service: "s", Software: "v1", For: MaxLife + 1},
 		{Service: long, For: time.Second},
 		{Service: "s", Software: long, For: time.Second},
 	}})
