Share no kept context that was made before its workspace was isolated

After a change of the configuration that isolates a workspace, all others went on using the parts that its earlier requests had made: the salt of shared context depended on model and weights only.

The shared salt now has a hash of the set of isolated workspaces, from the configuration alone, so that hosts agree without a word. Under each hash only workspaces have made parts that are not isolated while it is in force: a set that comes back has the same members outside. Parts under the hash of another set are deleted from stores once no host can still have them fetched. A change of the set makes all shared parts be read once more, also where a new workspace is isolated from its beginning; nothing in the configuration tells these apart.

--- a/conductor/stores.go
+++ b/conductor/stores.go
@@ -105,10 +105,14 @@
 	return h.opts.CacheStores.Contents(ctx, address)
 }
 
-// freeUnused evicts KV caches of replaced weights that no host can still be fetching.
-func (h *Host) freeUnused(now time.Time) {
+// freeUnused evicts KV caches of replaced weights, or shared while other workspaces were isolated, that no host can still
+// be fetching.
+func (h *Host) freeUnused(now time.Time, shared *isolationAge) {
 	view, after := h.view.Load(), h.placer.FreeAfter()
-	unused := h.placer.Unused(func(text string) bool { return inUse(view, now, text, after) })
+	if view.Table != nil {
+		shared.observe(now, view.Table.Isolation())
+	}
+	unused := h.placer.Unused(func(text string) bool { return inUse(view, now, text, after) && shared.inUse(now, text, after) })
 	for _, f := range unused {
 		ctx, cancel := context.WithTimeout(h.ctx, storeTimeout)
 		err := h.opts.CacheStores.Free(ctx, f)
@@ -128,18 +132,45 @@
 	return salt.Weights >= named.Version || now.Sub(named.Replaced(salt.Weights)) < after
 }
 
+// isolationAge is since when this host has known the set of isolated workspaces. The zero value is ready to use.
+type isolationAge struct {
+	isolation string
+	since     time.Time // since is zero until a table is known.
+}
+
+// isolationSpread bounds the time from which on no host uses an earlier configuration.
+const isolationSpread = 10 * time.Second
+
+// observe records the set in force.
+func (a *isolationAge) observe(now time.Time, isolation string) {
+	if a.since.IsZero() || a.isolation != isolation {
+		a.isolation, a.since = isolation, now
+	}
+}
+
+// inUse reports whether KV caches under a salt may still be fetched, as far as their workspaces go: they are those of an
+// isolated workspace, or shared, and the set of isolated workspaces was another one less than after ago.
+func (a *isolationAge) inUse(now time.Time, text string, after time.Duration) bool {
+	salt, ok := placer.ParseSalt(text)
+	if !ok || salt.Workspace != "" || a.since.IsZero() {
+		return true
+	}
+	return salt.Isolation == a.isolation || now.Sub(a.since) < after+isolationSpread
+}
+
 // evictInterval is the time between two evictions of unused KV caches.
 const evictInterval = 500 * time.Millisecond
 
 // evictUnused evicts unused KV caches and saves state while this host is first in rank.
 func (h *Host) evictUnused() {
 	var saved savedState
+	var shared isolationAge
 	for h.ctx.Err() == nil {
 		pause(h.ctx, evictInterval)
 		if !h.evictsStores.Load() {
 			continue
 		}
 		saved.update(h)
-		h.freeUnused(h.opts.Timer.Now())
+		h.freeUnused(h.opts.Timer.Now(), &shared)
 	}
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -301,6 +301,8 @@
 	s := placer.Salt{Model: e.request.Prompt.Model, Weights: weights}
 	if e.workspace != nil && e.workspace.Isolated {
 		s.Workspace = e.workspace.Name
+	} else {
+		s.Isolation = e.view.Table.Isolation()
 	}
 	return s.String()
 }
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -4,7 +4,10 @@
 package matcher
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -123,10 +126,11 @@
 
 // Table is one version of the configuration. It is immutable.
 type Table struct {
-	parts    Parts
-	byHost   map[string][]*Route // byHost has the longest prefix first.
-	services map[string]*Service
-	byKey    map[string]*Workspace
+	parts     Parts
+	byHost    map[string][]*Route // byHost has the longest prefix first.
+	services  map[string]*Service
+	byKey     map[string]*Workspace
+	isolation string
 }
 
 // New returns a table of parts and takes ownership of them.
@@ -153,9 +157,32 @@
 			t.byKey[key] = &parts.Workspaces[i]
 		}
 	}
+	t.isolation = isolationOf(parts.Workspaces)
 	return t
 }
 
+// isolationOf returns Table.Isolation for some workspaces.
+func isolationOf(workspaces []Workspace) string {
+	var names []string
+	for i := range workspaces {
+		if w := &workspaces[i]; w.Isolated {
+			names = append(names, strconv.Quote(w.Name))
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	slices.Sort(names)
+	sum := sha256.Sum256([]byte(strings.Join(names, ",")))
+	return hex.EncodeToString(sum[:isolationBytes])
+}
+
+// isolationBytes is the length of the hash in Table.Isolation.
+const isolationBytes = 8
+
+// Isolation identifies the set of workspaces that are isolated, in hexadecimal; it is empty if none is.
+func (t *Table) Isolation() string { return t.isolation }
+
 // Version returns the configuration version. Versions only increase.
 func (t *Table) Version() uint64 { return t.parts.Version }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -280,7 +280,7 @@
 }
 
 func TestSalts(t *testing.T) {
-	for _, s := range []Salt{{"m", 1, ""}, {"m", 12, "w"}, {"m", 3, "w/x"}} {
+	for _, s := range []Salt{{"m", 1, "", ""}, {"m", 12, "w", ""}, {"m", 3, "w/x", ""}, {"m", 4, "", "5f1c"}} {
 		got, ok := ParseSalt(s.String())
 		assert.Assert(t, ok)
 		assert.Equal(t, got, s)
