Set the handler of SIGHUP when the process is initialized

A host that got SIGHUP within some milliseconds of its start ended: the handler was set when it was about to serve. The handler is set by a package that needs nothing else, and so before the others; a request that arrives early is served once the host runs.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"amaranthgate.example/amaranthgate/internal/reloader"
 	"amaranthgate.example/amaranthgate/loader"
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/runner"
@@ -81,12 +82,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	for running := true; running; {
 		select {
-		case <-reloads:
+		case <-reloader.Requests():
 			reload()
 		case <-signals:
 			running = false
