Send what waits for other hosts before a host ends

Callers whose streams had begun at a host that ended were refused with 503 when they took them up elsewhere: the host tells others where a stream began up to some milliseconds after its first event, and one that ended closed its connections to them without sending what was queued. A host that ends now sends the records that wait and lets the queues run empty, for up to 0.1 s of the time that is reserved for closing connections.

--- a/conductor/origins.go
+++ b/conductor/origins.go
@@ -4,6 +4,7 @@
 package conductor
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -30,9 +31,7 @@
 	for {
 		select {
 		case <-h.originsDue:
-			for _, m := range h.registrar.Take() {
-				h.messenger.Send(m.To, m.Address, &messenger.Message{Origins: &m.Message})
-			}
+			h.takeOrigins()
 			pause(h.ctx, originsInterval)
 		case <-h.ctx.Done():
 			return
@@ -40,6 +39,24 @@
 	}
 }
 
+func (h *Host) takeOrigins() {
+	for _, m := range h.registrar.Take() {
+		h.messenger.Send(m.To, m.Address, &messenger.Message{Origins: &m.Message})
+	}
+}
+
+// lastWordsTime bounds the time in which a host that ends sends what waits for others.
+const lastWordsTime = 100 * time.Millisecond
+
+// sendLastWords sends what other hosts must know after this one has ended: where streams began that their callers take
+// up there.
+func (h *Host) sendLastWords() {
+	ctx, cancel := context.WithTimeout(h.ctx, lastWordsTime)
+	defer cancel()
+	h.takeOrigins()
+	h.messenger.Flush(ctx)
+}
+
 // originHosts returns the known hosts. The live ones that serve callers keep records of streams; others may have.
 func (h *Host) originHosts() []registrar.Host {
 	serving, uncontacted := h.serving.Load(), *h.uncontacted.Load()
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -74,6 +74,7 @@
 	sentBytes     atomic.Uint64
 	receivedBytes atomic.Uint64
 	dropped       atomic.Uint64
+	pending       atomic.Int64 // pending is the number of queued messages that have been neither sent nor dropped.
 }
 
 // Traffic holds the counters of a Messenger.
@@ -111,6 +112,15 @@
 // Close closes all connections.
 func (m *Messenger) Close() { m.cancel() }
 
+// flushInterval is the time between two looks at the queues in Flush.
+const flushInterval = time.Millisecond
+
+// Flush waits until all messages that have been queued were sent or dropped, or ctx is done.
+func (m *Messenger) Flush(ctx context.Context) {
+	for m.pending.Load() > 0 && sleep(ctx, flushInterval) {
+	}
+}
+
 func (m *Messenger) handshakeMAC(from, to string) string {
 	h := hmac.New(sha256.New, m.opts.Secret)
 	h.Write([]byte("peer\n" + from + "\n" + to))
@@ -162,9 +172,11 @@
 		l = m.newLink(host, address)
 	}
 	m.mu.Unlock()
+	m.pending.Add(1)
 	select {
 	case l.queue <- b:
 	default:
+		m.pending.Add(-1)
 		m.dropped.Add(1)
 	}
 }
@@ -259,6 +271,7 @@
 	for {
 		select {
 		case <-l.queue:
+			l.messenger.pending.Add(-1)
 			l.messenger.dropped.Add(1)
 			dropped++
 		default:
@@ -289,7 +302,9 @@
 	for {
 		select {
 		case b := <-l.queue:
-			if !l.send(conn, b) {
+			sent := l.send(conn, b)
+			l.messenger.pending.Add(-1)
+			if !sent {
 				return false
 			}
 			timer.Reset(idleTimeout)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,25 @@
 	}
 }
 
+// TestFlushedMessagesArrive guards against messages that a host has queued and does not send as it ends.
+func TestFlushedMessagesArrive(t *testing.T) {
+	const messages = 200
+	address, err := freeport.Addresses(1)
+	assert.NilError(t, err)
+	var received atomic.Int64
+	b := New(Options{Self: Hello{Host: "b", Incarnation: 1}, Secret: []byte("secret"), Receive: func(string, *Message) { received.Add(1) },
+		OnConnect: func(string, string) {}, Log: zerolog.Nop()})
+	t.Cleanup(b.Close)
+	serve(t, b, address[0])
+	a := testMessenger(t, "a", func(string, string) {})
+	for range messages {
+		a.Send("b", address[0], &Message{Echo: true})
+	}
+	a.Flush(t.Context())
+	a.Close()
+	waitUntil(t, func() bool { return received.Load() == messages })
+}
+
 // testMessenger returns a messenger that waits for an hour after a failed attempt to dial.
 func testMessenger(t *testing.T, name string, onConnect func(host, address string)) *Messenger {
 	m := New(Options{Self: Hello{Host: name, Incarnation: 1}, Secret: []byte("secret"), Receive: func(string, *Message) {},
