forwarder: Keep the limit of connections beside calls without one

Orders and reports have connections of their own since and state no limit of connections. Each of them set the limit of its engine to none until the next request opened a connection, so that in between connections beyond the limit were kept. Such calls leave the limit as it is now, and count against it.

forwarder.TestAloneCallsKeepLimits failed before; found by reading the change.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -276,8 +276,9 @@
 		if c := p.takeIdle(call); c != nil {
 			return c, nil
 		}
+		p.limit(call.Address, call.MaxConns)
 	}
-	if !p.reserveWithin(call.Address, call.MaxConns) {
+	if !p.reserve(call.Address) {
 		return nil, &Failure{Cause: CauseConnect, Ran: RanNo, NoRoom: true, Detail: "all connections to the upstream are in use"}
 	}
 	started := p.timer.Now()
@@ -313,20 +314,11 @@
 	}
 }
 
-// reserve counts a new connection to an address, and closes an idle one if the limit
-// is reached. It returns false if there is none to close.
-func (p *Pool) reserve(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reserveLocked(address)
-}
-
-// reserveWithin sets the limit of an address and calls reserve.
-func (p *Pool) reserveWithin(address string, limit int) bool {
+// limit sets the limit of connections to an address, 0 for PoolOptions.ConnsPerUpstream.
+func (p *Pool) limit(address string, conns int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.maxConns[address] = limit
-	return p.reserveLocked(address)
+	p.maxConns[address] = conns
 }
 
 // limitLocked returns the limit of connections to an address, 0 for none; p.mu must be held.
@@ -337,8 +329,11 @@
 	return p.opts.ConnsPerUpstream
 }
 
-// reserveLocked is reserve; p.mu must be held.
-func (p *Pool) reserveLocked(address string) bool {
+// reserve counts a new connection to an address, and closes an idle one if the limit
+// is reached. It returns false if there is none to close.
+func (p *Pool) reserve(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	limit := p.limitLocked(address)
 	if limit > 0 && p.open[address] >= limit {
 		list := p.idle[address]
--- a/forwarder/pool_test.go
+++ b/forwarder/pool_test.go
@@ -243,3 +243,22 @@
 		assert.Equal(t, len(p.idle[call.Address]), 0)
 	}
 }
+
+// TestAloneCallsKeepLimits guards against calls without a limit that end the limit of connections to their address.
+func TestAloneCallsKeepLimits(t *testing.T) {
+	answers := []poolAnswer{{Text: "200 OK|Content-Length: 0||"}, {Text: "200 OK|Content-Length: 0||"}}
+	s := newPoolServer(t, answers)
+	p := NewPool(PoolOptions{})
+	address := s.listener.Addr().String()
+	for _, call := range []Call{{MaxConns: 5}, {Alone: true}, {Alone: true}} {
+		call.Address, call.Method, call.Target, call.Host, call.Header = address, http.MethodGet, "/", "h", http.Header{}
+		reply, fail := p.Do(t.Context(), &call)
+		assert.Assert(t, fail == nil)
+		_, err := io.ReadAll(reply)
+		assert.NilError(t, err)
+		reply.Close()
+	}
+	assert.Equal(t, p.maxConns[address], 5)
+	assert.Equal(t, int(s.count.Load()), 3, "a call that is alone uses a connection of its own")
+	assert.Equal(t, p.open[address], 1)
+}
