--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -74,7 +74,7 @@
 // stop closes listeners and idle connections, waits briefly for requests in flight, and ends the others. It returns
 // their number.
 func (h *Host) stop() int {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout-lastWordsTime)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout-flushTimeout)
 	defer cancel()
 	var cut atomic.Int64
 	defer h.opts.Timer.After(closeTimeout-refusalTime, func(time.Time) {
@@ -86,7 +86,7 @@
 			_ = s.Close()
 		}
 	}
-	h.sendLastWords()
+	h.flushOrigins()
 	h.messenger.Close()
 	h.cancel()
 	h.log.Info().Int64("Cut", cut.Load()).Msg(logger.Stopped)
--- a/conductor/origins.go
+++ b/conductor/origins.go
@@ -31,7 +31,7 @@
 	for {
 		select {
 		case <-h.originsDue:
-			h.takeOrigins()
+			h.queueOrigins()
 			pause(h.ctx, originsInterval)
 		case <-h.ctx.Done():
 			return
@@ -39,21 +39,22 @@
 	}
 }
 
-func (h *Host) takeOrigins() {
+// queueOrigins queues the registrar's messages for their hosts.
+func (h *Host) queueOrigins() {
 	for _, m := range h.registrar.Take() {
 		h.messenger.Send(m.To, m.Address, &messenger.Message{Origins: &m.Message})
 	}
 }
 
-// lastWordsTime bounds the time in which a host that ends sends what waits for others.
-const lastWordsTime = 100 * time.Millisecond
+// flushTimeout bounds the time in which a host that ends sends the messages that are queued.
+const flushTimeout = 100 * time.Millisecond
 
-// sendLastWords sends what other hosts must know after this one has ended: where streams began that their callers take
-// up there.
-func (h *Host) sendLastWords() {
-	ctx, cancel := context.WithTimeout(h.ctx, lastWordsTime)
+// flushOrigins sends all queued messages before this host ends. Callers take their streams up at other hosts then, which
+// must know where these began.
+func (h *Host) flushOrigins() {
+	ctx, cancel := context.WithTimeout(h.ctx, flushTimeout)
 	defer cancel()
-	h.takeOrigins()
+	h.queueOrigins()
 	h.messenger.Flush(ctx)
 }
 
--- a/conductor/stores.go
+++ b/conductor/stores.go
@@ -138,8 +138,8 @@
 	since     time.Time // since is zero until a table is known.
 }
 
-// isolationSpread bounds the time from which on no host uses an earlier configuration.
-const isolationSpread = 10 * time.Second
+// configurationLag bounds the time for which other hosts may use an earlier configuration.
+const configurationLag = 10 * time.Second
 
 // observe records the set in force.
 func (a *isolationAge) observe(now time.Time, isolation string) {
@@ -155,7 +155,7 @@
 	if !ok || salt.Workspace != "" || a.since.IsZero() {
 		return true
 	}
-	return salt.Isolation == a.isolation || now.Sub(a.since) < after+isolationSpread
+	return salt.Isolation == a.isolation || now.Sub(a.since) < after+configurationLag
 }
 
 // evictInterval is the time between two evictions of unused KV caches.
