--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -46,8 +46,7 @@
 	First     float64 // First is the time to the first byte, in milliseconds.
 	Took      float64 // Took is the total time, in milliseconds.
 	Attempts  []Attempt
-	Results   []AttemptResult // Results are what the attempts have shown, in the order in which they ended.
-	Attempt                   // Attempt is the chosen upstream, or names the one that the line is about.
+	Attempt   // Attempt is the chosen upstream, or names the one that the line is about.
 	Result    string
 	Feed      string
 	Key       string
@@ -57,6 +56,8 @@
 	Way       string // Way is how a record reached the host.
 	Version   uint64 // Version is that of a configuration that the host has taken.
 
+	Results []AttemptResult // Results are what the attempts have shown, in the order in which they ended.
+
 	StreamID  string  // StreamID is the request that brought the first event of the stream that a request takes up.
 	Source    string  // Source says how the host knew where that stream began; empty if it did not.
 	Known     float64 // Known is for how long it knew that, in milliseconds.
