conductor: Log the plan of a drain, why it ended, and on what a cut request was taken

Users saw requests cut around SIGTERM, and no line of a host tells the hypotheses apart: when a request arrived in the drain, on what it was taken (callers had not heard, its deadline, an estimate), when the host planned to end and why it did. Draining has Alone, Refuses and Ends, Stopped has Cause and Took, RequestEnded has Draining and Taken, and explain says them from the request's ID. No decision changes. TestExplainDrains reads them from lines.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -30,30 +30,54 @@
 // to move to other hosts, or until ctx ends. It returns the number of requests that were cut.
 func (h *Host) Drain(ctx context.Context) int {
 	start := h.opts.Timer.Now()
+	h.drainBegan.Store(&start)
 	refuses := start.Add(addressTTLFactor * h.opts.Settings.Timing.AddressTTL.Std())
 	if deadline, ok := ctx.Deadline(); ok {
 		h.drain.Store(&exchanger.Drain{Refuses: refuses, End: start.Add(time.Until(deadline) - closeTimeout - refusalTime)})
 	}
 	h.leaving.Store(true)
 	h.post(DrainStarted{})
-	h.log.Info().Int64("Open", h.open.Load()).Msg(logger.Draining)
+	h.logDraining(start)
 	minDrain := addressTTLFactor*h.opts.Settings.Timing.AddressTTL.Std() + drainIdleTime
+	cause := drainForced
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < 2*closeTimeout {
+			cause = drainOver
 			break
 		}
 		idle := now.Sub(h.started)-time.Duration(h.lastRequest.Load()) > drainIdleTime
 		if now.Sub(start) > minDrain && idle && h.open.Load() == 0 {
+			cause = drainIdle
 			break
 		}
 		if d, ok := h.draining(); ok && d.Alone && now.After(refuses) && h.open.Load() <= h.exchanger.Brief() {
+			cause = drainAlone
 			break
 		}
 		pause(ctx, drainPollInterval)
 	}
 	h.exchanger.Close()
-	return h.stop()
+	return h.stop(cause)
+}
+
+// drainCause is why a drain has ended.
+type drainCause string
+
+const (
+	drainIdle   drainCause = "Idle"     // drainIdle means that nothing was left and no request arrived any more.
+	drainAlone  drainCause = "Alone"    // drainAlone means that no other host takes requests and only brief ones were left.
+	drainOver   drainCause = "Deadline" // drainOver means that the time of the drain was over.
+	drainForced drainCause = "Forced"   // drainForced means that an operator ended it.
+)
+
+// logDraining logs the plan of the drain that has begun.
+func (h *Host) logDraining(start time.Time) {
+	ev := h.log.Info().Int64("Open", h.open.Load())
+	if d, ok := h.draining(); ok {
+		ev.Bool("Alone", d.Alone).Dur("Refuses", d.Refuses.Sub(start)).Dur("Ends", d.End.Sub(start))
+	}
+	ev.Msg(logger.Draining)
 }
 
 // draining reports whether this host drains.
@@ -73,7 +97,7 @@
 
 // stop closes listeners and idle connections, waits briefly for requests in flight, and ends the others. It returns
 // their number.
-func (h *Host) stop() int {
+func (h *Host) stop(cause drainCause) int {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout-flushTimeout)
 	defer cancel()
 	var cut atomic.Int64
@@ -89,6 +113,7 @@
 	h.flushOrigins()
 	h.messenger.Close()
 	h.cancel()
-	h.log.Info().Int64("Cut", cut.Load()).Msg(logger.Stopped)
+	h.log.Info().Int64("Cut", cut.Load()).Str("Cause", string(cause)).
+		Dur("Took", h.opts.Timer.Now().Sub(*h.drainBegan.Load())).Msg(logger.Stopped)
 	return int(cut.Load())
 }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -135,6 +135,7 @@
 	capacityFreed     chan struct{} // capacityFreed signals that upstreams may have room.
 	leaving           atomic.Bool
 	drain             atomic.Pointer[exchanger.Drain] // drain is nil while this host does not drain, or has no deadline.
+	drainBegan        atomic.Pointer[time.Time]       // drainBegan is nil while this host does not drain.
 	evictsStores      atomic.Bool                     // evictsStores is set on the host that evicts unused KV caches.
 	saveAgain         atomic.Bool                     // saveAgain is set if the store may have lost saved state.
 	open              atomic.Int64
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -78,6 +78,9 @@
 	if o.BrokenOff > 0 {
 		ev.Int("BrokenOff", o.BrokenOff)
 	}
+	if since := h.drainBegan.Load(); since != nil && (failed || o.Taken != exchanger.BasisNone) {
+		ev.Str("Taken", string(o.Taken)).Dur("Draining", r.Start.Sub(*since))
+	}
 	if o.Unshared {
 		ev.Bool("Unshared", true)
 	}
--- a/exchanger/draining.go
+++ b/exchanger/draining.go
@@ -42,10 +42,18 @@
 		}
 		now := e.opts.Timer.Now()
 		drain, draining := e.opts.Draining()
+		end := drain.end(now)
 		switch {
-		case !draining || now.Before(drain.Refuses):
+		case !draining:
 			return next(ctx, e)
-		case e.endsBefore(drain.end(now)):
+		case now.Before(drain.Refuses):
+			e.outcome.Taken = BasisEarly
+			return next(ctx, e)
+		case e.endsBefore(end):
+			e.outcome.Taken = BasisEstimate
+			if !e.deadline.After(end) {
+				e.outcome.Taken = BasisDeadline
+			}
 			e.brief.Add(1)
 			defer e.brief.Add(-1)
 			return next(ctx, e)
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -66,6 +66,17 @@
 	ReasonCutOff        Reason = "CutOff"        // ReasonCutOff means that this host reaches no upstream, and no other host took the request.
 )
 
+// Basis is on what a host that drains took a request.
+type Basis string
+
+// Values of Basis.
+const (
+	BasisNone     Basis = ""         // BasisNone means that the host did not drain.
+	BasisEarly    Basis = "Early"    // BasisEarly means that callers may not have heard of the drain.
+	BasisDeadline Basis = "Deadline" // BasisDeadline means that its deadline lies before the end of the host.
+	BasisEstimate Basis = "Estimate" // BasisEstimate means that others of its route have been short enough.
+)
+
 // Outcome is the result of a request.
 type Outcome struct {
 	Status     int
@@ -76,6 +87,7 @@
 	Route      string
 	Service    string
 	Upstream   string
+	Taken      Basis  // Taken is on what the request was taken during a drain.
 	PassedTo   string // PassedTo is the last host that the request was passed on to; empty if there is none.
 	Attempts   int
 	// BrokenOff is the number of attempts whose answers have been broken off by their upstreams.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -65,6 +65,10 @@
 	Answered  int
 	Ambiguous bool // Ambiguous reports that hosts named different origins.
 
+	Taken     string   // Taken is on what a host that drains took the request.
+	Draining  *float64 // Draining is the time from the begin of the drain until the request arrived, in milliseconds; nil without one.
+	StopCause string   `json:"Cause"` // StopCause is why the drain of the host ended.
+
 	Part    string   // Part is the part of the prompt for which the request was refused; empty for none.
 	Parts   endParts // Parts are those of a prompt under which an upstream has ended.
 	Framing string   // Framing and Ending say how an answer was framed and where it broke off.
@@ -155,13 +159,13 @@
 	"TooLarge":      "the prompt is larger than the memory of any engine; the request has not run",
 	"Full":          "every upstream that was asked refused; the request has not run",
 	"Leaving":       "the host that it was passed on to ended before an upstream had room; the request has not run",
-	"Draining":      "the host was about to end, and others of its route have lasted longer than was left; the request has not run",
+	"Draining":      "the host was about to end and the request could have outlasted it; it has not run",
 	"CutOff":        "the host reached no upstream and no other host could serve the request; it has not run",
 	"Unreached":     "no connection to an upstream could be opened; the request has not run",
 	"Unknown":       "an upstream may have run the request but gave no complete answer",
 	"Deadline":      "the caller's deadline or the route's timeout expired",
 	"Interrupted":   "the upstream's answer broke off after part of it was with the caller",
-	"Stopped":       "the host had to end before the answer, after its grace or at a second signal",
+	"Stopped":       "the host ended before the answer",
 	"OriginUnknown": "it takes up a stream, and nobody knows at which software version that began; it has not run",
 	"SoftwareGone":  "it takes up a stream, and no upstream has the software version that began it; it has not run",
 	"Barred":        "upstreams have ended under the same request; it is sent to no more of them until an operator lifts that",
@@ -191,6 +195,7 @@
 			chosen.writeConfiguration(&b, lines)
 			writeBroken(&b, lines, l)
 			writeEnds(&b, lines, l)
+			writeStop(&b, lines, l)
 			writeContext(&b, lines, l)
 		case l.Message == logger.UpstreamChosen:
 			chosen = l
@@ -296,6 +301,7 @@
 func (l *Line) write(b *strings.Builder) {
 	fmt.Fprintf(b, "%s %s: status %d after %.0f ms, first byte after %.0f ms, route %s\n", l.Time.Format(time.RFC3339), l.source, l.Status, l.Took, l.First, l.Route)
 	fmt.Fprintf(b, "  cause: %s\n", l.Cause())
+	l.writeDrain(b)
 	if l.PassedBy != "" {
 		fmt.Fprintf(b, "  passed on to this host by %s\n", l.PassedBy)
 	}
@@ -326,6 +332,49 @@
 	}
 }
 
+// stopWindow bounds the time from the end of a request that a host ended to the line of that host's stop.
+const stopWindow = 2 * time.Second
+
+// stopCauses explains each value of StopCause.
+var stopCauses = map[string]string{
+	"Idle":     "nothing was left",
+	"Alone":    "no other host took requests, and only brief ones were left",
+	"Deadline": "its time to drain was over",
+	"Forced":   "an operator ended the drain",
+}
+
+// writeStop writes why the drain of the host ended that has ended the request.
+func writeStop(b *strings.Builder, lines []Line, end *Line) {
+	if end.Reason != "Stopped" {
+		return
+	}
+	for i := range lines {
+		l := &lines[i]
+		if l.Message == logger.Stopped && l.source == end.source && !l.Time.Before(end.Time) && l.Time.Sub(end.Time) <= stopWindow {
+			fmt.Fprintf(b, "  the host ended %.0f ms after it began to drain: %s\n", l.Took, cmp.Or(stopCauses[l.StopCause], l.StopCause))
+			return
+		}
+	}
+}
+
+// takenCauses explains each value of Taken.
+var takenCauses = map[string]string{
+	"Early":    "taken, as callers may not have heard of the drain",
+	"Deadline": "taken, as its deadline lay before the end of the host",
+	"Estimate": "taken, as others of its route had been short",
+}
+
+// writeDrain writes when a request arrived at a host that drained, and on what it was taken.
+func (l *Line) writeDrain(b *strings.Builder) {
+	switch {
+	case l.Draining == nil:
+	case *l.Draining < 0:
+		fmt.Fprintf(b, "  arrived %.0f ms before the host began to drain\n", -*l.Draining)
+	default:
+		fmt.Fprintf(b, "  arrived %.0f ms after the host began to drain, %s\n", *l.Draining, cmp.Or(takenCauses[l.Taken], "not taken"))
+	}
+}
+
 // verdicts explains each verdict on an attempt.
 var verdicts = map[string]string{"Done": "the caller has its answer", "NotRun": "it did not run", "Maybe": "it may have run"}
 
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -193,3 +193,23 @@
 		assert.Assert(t, strings.Contains(report, w), "%q is not in\n%s", w, report)
 	}
 }
+
+// TestExplainDrains guards against requests that a draining host cut without a trace of when and on what it took them.
+func TestExplainDrains(t *testing.T) {
+	f, err := os.Open("testdata/drains.txt")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	lines, err := Read(f, "")
+	assert.NilError(t, err)
+	for id, want := range map[string][]string{
+		"cut":     {"arrived 3500 ms after the host began to drain, taken, as others of its route had been short", "the host ended 7300 ms after it began to drain: its time to drain was over"},
+		"before":  {"arrived 250 ms before the host began to drain", "its time to drain was over"},
+		"refused": {"arrived 4000 ms after the host began to drain, not taken"},
+	} {
+		report, ok := Explain(lines, id)
+		assert.Assert(t, ok, id)
+		for _, w := range want {
+			assert.Assert(t, strings.Contains(report, w), "%s: %q is not in\n%s", id, w, report)
+		}
+	}
+}
