exchanger, conductor: Take requests in a drain by their deadline only, and wait for all of them

Callers of a host that was stopped lost streams in the middle, and got 502 for others, with seconds of the grace left. A host that drains took a request if 1.25 times the longest of the route's last ones fitted before its end, and ended, with no other host ready, 0.4 s after only requests were left that were brief by the same estimate. How long others have lasted does not bound a request.

Only the deadline decides now whether a request is taken, once callers have heard of the drain; the estimate decides only for which requests a host that is alone waits before it closes. A host that closes takes nothing more, and ends when the last answer has been written, at the end of the grace at the latest. Requests in progress have 7.3 s of 8 s instead of 7.0 s, and callers are given at most half of the time to hear of the drain, so that an AddressTTL over a third of the grace promises nothing that cannot be kept.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"amaranthgate.example/amaranthgate/exchanger"
@@ -17,67 +17,134 @@
 const (
 	// addressTTLFactor is how many times the TTL some callers cache an address.
 	addressTTLFactor = 3
+	// maxEarlyShare bounds the part of a drain in which callers may not have heard of it.
+	maxEarlyShare = 0.5
 	// drainIdleTime is how long no request may have arrived before the host ends.
 	drainIdleTime     = 500 * time.Millisecond
-	drainPollInterval = 50 * time.Millisecond
-	// closeTimeout is reserved for closing connections at the end of a drain.
-	closeTimeout = 700 * time.Millisecond
-	// refusalTime is the part of closeTimeout in which callers get refusals of requests that have not ended.
+	drainPollInterval = 20 * time.Millisecond
+	// endTime is the part of a drain after the end of the requests in progress.
+	endTime = 700 * time.Millisecond
+	// refusalTime is the part of endTime in which callers get refusals of requests that have not ended.
 	refusalTime = 300 * time.Millisecond
+	// closeTime is the part of endTime in which connections are closed.
+	closeTime = 100 * time.Millisecond
+	// lastTime is how long requests may go on after an operator has ended the drain, or connections of which no request has been read.
+	lastTime = 400 * time.Millisecond
 )
 
-// Drain removes this host from the directory and keeps serving requests until callers have had time
-// to move to other hosts, or until ctx ends. It returns the number of requests that were cut.
+// drainCause is why a drain has ended.
+type drainCause string
+
+const (
+	drainIdle     drainCause = "Idle"     // drainIdle means that nothing was left and no request arrived any more.
+	drainAlone    drainCause = "Alone"    // drainAlone means that no other host takes requests and only brief ones were left.
+	drainDeadline drainCause = "Deadline" // drainDeadline means that the time of the drain was over.
+	drainForced   drainCause = "Forced"   // drainForced means that an operator ended it.
+)
+
+// Drain removes this host from the directory and keeps serving requests until callers have had time to move to other
+// hosts, or until ctx ends. Then it takes no more, and ends once those in progress have their answers: what it has taken
+// is cut only by the deadline of ctx, which bounds the drain, or by the cancellation of ctx. It returns the number of
+// requests that were cut.
 func (h *Host) Drain(ctx context.Context) int {
 	start := h.opts.Timer.Now()
-	h.drainBegan.Store(&start)
-	refuses := start.Add(addressTTLFactor * h.opts.Settings.Timing.AddressTTL.Std())
+	h.beginDrain(ctx, start)
+	cause := h.awaitCallers(ctx, start)
+	h.closing.Store(true)
+	if cause = h.awaitAnswers(ctx, cause); cause == drainForced {
+		h.exchanger.Close()
+		h.awaitAnswersFor(lastTime)
+	}
+	cut := h.endRequests()
+	limit := closeTime
+	if cause == drainIdle || cause == drainAlone {
+		limit = lastTime
+	}
+	h.closeServers(limit)
+	h.flushOrigins()
+	h.messenger.Close()
+	h.cancel()
+	h.log.Info().Int("Cut", cut).Str("Cause", string(cause)).Dur("Took", h.opts.Timer.Now().Sub(start)).Msg(logger.Stopped)
+	return cut
+}
+
+// beginDrain plans the drain and tells other hosts of it.
+func (h *Host) beginDrain(ctx context.Context, start time.Time) {
+	early := addressTTLFactor * h.opts.Settings.Timing.AddressTTL.Std()
+	d := exchanger.Drain{}
 	if deadline, ok := ctx.Deadline(); ok {
-		h.drain.Store(&exchanger.Drain{Refuses: refuses, End: start.Add(time.Until(deadline) - closeTimeout - refusalTime)})
+		left := time.Until(deadline) - endTime
+		d.End = start.Add(left)
+		early = min(early, time.Duration(maxEarlyShare*float64(left)))
 	}
+	d.Refuses = start.Add(early)
+	h.drain.Store(&d)
+	h.drainBegan.Store(&start)
 	h.leaving.Store(true)
 	h.post(DrainStarted{})
-	h.logDraining(start)
-	minDrain := addressTTLFactor*h.opts.Settings.Timing.AddressTTL.Std() + drainIdleTime
-	cause := drainForced
+	d, _ = h.draining()
+	ev := h.log.Info().Int64("Open", h.open.Load()).Bool("Alone", d.Alone).Dur("Refuses", early)
+	if !d.End.IsZero() {
+		ev.Dur("Ends", d.End.Sub(start))
+	}
+	ev.Msg(logger.Draining)
+}
+
+// awaitCallers serves requests until no more arrive, or none is left for which a host that is alone waits.
+func (h *Host) awaitCallers(ctx context.Context, start time.Time) drainCause {
+	minDrain := h.drain.Load().Refuses.Sub(start) + drainIdleTime
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < 2*closeTimeout {
-			cause = drainOver
-			break
-		}
+		d, _ := h.draining()
 		idle := now.Sub(h.started)-time.Duration(h.lastRequest.Load()) > drainIdleTime
-		if now.Sub(start) > minDrain && idle && h.open.Load() == 0 {
-			cause = drainIdle
-			break
+		switch {
+		case over(d, now):
+			return drainDeadline
+		case now.Sub(start) > minDrain && idle && !h.inProgress():
+			return drainIdle
+		case d.Alone && now.After(d.Refuses) && h.open.Load() <= h.exchanger.Brief():
+			return drainAlone
 		}
-		if d, ok := h.draining(); ok && d.Alone && now.After(refuses) && h.open.Load() <= h.exchanger.Brief() {
-			cause = drainAlone
-			break
+		pause(ctx, drainPollInterval)
+	}
+	return endCause(ctx)
+}
+
+// awaitAnswers waits until all requests in progress have their answers. It returns cause, or why it has not waited for all.
+func (h *Host) awaitAnswers(ctx context.Context, cause drainCause) drainCause {
+	for h.inProgress() {
+		switch {
+		case ctx.Err() != nil:
+			return endCause(ctx)
+		case over(*h.drain.Load(), h.opts.Timer.Now()):
+			return drainDeadline
 		}
 		pause(ctx, drainPollInterval)
 	}
-	h.exchanger.Close()
-	return h.stop(cause)
+	return cause
 }
 
-// drainCause is why a drain has ended.
-type drainCause string
+// awaitAnswersFor waits for the same, for a time at most.
+func (h *Host) awaitAnswersFor(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for ctx.Err() == nil && h.inProgress() {
+		pause(ctx, drainPollInterval)
+	}
+}
 
-const (
-	drainIdle   drainCause = "Idle"     // drainIdle means that nothing was left and no request arrived any more.
-	drainAlone  drainCause = "Alone"    // drainAlone means that no other host takes requests and only brief ones were left.
-	drainOver   drainCause = "Deadline" // drainOver means that the time of the drain was over.
-	drainForced drainCause = "Forced"   // drainForced means that an operator ended it.
-)
+// inProgress reports whether a request has been read that has no whole answer.
+func (h *Host) inProgress() bool { return h.open.Load() > 0 }
 
-// logDraining logs the plan of the drain that has begun.
-func (h *Host) logDraining(start time.Time) {
-	ev := h.log.Info().Int64("Open", h.open.Load())
-	if d, ok := h.draining(); ok {
-		ev.Bool("Alone", d.Alone).Dur("Refuses", d.Refuses.Sub(start)).Dur("Ends", d.End.Sub(start))
+// over reports whether requests in progress are to be ended.
+func over(d exchanger.Drain, now time.Time) bool { return !d.End.IsZero() && !now.Before(d.End) }
+
+// endCause returns why the end of ctx ends a drain.
+func endCause(ctx context.Context) drainCause {
+	if ctx.Err() == context.DeadlineExceeded {
+		return drainDeadline
 	}
-	ev.Msg(logger.Draining)
+	return drainForced
 }
 
 // draining reports whether this host drains.
@@ -91,29 +158,33 @@
 		return r.Host != self && r.State == tracker.HostLive && r.Ready
 	})
 	d := *drain
-	d.Alone = !others
+	d.Alone, d.Closing = !others, h.closing.Load()
 	return d, true
 }
 
-// stop closes listeners and idle connections, waits briefly for requests in flight, and ends the others. It returns
-// their number.
-func (h *Host) stop(cause drainCause) int {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout-flushTimeout)
+// endRequests ends the requests in progress, which get their refusals, and returns their number.
+func (h *Host) endRequests() int {
+	cut := h.open.Load()
+	h.exchanger.Close()
+	h.exchanger.Stop()
+	if h.inProgress() {
+		h.awaitAnswersFor(refusalTime)
+	}
+	return int(cut)
+}
+
+// closeServers closes listeners and connections. Requests that have arrived as the listeners are closed get their refusals
+// within the limit.
+func (h *Host) closeServers(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	var cut atomic.Int64
-	defer h.opts.Timer.After(closeTimeout-refusalTime, func(time.Time) {
-		cut.Store(h.open.Load())
-		h.exchanger.Stop()
-	})()
+	var closed sync.WaitGroup
 	for _, s := range h.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			_ = s.Close()
-		}
+		closed.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close()
+			}
+		})
 	}
-	h.flushOrigins()
-	h.messenger.Close()
-	h.cancel()
-	h.log.Info().Int64("Cut", cut.Load()).Str("Cause", string(cause)).
-		Dur("Took", h.opts.Timer.Now().Sub(*h.drainBegan.Load())).Msg(logger.Stopped)
-	return int(cut.Load())
+	closed.Wait()
 }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -134,7 +134,8 @@
 	stalls            stallWatch
 	capacityFreed     chan struct{} // capacityFreed signals that upstreams may have room.
 	leaving           atomic.Bool
-	drain             atomic.Pointer[exchanger.Drain] // drain is nil while this host does not drain, or has no deadline.
+	drain             atomic.Pointer[exchanger.Drain] // drain is nil while this host does not drain.
+	closing           atomic.Bool                     // closing reports that this host takes no requests any more.
 	drainBegan        atomic.Pointer[time.Time]       // drainBegan is nil while this host does not drain.
 	evictsStores      atomic.Bool                     // evictsStores is set on the host that evicts unused KV caches.
 	saveAgain         atomic.Bool                     // saveAgain is set if the store may have lost saved state.
--- a/exchanger/draining.go
+++ b/exchanger/draining.go
@@ -13,28 +13,25 @@
 type Drain struct {
 	// Refuses is from when on requests are refused that may outlast the host. Callers have not heard of the drain before.
 	Refuses time.Time
-	End     time.Time // End is when requests in progress are ended.
+	End     time.Time // End is when requests in progress are ended; zero if never.
 	Alone   bool      // Alone reports that no other host takes requests; this one ends as soon as it can, to be back sooner.
+	Closing bool      // Closing reports that the host ends once the requests in progress have ended, and takes no others.
 }
 
-// end returns when a request must have ended that is taken now.
-func (d Drain) end(now time.Time) time.Time {
-	if brief := now.Add(BriefTime); d.Alone && brief.Before(d.End) {
-		return brief
-	}
-	return d.End
-}
+// covers reports whether the host takes no part of the time before t away from a request.
+func (d Drain) covers(t time.Time) bool { return d.End.IsZero() || !t.After(d.End) }
 
 const (
-	// drainMargin multiplies the longest duration of a route's last requests.
-	drainMargin = 1.25
-	// BriefTime is how long a request may last that does not keep a host from ending.
-	BriefTime = 400 * time.Millisecond
+	// estimateMargin multiplies the longest duration of a route's last requests.
+	estimateMargin = 1.25
+	// briefTime is how long a request usually lasts that does not keep a host from closing.
+	briefTime = 400 * time.Millisecond
 	// restartTime is the usual time from the end of requests in progress until a host that ends is back.
 	restartTime = time.Second
 )
 
 // refuseUnfinishable refuses requests that may outlast this host: as not run, so that callers can go elsewhere at once.
+// Only the deadline bounds a request. How long others have lasted decides whether the host waits for it before it closes.
 func refuseUnfinishable(next handler) handler {
 	return func(ctx context.Context, e *exchange) Outcome {
 		if e.opts.Draining == nil {
@@ -42,18 +39,15 @@
 		}
 		now := e.opts.Timer.Now()
 		drain, draining := e.opts.Draining()
-		end := drain.end(now)
 		switch {
 		case !draining:
 			return next(ctx, e)
+		case drain.Closing:
 		case now.Before(drain.Refuses):
 			e.outcome.Taken = BasisEarly
 			return next(ctx, e)
-		case e.endsBefore(end):
-			e.outcome.Taken = BasisEstimate
-			if !e.deadline.After(end) {
-				e.outcome.Taken = BasisDeadline
-			}
+		case drain.covers(e.deadline) && (!drain.Alone || e.isBrief(now)):
+			e.outcome.Taken = BasisDeadline
 			e.brief.Add(1)
 			defer e.brief.Add(-1)
 			return next(ctx, e)
@@ -66,14 +60,14 @@
 	}
 }
 
-// Brief returns the number of requests in progress that were taken as they end before this host does.
+// Brief returns the number of requests in progress for which a host that is alone does not wait before it closes.
 func (x *Exchanger) Brief() int64 { return x.brief.Load() }
 
-// endsBefore reports whether the request will have ended by a time, by its deadline or by how long others of its route last.
-func (e *exchange) endsBefore(end time.Time) bool {
-	if !e.deadline.After(end) {
+// isBrief reports whether the request probably lasts no longer than briefTime, by its deadline or by others of its route.
+func (e *exchange) isBrief(now time.Time) bool {
+	if !e.deadline.After(now.Add(briefTime)) {
 		return true
 	}
 	longest, known := e.durations.longest(e.route.Name)
-	return known && !e.opts.Timer.Now().Add(time.Duration(drainMargin*float64(longest))).After(end)
+	return known && time.Duration(estimateMargin*float64(longest)) <= briefTime
 }
--- a/exchanger/draining_test.go
+++ b/exchanger/draining_test.go
@@ -4,6 +4,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"net/http"
 	"os"
 	"testing"
@@ -20,15 +21,17 @@
 
 // drainCase is a case of testdata/draining.jsonc.
 type drainCase struct {
-	Name   string
-	Drains bool
-	Early  bool                // Early reports that callers may not have heard of the drain.
-	Left   duration.Duration   // Left is the time until the host ends what is in progress.
-	Alone  bool                // Alone reports that no other host takes requests.
-	Lasted []duration.Duration // Lasted are the durations of earlier requests of the route.
-	Status int
-	Reason Reason
-	Within duration.Duration // Within bounds the time until the caller is to return, from below and by a second above.
+	Name    string
+	Drains  bool
+	Early   bool                // Early reports that callers may not have heard of the drain.
+	Left    duration.Duration   // Left is the time until the host ends what is in progress; 0 if it does not.
+	Alone   bool                // Alone reports that no other host takes requests.
+	Closing bool                // Closing reports that the host takes no requests any more.
+	Kind    string              // Kind is that of the view of the configuration; Idempotent by default.
+	Lasted  []duration.Duration // Lasted are the durations of earlier requests of the route.
+	Status  int
+	Reason  Reason
+	Within  duration.Duration // Within bounds the time until the caller is to return, from below and by a second above.
 }
 
 // TestDrainingHostRefusesWhatMayOutlastIt guards against requests that a draining host takes and then cuts.
@@ -40,7 +43,7 @@
 	assert.Equal(t, len(faults), 0, "%v", faults)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			view := testView("Idempotent")
+			view := testView(cmp.Or(c.Kind, "Idempotent"))
 			p := placer.New(placer.Options{})
 			p.Update(view)
 			sender := &blockingSender{release: make(chan struct{})}
@@ -48,7 +51,10 @@
 			clock := timer.NewManual(time.Unix(1000, 0))
 			x := New(Options{Views: &lateView{view: view}, Placer: p, Sender: sender, Timer: clock,
 				Budget: retrier.NewSharedBudgets(retrier.Allowance{}), Draining: func() (Drain, bool) {
-					d := Drain{End: clock.Now().Add(c.Left.Std()), Alone: c.Alone}
+					d := Drain{Alone: c.Alone, Closing: c.Closing}
+					if c.Left != 0 {
+						d.End = clock.Now().Add(c.Left.Std())
+					}
 					if c.Early {
 						d.Refuses = clock.Now().Add(time.Millisecond)
 					}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -106,7 +106,7 @@
 	returns *returns
 	// durations are those of answered requests.
 	durations durations
-	brief     atomic.Int64 // brief is the number of requests in progress that were taken during a drain since they end before it.
+	brief     atomic.Int64 // brief is the number of requests in progress that were taken by their deadline during a drain.
 	closed    atomic.Bool  // closed is set by Close.
 	// failures are requests that upstreams have answered with a 5xx.
 	failures failedRequests
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -145,6 +145,8 @@
 		route.MaxAttempts = 1
 	case "Resumable":
 		route.Kind, route.Resumable = matcher.KindStream, true
+	case "Patient":
+		route.Kind, route.Timeout = matcher.KindIdempotent, 2*time.Second
 	case "None":
 		route.Kind, route.PathPrefix = matcher.KindOnce, "/other/"
 	case "Unready":
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -74,7 +74,6 @@
 	BasisNone     Basis = ""         // BasisNone means that the host did not drain.
 	BasisEarly    Basis = "Early"    // BasisEarly means that callers may not have heard of the drain.
 	BasisDeadline Basis = "Deadline" // BasisDeadline means that its deadline lies before the end of the host.
-	BasisEstimate Basis = "Estimate" // BasisEstimate means that others of its route have been short enough.
 )
 
 // Outcome is the result of a request.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -361,7 +361,6 @@
 var takenCauses = map[string]string{
 	"Early":    "taken, as callers may not have heard of the drain",
 	"Deadline": "taken, as its deadline lay before the end of the host",
-	"Estimate": "taken, as others of its route had been short",
 }
 
 // writeDrain writes when a request arrived at a host that drained, and on what it was taken.
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -202,7 +202,7 @@
 	lines, err := Read(f, "")
 	assert.NilError(t, err)
 	for id, want := range map[string][]string{
-		"cut":     {"arrived 3500 ms after the host began to drain, taken, as others of its route had been short", "the host ended 7300 ms after it began to drain: its time to drain was over"},
+		"cut":     {"arrived 2500 ms after the host began to drain, taken, as callers may not have heard of the drain", "the host ended 7300 ms after it began to drain: its time to drain was over"},
 		"before":  {"arrived 250 ms before the host began to drain", "its time to drain was over"},
 		"refused": {"arrived 4000 ms after the host began to drain, not taken"},
 	} {
