conductor: Count requests from their header until their answer is written

A host that drains did not count requests whose bodies were still arriving, nor answers whose last bytes were still being written after they had been processed, and ended beside them: the callers' connections were closed without an answer, with seconds of the grace left. Requests are counted by their connections now, from the end of the header until the connection is idle or closed, at the listeners for callers and for other hosts. TestDrainAnswersSlowBodies (one host or two, with a length or in chunks) fails without the counter in each of its four cases and passes with it.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// inProgress reports whether a request has been read that has no whole answer.
-func (h *Host) inProgress() bool { return h.open.Load() > 0 }
+// inProgress reports whether a request has been read that has no whole answer, or is being read.
+func (h *Host) inProgress() bool { return h.open.Load() > 0 || h.requests.open() > 0 }
 
 // over reports whether requests in progress are to be ended.
 func over(d exchanger.Drain, now time.Time) bool { return !d.End.IsZero() && !now.Before(d.End) }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -136,6 +136,7 @@
 	leaving           atomic.Bool
 	drain             atomic.Pointer[exchanger.Drain] // drain is nil while this host does not drain.
 	closing           atomic.Bool                     // closing reports that this host takes no requests any more.
+	requests          requestCounter                  // requests counts those of callers and of other hosts.
 	drainBegan        atomic.Pointer[time.Time]       // drainBegan is nil while this host does not drain.
 	evictsStores      atomic.Bool                     // evictsStores is set on the host that evicts unused KV caches.
 	saveAgain         atomic.Bool                     // saveAgain is set if the store may have lost saved state.
@@ -263,7 +264,8 @@
 		if e.endpoint == s.Peers {
 			headerBytes += passageHeaderBytes
 		}
-		if err := h.listen(e.endpoint.Listen, e.handler, headerBytes); err != nil {
+		counts := e.endpoint == s.Callers || e.endpoint == s.Peers
+		if err := h.listen(e.endpoint.Listen, e.handler, headerBytes, counts); err != nil {
 			h.cancel()
 			return err
 		}
@@ -312,7 +314,8 @@
 	passageHeaderBytes = 1024
 )
 
-func (h *Host) listen(address string, handler http.Handler, headerBytes int) error {
+// listen serves an address. Requests are counted for the end of a drain if counts is set.
+func (h *Host) listen(address string, handler http.Handler, headerBytes int, counts bool) error {
 	l, err := (&net.ListenConfig{KeepAlive: 5 * time.Second}).Listen(h.ctx, "tcp4", address)
 	if err != nil {
 		return errors.Wrap(err, "conductor: listen")
@@ -323,6 +326,10 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
+	if counts {
+		h.requests.watch(server)
+		l = countingListener{l}
+	}
 	h.servers = append(h.servers, server)
 	h.spawn(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
