conductor: Do not count refusals of a host that closes as cut requests

The number of requests that a drain cut, which is the exit code of the process, was read after the host had ended its requests, whatever the cause of the end. A request that arrives then is refused as not run and counted while it is.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -51,14 +51,10 @@
 	h.beginDrain(ctx, start)
 	cause := h.awaitCallers(ctx, start)
 	h.closing.Store(true)
-	if cause = h.awaitAnswers(ctx, cause); cause == drainForced {
-		h.exchanger.Close()
-		h.awaitAnswersFor(lastTime)
-	}
-	cut := h.endRequests()
-	limit := closeTime
-	if cause == drainIdle || cause == drainAlone {
-		limit = lastTime
+	cause = h.awaitAnswers(ctx, cause)
+	cut, limit := 0, lastTime
+	if cause == drainDeadline || cause == drainForced {
+		cut, limit = h.endRequests(cause), closeTime
 	}
 	h.closeServers(limit)
 	h.flushOrigins()
@@ -163,13 +159,14 @@
 }
 
 // endRequests ends the requests in progress, which get their refusals, and returns their number.
-func (h *Host) endRequests() int {
-	cut := h.open.Load()
+func (h *Host) endRequests(cause drainCause) int {
 	h.exchanger.Close()
-	h.exchanger.Stop()
-	if h.inProgress() {
-		h.awaitAnswersFor(refusalTime)
+	if cause == drainForced {
+		h.awaitAnswersFor(lastTime)
 	}
+	cut := h.open.Load()
+	h.exchanger.Stop()
+	h.awaitAnswersFor(refusalTime)
 	return int(cut)
 }
 
