exchanger, conductor: Decide on drains in pure functions

Whether a host that drains takes a request, and when it takes no more, was decided inside a handler and a loop, so that nothing but a whole host could play it. Drain.Admit, Drain.RetryAfter, Durations.Brief, PlanDrain and DrainProgress hold the same decisions as functions of a state and a time; the handler and the loop call them. Nothing else changes.

go test ./exchanger and go test ./conductor -run Drain pass; the tests of draining change only by the names of exported methods.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -49,7 +49,7 @@
 func (h *Host) Drain(ctx context.Context) int {
 	start := h.opts.Timer.Now()
 	h.beginDrain(ctx, start)
-	cause := h.awaitCallers(ctx, start)
+	cause := h.awaitCallers(ctx)
 	h.closing.Store(true)
 	cause = h.awaitAnswers(ctx, cause)
 	cut, limit := 0, lastTime
@@ -66,20 +66,17 @@
 
 // beginDrain plans the drain and tells other hosts of it.
 func (h *Host) beginDrain(ctx context.Context, start time.Time) {
-	early := addressTTLFactor * h.opts.Settings.Timing.AddressTTL.Std()
-	d := exchanger.Drain{}
+	var left time.Duration
 	if deadline, ok := ctx.Deadline(); ok {
-		left := time.Until(deadline) - endTime
-		d.End = start.Add(left)
-		early = min(early, time.Duration(maxEarlyShare*float64(left)))
+		left = time.Until(deadline)
 	}
-	d.Refuses = start.Add(early)
+	d := PlanDrain(start, left, h.opts.Settings.Timing.AddressTTL.Std())
 	h.drain.Store(&d)
 	h.drainBegan.Store(&start)
 	h.leaving.Store(true)
 	h.post(DrainStarted{})
 	d, _ = h.draining()
-	ev := h.log.Info().Int64("Open", h.open.Load()).Bool("Alone", d.Alone).Dur("Refuses", early)
+	ev := h.log.Info().Int64("Open", h.open.Load()).Bool("Alone", d.Alone).Dur("Refuses", d.Refuses.Sub(start))
 	if !d.End.IsZero() {
 		ev.Dur("Ends", d.End.Sub(start))
 	}
@@ -87,18 +84,17 @@
 }
 
 // awaitCallers serves requests until no more arrive, or none is left for which a host that is alone waits.
-func (h *Host) awaitCallers(ctx context.Context, start time.Time) drainCause {
-	minDrain := h.drain.Load().Refuses.Sub(start) + drainIdleTime
+func (h *Host) awaitCallers(ctx context.Context) drainCause {
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
 		d, _ := h.draining()
-		idle := now.Sub(h.started)-time.Duration(h.lastRequest.Load()) > drainIdleTime
+		p := DrainProgress{Drain: d, Arrived: h.started.Add(time.Duration(h.lastRequest.Load())), Open: h.open.Load(), Brief: h.exchanger.Brief(), Reading: h.inProgress()}
 		switch {
-		case over(d, now):
+		case p.Over(now):
 			return drainDeadline
-		case now.Sub(start) > minDrain && idle && !h.inProgress():
+		case p.Idle(now):
 			return drainIdle
-		case d.Alone && now.After(d.Refuses) && h.open.Load() <= h.exchanger.Brief():
+		case p.OnlyBrief(now):
 			return drainAlone
 		}
 		pause(ctx, drainPollInterval)
--- a/exchanger/draining.go
+++ b/exchanger/draining.go
@@ -18,6 +18,28 @@
 	Closing bool      // Closing reports that the host ends once the requests in progress have ended, and takes no others.
 }
 
+// Admit reports whether the host takes a request, and on what. Brief is the result of Durations.Brief.
+//
+// Only the deadline bounds a request. How long others have lasted decides whether the host waits for it before it closes.
+func (d Drain) Admit(now, deadline time.Time, brief bool) (Basis, bool) {
+	switch {
+	case d.Closing:
+	case now.Before(d.Refuses):
+		return BasisEarly, true
+	case d.covers(deadline) && (!d.Alone || brief):
+		return BasisDeadline, true
+	}
+	return BasisNone, false
+}
+
+// RetryAfter returns the time after which the caller of a refused request is to return.
+func (d Drain) RetryAfter() time.Duration {
+	if d.Alone {
+		return restartTime
+	}
+	return retryAfterFull
+}
+
 // covers reports whether the host takes no part of the time before t away from a request.
 func (d Drain) covers(t time.Time) bool { return d.End.IsZero() || !t.After(d.End) }
 
@@ -31,7 +53,6 @@
 )
 
 // refuseUnfinishable refuses requests that may outlast this host: as not run, so that callers can go elsewhere at once.
-// Only the deadline bounds a request. How long others have lasted decides whether the host waits for it before it closes.
 func refuseUnfinishable(next handler) handler {
 	return func(ctx context.Context, e *exchange) Outcome {
 		if e.opts.Draining == nil {
@@ -39,35 +60,30 @@
 		}
 		now := e.opts.Timer.Now()
 		drain, draining := e.opts.Draining()
-		switch {
-		case !draining:
-			return next(ctx, e)
-		case drain.Closing:
-		case now.Before(drain.Refuses):
-			e.outcome.Taken = BasisEarly
+		if !draining {
 			return next(ctx, e)
-		case drain.covers(e.deadline) && (!drain.Alone || e.isBrief(now)):
-			e.outcome.Taken = BasisDeadline
+		}
+		basis, taken := drain.Admit(now, e.deadline, e.durations.Brief(now, e.deadline, e.route.Name))
+		if !taken {
+			return e.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonDraining, RetryAfter: drain.RetryAfter()})
+		}
+		e.outcome.Taken = basis
+		if basis == BasisDeadline {
 			e.brief.Add(1)
 			defer e.brief.Add(-1)
-			return next(ctx, e)
-		}
-		r := Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonDraining, RetryAfter: retryAfterFull}
-		if drain.Alone {
-			r.RetryAfter = restartTime
 		}
-		return e.refuse(r)
+		return next(ctx, e)
 	}
 }
 
 // Brief returns the number of requests in progress for which a host that is alone does not wait before it closes.
 func (x *Exchanger) Brief() int64 { return x.brief.Load() }
 
-// isBrief reports whether the request probably lasts no longer than briefTime, by its deadline or by others of its route.
-func (e *exchange) isBrief(now time.Time) bool {
-	if !e.deadline.After(now.Add(briefTime)) {
+// Brief reports whether a request probably lasts no longer than 0.4 s, by its deadline or by others of its route.
+func (d *Durations) Brief(now, deadline time.Time, route string) bool {
+	if !deadline.After(now.Add(briefTime)) {
 		return true
 	}
-	longest, known := e.durations.longest(e.route.Name)
+	longest, known := d.Longest(route)
 	return known && time.Duration(estimateMargin*float64(longest)) <= briefTime
 }
--- a/exchanger/draining_test.go
+++ b/exchanger/draining_test.go
@@ -61,7 +61,7 @@
 					return d, c.Drains
 				}})
 			for _, took := range c.Lasted {
-				x.durations.record("r", took.Std())
+				x.durations.Record("r", took.Std())
 			}
 			caller := &recorder{}
 			o := x.Handle(t.Context(), &Request{ID: "1", Start: clock.Now(), Method: "POST", Host: "h", Path: "/r/x", Key: "key"}, caller)
@@ -76,19 +76,19 @@
 
 // TestDurationsForgetOldRequests checks that the longest duration is that of the last requests.
 func TestDurationsForgetOldRequests(t *testing.T) {
-	var d durations
-	_, known := d.longest("r")
+	var d Durations
+	_, known := d.Longest("r")
 	assert.Assert(t, !known)
-	d.record("r", time.Minute)
+	d.Record("r", time.Minute)
 	for range durationsSpan {
-		d.record("r", time.Second)
+		d.Record("r", time.Second)
 	}
-	longest, known := d.longest("r")
+	longest, known := d.Longest("r")
 	assert.Assert(t, known)
 	assert.Equal(t, longest, time.Minute)
 	for range durationsSpan {
-		d.record("r", time.Second)
+		d.Record("r", time.Second)
 	}
-	longest, _ = d.longest("r")
+	longest, _ = d.Longest("r")
 	assert.Equal(t, longest, time.Second)
 }
--- a/exchanger/durations.go
+++ b/exchanger/durations.go
@@ -15,9 +15,9 @@
 	maxDurationRoutes = 4096
 )
 
-// durations tracks how long answered requests of each route last. The zero value is ready to use. It is safe for concurrent
+// Durations tracks how long answered requests of each route last. The zero value is ready to use. It is safe for concurrent
 // use.
-type durations struct {
+type Durations struct {
 	mu     sync.Mutex
 	routes map[string]*durationRange
 }
@@ -28,8 +28,8 @@
 	count             int // count is the number of requests in current.
 }
 
-// record records an answered request.
-func (d *durations) record(route string, took time.Duration) {
+// Record records an answered request.
+func (d *Durations) Record(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.routes == nil || len(d.routes) >= maxDurationRoutes {
@@ -47,8 +47,8 @@
 	r.count++
 }
 
-// longest returns the longest of the last requests of a route; false if there was none.
-func (d *durations) longest(route string) (time.Duration, bool) {
+// Longest returns the longest of the last requests of a route; false if there was none.
+func (d *Durations) Longest(route string) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.routes[route]
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -105,7 +105,7 @@
 	watcher watcher
 	returns *returns
 	// durations are those of answered requests.
-	durations durations
+	durations Durations
 	brief     atomic.Int64 // brief is the number of requests in progress that were taken by their deadline during a drain.
 	closed    atomic.Bool  // closed is set by Close.
 	// failures are requests that upstreams have answered with a 5xx.
@@ -153,7 +153,7 @@
 	o := x.handle(ctx, e)
 	o.Took = x.opts.Timer.Now().Sub(r.Start)
 	if o.Reason == ReasonNone && e.route != nil {
-		x.durations.record(e.route.Name, o.Took)
+		x.durations.Record(e.route.Name, o.Took)
 	}
 	o.Late = e.route != nil && e.route.Objective > 0 && o.First > e.route.Objective
 	return o
