experimenter: Simulate hosts that drain

That no request is cut which a draining host took late was shown at a few real hosts and durations. `amaranthgate experiment drain` plays drains of one to all hosts in virtual time, for durations of five distributions, with callers that keep addresses and connections, and compares the deployed decision (the functions that hosts call) with an estimate, with refusing at once, and with taking all.

That hosts end no later than by the estimate is no check: it holds for most hosts only, and the experiment prints for how many it does not.

--- a/internal/commander/experiment.go
+++ b/internal/commander/experiment.go
@@ -23,7 +23,7 @@
 			e.changesCommand(),
 			e.controlCommand(),
 			e.leavingCommand(),
-			e.limitCommand(), e.brittleCommand(),
+			e.limitCommand(), e.brittleCommand(), e.drainCommand(),
 			e.fetchCommand(),
 			e.retriesCommand(),
 			e.overloadCommand(),
@@ -320,6 +320,66 @@
 	}
 }
 
+func (e *env) drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "compare what hosts that drain do with requests, in virtual time",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "hosts", Value: []int{1, 2, 3, 8, 62}, Usage: "`NUMBERS` of hosts"},
+			&cli.StringSliceFlag{Name: "scenes", Value: names(experimenter.DrainScenarios), Usage: "`NAMES` of scenarios"},
+			&cli.StringSliceFlag{Name: "durations", Value: names(experimenter.DrainAllDurations), Usage: "`NAMES` of distributions of durations, whose results are added"},
+			&cli.FloatFlag{Name: "rate", Value: 4, Usage: "`REQUESTS` per second for each host"},
+			&cli.DurationFlag{Name: "grace", Value: 8 * time.Second, Usage: "`TIME` in which a host must have ended"},
+			&cli.DurationFlag{Name: "ttl", Value: time.Second, Usage: "`TIME` for which callers may keep addresses"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED` of the simulations"},
+			&cli.Uint64Flag{Name: "seeds", Value: 3, Usage: "`NUMBER` of seeds, whose results are added"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var results []experimenter.DrainResult
+			for _, hosts := range c.IntSlice("hosts") {
+				for _, scenario := range c.StringSlice("scenes") {
+					o := experimenter.DrainOptions{
+						Scenario: experimenter.DrainScenario(scenario), Hosts: hosts, Rate: c.Float("rate"), Grace: c.Duration("grace"), TimeToLive: c.Duration("ttl"),
+					}
+					sums := make([]experimenter.DrainResult, len(experimenter.DrainDesigns))
+					for i, design := range experimenter.DrainDesigns {
+						sums[i].DrainOptions = o
+						sums[i].Design = design
+					}
+					for _, durations := range c.StringSlice("durations") {
+						o.Durations = experimenter.DrainDurations(durations)
+						for o.Seed = c.Uint64("seed"); o.Seed < c.Uint64("seed")+c.Uint64("seeds"); o.Seed++ {
+							o.Design = experimenter.DrainByEstimate
+							estimate := experimenter.Drain(o)
+							for i, design := range experimenter.DrainDesigns {
+								o.Design = design
+								r := estimate
+								if design != estimate.Design {
+									r = experimenter.Drain(o)
+									r.Compare(estimate)
+								}
+								sums[i].Add(r)
+							}
+						}
+					}
+					results = append(results, sums...)
+				}
+			}
+			experimenter.PrintDrain(e.out, results)
+			return nil
+		},
+	}
+}
+
+// names returns strings of another type as strings.
+func names[T ~string](values []T) []string {
+	out := make([]string, len(values))
+	for i, v := range values {
+		out[i] = string(v)
+	}
+	return out
+}
+
 func (e *env) fetchCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "fetch",
