experimenter: Count the hosts that end sooner or later than by the estimate

Hosts that end later than by the estimate say little alone: callers that were refused go elsewhere, and from then on hosts get other requests. Those that end sooner are counted too.

--- a/experimenter/drain.go
+++ b/experimenter/drain.go
@@ -80,6 +80,7 @@
 	WorstAdded   time.Duration // WorstAdded is the largest of it.
 	Ends         []DrainEnd
 	Later        int           // Later is the number of hosts that ended later than with DrainByEstimate, where that cut nothing.
+	Sooner       int           // Sooner is the number of hosts that ended sooner than with it and cut nothing.
 	Back         time.Duration // Back is the time from the beginning of the first drain until all hosts are back.
 }
 
@@ -104,6 +105,7 @@
 	r.WorstAdded = max(r.WorstAdded, o.WorstAdded)
 	r.Ends = append(r.Ends, o.Ends...)
 	r.Later += o.Later
+	r.Sooner += o.Sooner
 	r.Back = max(r.Back, o.Back)
 }
 
@@ -116,16 +118,21 @@
 	return mean, longest
 }
 
-// Compare counts the hosts that ended later than in the simulation of another design, where that cut nothing. Hosts whose
-// drains began at different times do not count: other requests come to them.
+// Compare counts the hosts that ended later than in the simulation of another design, where that cut nothing, and those
+// that ended sooner and cut nothing. Hosts whose drains began at different times do not count: other requests come to them.
 func (r *DrainResult) Compare(o DrainResult) {
 	ends := make(map[int]DrainEnd)
 	for _, e := range o.Ends {
 		ends[e.Host] = e
 	}
 	for _, e := range r.Ends {
-		if other := ends[e.Host]; e.Began == other.Began && e.Took > other.Took+drainPoll && other.Cut == 0 {
+		other := ends[e.Host]
+		switch {
+		case e.Began != other.Began:
+		case e.Took > other.Took+drainPoll && other.Cut == 0:
 			r.Later++
+		case other.Took > e.Took+drainPoll && e.Cut == 0:
+			r.Sooner++
 		}
 	}
 }
@@ -140,12 +147,12 @@
 // PrintDrain writes results as a table.
 func PrintDrain(w io.Writer, results []DrainResult) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "hosts\tscene\tdesign\trequests\tlost\t502\tcut early\trefusals\tno process\trefused twice\tadded ms\tworst s\tended s\tlast s\tlater\tback s")
+	fmt.Fprintln(t, "hosts\tscene\tdesign\trequests\tlost\t502\tcut early\trefusals\tno process\trefused twice\tadded ms\tworst s\tended s\tlast s\tlater, sooner\tback s")
 	for _, r := range results {
 		added := r.Added.Seconds() * 1000 / float64(max(r.Requests, 1))
 		mean, last := r.Ended()
-		fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%d of %d\t%.2f\n", r.Hosts, r.Scenario, r.Design, r.Requests, r.Lost, r.BadGateway,
-			r.CutEarly, r.Refusals, r.Unreached, r.RefusedTwice, added, r.WorstAdded.Seconds(), mean.Seconds(), last.Seconds(), r.Later, len(r.Ends), r.Back.Seconds())
+		fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%d, %d of %d\t%.2f\n", r.Hosts, r.Scenario, r.Design, r.Requests, r.Lost, r.BadGateway,
+			r.CutEarly, r.Refusals, r.Unreached, r.RefusedTwice, added, r.WorstAdded.Seconds(), mean.Seconds(), last.Seconds(), r.Later, r.Sooner, len(r.Ends), r.Back.Seconds())
 	}
 	_ = t.Flush() // errors of the underlying writer are the caller's concern
 }
