exchanger: Pass requests on to a third host where two are ending

A host that reaches no upstream refused a request, though a third host could have served it, once two others had refused it as they were ending. After two hosts that cannot serve a request it is given up, as others will hardly reach more upstreams; that a host ends says nothing of others. Such refusals do not count for that limit any more; the limit on all attempts of a request stays.

Case "two hosts end: a third one" of TestPassing failed before, "503 (string) != 200 (c.Want string)", and so did ToTwoThatEnd of the new TestPassedOnRequestsOutlastDrains, "503 (got.status int) != 200" for seven of its nine requests; its other cases held before and stay as guards: one host ends to which requests are passed on, the one that passes them on does, or both. That hosts are asked again which cannot serve for another reason is guarded by "one host ends, two cannot serve: refused".

--- a/exchanger/passing.go
+++ b/exchanger/passing.go
@@ -17,7 +17,8 @@
 const (
 	// maxUnreached is the number of upstreams without a connection after which a request is passed on.
 	maxUnreached = 2
-	// maxUnserved is the number of other hosts that cannot serve a request after which it is refused.
+	// maxUnserved is the number of other hosts that cannot serve a request, without those that end, after which it is
+	// refused.
 	maxUnserved = 2
 )
 
@@ -70,6 +71,7 @@
 	avoid    []string // avoid are the hosts that the request is not passed on to any more.
 	silent   string   // silent is a host that has sent nothing for long; others are better.
 	unserved int      // unserved is the number of hosts that could not serve the request.
+	ending   int      // ending is the number of them that refused it as they end, which says nothing of others.
 	refusal  *Refusal // refusal is the final refusal of a host that could have served the request.
 }
 
@@ -91,7 +93,7 @@
 // be passed on and this host reaches no upstream.
 func (d *delivery) stranded() bool {
 	switch {
-	case d.passing.unserved >= maxUnserved, d.passedOn() && d.unreached >= maxUnreached:
+	case d.passing.unserved-d.passing.ending >= maxUnserved, d.passedOn() && d.unreached >= maxUnreached:
 		return true
 	case !d.cutOff():
 		return false
@@ -185,6 +187,9 @@
 	default:
 		d.passing.avoid = append(d.passing.avoid, a.choice.host.Name)
 		d.passing.unserved++
+		if isEnding(f.Reason) {
+			d.passing.ending++
+		}
 		r.Reached = false
 	}
 	return r
@@ -198,6 +203,9 @@
 	return ReasonUnreached
 }
 
+// isEnding reports whether a host has refused a request as it ends.
+func isEnding(r Reason) bool { return r == ReasonDraining || r == ReasonLeaving || r == ReasonStopped }
+
 // isFinal reports whether other hosts would refuse a request for the same reason.
 func isFinal(r Reason) bool {
 	switch r {
--- a/exchanger/standby.go
+++ b/exchanger/standby.go
@@ -206,7 +206,7 @@
 	if d.fallback == nil {
 		d.fallback = c.fallback
 	}
-	d.unreached, d.passing.avoid, d.passing.unserved = c.unreached, c.passing.avoid, c.passing.unserved
+	d.unreached, d.passing.avoid, d.passing.unserved, d.passing.ending = c.unreached, c.passing.avoid, c.passing.unserved, c.passing.ending
 	o := &c.outcome
 	d.outcome.Attempts, d.outcome.Choices, d.outcome.HeldFull = o.Attempts, o.Choices, o.HeldFull
 	d.outcome.BrokenOff, d.outcome.Results = o.BrokenOff, o.Results
