conductor: Let callers send the rest of a refused body

A caller that sent a body over the limit, or a large one without an ID, and sent for longer than a second, met a reset connection in place of its refusal, as what arrives after a close resets it. A connection whose answer has been written is read now until its caller has closed it, has sent nothing for 1 s, or for 10 s.

TestRefusalsOfUnreadBodiesArrive (413 and 400, with a length and in chunks) failed before in its four cases, "write: broken pipe", and passes with it.

--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,8 +19,14 @@
 // open returns the number of requests.
 func (c *requestCounter) open() int64 { return c.n.Load() }
 
-// lingerTime is how long a connection whose answer has been written is read before it is closed.
-const lingerTime = 500 * time.Millisecond
+const (
+	// lingerTime is how long a caller whose answer has been written must have sent nothing before its connection is closed.
+	lingerTime = time.Second
+	// maxLinger bounds how long a connection whose answer has been written is read.
+	maxLinger = 10 * time.Second
+	// lingerBytes is the size of the buffer for what is thrown away.
+	lingerBytes = 4096
+)
 
 // connection is a connection of a server that counts its request.
 type connection struct {
@@ -43,8 +48,13 @@
 	go func() {
 		defer c.end()
 		defer func() { _ = c.TCPConn.Close() }()
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, c.TCPConn) // ends at the deadline at the latest
+		buf := make([]byte, lingerBytes)
+		for end := time.Now().Add(maxLinger); time.Now().Before(end); {
+			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+			if _, err := c.Read(buf); err != nil {
+				return // the caller has closed the connection, or sent nothing for lingerTime
+			}
+		}
 	}()
 	return nil
 }
