conductor: Reset connections of HTTP/1.0 callers whose answers are cut

A caller whose version of HTTP has no chunks takes the close of the connection as the end of an answer without a length. One that read slowly as the host ended got the first part of it, and no error: the server closes connections with an orderly end while their handlers write, and the reset that follows a cut answer came too late. Such a connection is reset if it is closed while the request is processed or a part of the answer is written. Others are closed as before, so that callers get what was written.

--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -35,12 +35,31 @@
 	counted  atomic.Bool // counted reports whether it has a request that is counted.
 	answered atomic.Bool // answered reports that the request has been processed, and that no other has begun.
 	lingers  atomic.Bool // lingers reports that the connection is closed once its caller has closed it.
+	old      atomic.Bool // old reports that the caller may take the close of the connection as the end of its answer.
+	running  atomic.Bool // running reports that the request is being processed.
+	writing  atomic.Bool // writing reports that a part of the answer is being written.
 }
 
+// Write implements net.Conn.
+func (c *connection) Write(b []byte) (int, error) {
+	c.writing.Store(true)
+	defer c.writing.Store(false)
+	return c.TCPConn.Write(b)
+}
+
+// incomplete reports whether a part of the answer is still to be written.
+func (c *connection) incomplete() bool { return c.running.Load() || c.writing.Load() }
+
 // Close implements net.Conn. It does not block. What has been received but not read makes a close reset the connection,
 // by which a caller that has sent more than its request loses the part of its answer that is still under way. So the
-// rest is read before.
+// rest is read before. An answer that is incomplete ends with a reset if only that tells it from a whole one.
 func (c *connection) Close() error {
+	if c.incomplete() {
+		if c.old.Load() {
+			_ = c.SetLinger(0)
+		}
+		return c.TCPConn.Close()
+	}
 	if !c.answered.Swap(false) || c.CloseWrite() != nil {
 		return c.TCPConn.Close()
 	}
@@ -105,6 +124,11 @@
 		if ok && !conn.counted.Swap(true) {
 			c.n.Add(1)
 		}
+		if ok {
+			conn.old.Store(!r.ProtoAtLeast(1, 1))
+			conn.running.Store(true)
+			defer conn.running.Store(false)
+		}
 		next.ServeHTTP(w, r)
 		if ok && conn.counted.Load() { // it has not been taken over by the handler
 			conn.answered.Store(true)
