conductor: Wait for requests whose header is arriving

A host that drained ended while the header of a request was arriving, on a new connection or a kept one, and its caller met a closed connection with seconds of the grace left. Requests counted as in progress only from the end of their header, and a server that shuts down closes connections without one. They count from their first byte now, other than line ends behind a body; the time limits on headers and the grace bound the wait. Connections that a handler has taken over are not counted.

TestDrainAnswersLateHeaders failed before in both cases, "unexpected EOF", and passes with it.

--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -4,6 +4,7 @@
 package conductor
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -11,8 +12,8 @@
 	"time"
 )
 
-// requestCounter counts the requests of servers from the end of their headers until their answers have been written to
-// the connection, so that a host does not end while a body is being read or an answer is being written. The zero value
+// requestCounter counts the requests of servers from their first bytes until their answers have been written to the
+// connection, so that a host does not end while a request is being read or an answer is being written. The zero value
 // is ready to use.
 type requestCounter struct{ n atomic.Int64 }
 
@@ -37,9 +38,19 @@
 	lingers  atomic.Bool // lingers reports that the connection is closed once its caller has closed it.
 	old      atomic.Bool // old reports that the caller may take the close of the connection as the end of its answer.
 	running  atomic.Bool // running reports that the request is being processed.
+	ended    atomic.Bool // ended reports that no request begins any more: it is closed, or the handler has taken it over.
 	writing  atomic.Bool // writing reports that a part of the answer is being written.
 }
 
+// Read implements net.Conn. Line ends, which some callers send behind a body, begin no request.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if len(bytes.TrimLeft(b[:n], "\r\n")) > 0 {
+		c.begin()
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(b []byte) (int, error) {
 	c.writing.Store(true)
@@ -70,7 +81,7 @@
 		buf := make([]byte, lingerBytes)
 		for end := time.Now().Add(maxLinger); time.Now().Before(end); {
 			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-			if _, err := c.Read(buf); err != nil {
+			if _, err := c.TCPConn.Read(buf); err != nil {
 				return // the caller has closed the connection, or sent nothing for lingerTime
 			}
 		}
@@ -78,6 +89,17 @@
 	return nil
 }
 
+// begin counts a request, unless it is counted.
+func (c *connection) begin() {
+	if c.ended.Load() || c.counted.Swap(true) {
+		return
+	}
+	c.requests.n.Add(1)
+	if c.ended.Load() { // meanwhile
+		c.end()
+	}
+}
+
 // end counts the request as ended.
 func (c *connection) end() {
 	if c.counted.Swap(false) {
@@ -110,28 +132,32 @@
 	}
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		tracked := conn.(*connection)
-		switch {
-		case state == http.StateIdle:
+		switch state {
+		case http.StateIdle:
 			tracked.answered.Store(false)
 			tracked.end()
-		case state == http.StateHijacked, state == http.StateClosed && !tracked.lingers.Load():
+		case http.StateHijacked:
+			tracked.ended.Store(true)
 			tracked.end()
+		case http.StateClosed:
+			tracked.ended.Store(true)
+			if !tracked.lingers.Load() {
+				tracked.end()
+			}
 		}
 	}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connectionKey{}).(*connection)
-		if ok && !conn.counted.Swap(true) {
-			c.n.Add(1)
-		}
 		if ok {
+			conn.begin() // it may have been read with the one before
 			conn.old.Store(!r.ProtoAtLeast(1, 1))
 			conn.running.Store(true)
 			defer conn.running.Store(false)
 		}
 		next.ServeHTTP(w, r)
-		if ok && conn.counted.Load() { // it has not been taken over by the handler
-			conn.answered.Store(true)
+		if ok {
+			conn.answered.Store(!conn.ended.Load())
 		}
 	})
 }
