server: Tell callers of requests begun before a drain to close

Whether the host drains is looked up as the answer begins now. TestDrainClosesConnectionsOfEarlierRequests of package runner (an answer and a stream) failed before, "expression is false: resp.Close", and passes with it.

--- a/runner/system_test.go
+++ b/runner/system_test.go
@@ -447,6 +447,58 @@
 	assert.DeepEqual(t, failed, []string{})
 }
 
+// TestDrainClosesConnectionsOfEarlierRequests guards against callers that keep a connection to a host that ends, since the
+// request whose answer would have told them had begun before the drain.
+func TestDrainClosesConnectionsOfEarlierRequests(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stream %v", stream), func(t *testing.T) {
+			d := start(t, deployment.Options{Engines: 1, Engine: emulator.EngineOptions{TokenInterval: 5 * time.Millisecond, Slots: 64}})
+			text, err := json.Marshal(prompt("drain", 20, stream).body)
+			assert.NilError(t, err)
+			body, rest := io.Pipe()
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.Callers(2)+"/v1/completions", body)
+			assert.NilError(t, err)
+			req.ContentLength = int64(len(text))
+			req.Header.Set("Authorization", "Bearer "+deployment.Token)
+			answers := make(chan *http.Response, 1)
+			go func() {
+				resp, err := http.DefaultClient.Do(req)
+				assert.Check(t, err)
+				answers <- resp
+			}()
+			_, err = rest.Write(text[:len(text)-1])
+			assert.NilError(t, err)
+			eventually(t, "the request is open", func() bool { return health(t, d.Callers(2)).Open > 0 })
+			cut := make(chan int, 1)
+			go func() { cut <- d.Hosts[2].Drain(t.Context()) }()
+			eventually(t, "the host drains", func() bool { return health(t, d.Callers(2)).Leaving })
+			_, err = rest.Write(text[len(text)-1:])
+			assert.NilError(t, err)
+			assert.NilError(t, rest.Close())
+			resp := <-answers
+			assert.Assert(t, resp != nil)
+			_, err = readReply(resp)
+			_ = resp.Body.Close()
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Assert(t, resp.Close)
+			assert.Equal(t, <-cut, 0)
+			d.Hosts = d.Hosts[:2]
+		})
+	}
+}
+
+// health returns what a host says of itself.
+func health(t *testing.T, address string) (h server.Health) {
+	resp, err := http.Get("http://" + address + "/v1/health")
+	if !assert.Check(t, err) {
+		return h
+	}
+	defer resp.Body.Close()
+	assert.Check(t, json.NewDecoder(resp.Body).Decode(&h))
+	return h
+}
+
 func clientDo(ctx context.Context, c *caller.Client, body []byte) (reply, error) {
 	resp, err := c.Do(ctx, caller.Request{Path: "/v1/completions", Body: bytes.Clone(body)})
 	if err != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -182,6 +182,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, c Call) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	out := &closingWriter{ResponseWriter: w, draining: &s.draining}
 	x := &Exchange{
 		ID:           newID(),
 		Start:        s.opts.Timer.Now(),
@@ -189,15 +190,12 @@
 		Key:          r.Header.Get(HeaderKey),
 		FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
 		Call:         c,
-		writer:       w,
+		writer:       out,
 		request:      r,
 	}
 	w.Header().Set(HeaderRequestID, x.ID)
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	o := s.run(r.Context(), w, r, x)
-	s.finish(w, x, o)
+	s.finish(out, x, o)
 }
 
 // run reads the body and passes the exchange through the filters.
