commander: Let no repeated signal cut the requests of a drain

A second SIGTERM or SIGINT ended the drain, whoever sent it. Supervisors repeat SIGTERM, process groups deliver it twice, and shells deliver one Ctrl-C several times within milliseconds: callers saw all streams in progress cut, and the exit code 3.

receiver.Policy now decides what a signal does. A drain that SIGTERM began, or that SIGTERM came to, goes on to its end. Only SIGINT, 1 s or more after the SIGINT that began the drain, ends it. Handlers stay until the process has exited, so that a signal after the drain does not change the exit code.

TestSecondSignal asserted that a second SIGTERM cuts, which is the fault. TestSignalsInSeries replaces it: eight streams are whole and the exit code is 0 in six series, all streams are cut and the code is 3 for an operator's further SIGINT.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -6,16 +6,15 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"amaranthgate.example/amaranthgate/internal/reloader"
+	"amaranthgate.example/amaranthgate/internal/receiver"
 	"amaranthgate.example/amaranthgate/loader"
 	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/runner"
+	"amaranthgate.example/amaranthgate/timer"
 )
 
 func (e *env) serveCommand() *cli.Command {
@@ -23,8 +22,10 @@
 		Name:  "serve",
 		Usage: "run one host",
 		Description: "Runs until SIGTERM or SIGINT, then drains: the host is no longer advertised to callers,\n" +
-			"serves requests that still arrive and exits when idle. A second signal aborts open\n" +
-			"requests and reports their number (exit code 3).",
+			"serves requests that still arrive and exits when idle. Further signals do not shorten a\n" +
+			"drain that SIGTERM began or that SIGTERM came to. At a terminal, a further SIGINT, 1 s or\n" +
+			"more after the first, aborts open requests and reports their number (exit code 3). SIGHUP\n" +
+			"reads the settings again; it is ignored during a drain.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "settings `FILE`, JSON with comments"},
 		},
@@ -76,29 +77,29 @@
 	h.Reload(s)
 }
 
-// runUntilSignal waits for SIGTERM, SIGINT or the end of ctx, then drains the host.
-// A second signal ends the drain.
+// runUntilSignal serves until SIGTERM, SIGINT or the end of ctx, then drains the host. Further signals have the effects
+// that receiver.Policy gives them.
 func runUntilSignal(ctx context.Context, h host, s loader.Settings, reload func()) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	for running := true; running; {
-		select {
-		case <-reloader.Requests():
-			reload()
-		case <-signals:
-			running = false
-		case <-ctx.Done():
-			running = false
+	signals, clock := receiver.Received(), timer.NewSystem()
+	var policy receiver.Policy
+	next := func(ctx context.Context) (effect receiver.Effect) {
+		sig := signals.Next(ctx)
+		if sig == receiver.None {
+			sig = receiver.Terminate // the end of ctx begins a drain as well
 		}
+		policy, effect = policy.Take(sig, clock.Now())
+		return effect
+	}
+	for next(ctx) == receiver.Reload {
+		reload()
 	}
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Timing.DrainTimeout.Std())
 	defer cancel()
 	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-drainCtx.Done():
+		for drainCtx.Err() == nil {
+			if next(drainCtx) == receiver.Cut {
+				cancel()
+			}
 		}
 	}()
 	if cut := h.Drain(drainCtx); cut > 0 {
