commander: Take SIGTERM and SIGINT before the listeners open

Their handlers were set once the host had started. A SIGTERM between the opening of the listeners and that point killed the process: callers lost the connections that it had taken, and the supervisor saw a death by signal instead of exit code 0.

The receiver now sets all handlers when it is initialized. A signal that comes during the start begins the drain once the host has started.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -38,10 +38,11 @@
 			if s.Platform != nil {
 				h = newPlatformHost(s, e.out)
 			}
+			signals := receiver.Received() // before the listeners open
 			if err := h.Start(); err != nil {
 				return err
 			}
-			return runUntilSignal(ctx, h, s, func() { e.reload(c.String("settings"), h) })
+			return runUntilSignal(ctx, h, s, signals, func() { e.reload(c.String("settings"), h) })
 		},
 	}
 }
@@ -79,8 +80,8 @@
 
 // runUntilSignal serves until SIGTERM, SIGINT or the end of ctx, then drains the host. Further signals have the effects
 // that receiver.Policy gives them.
-func runUntilSignal(ctx context.Context, h host, s loader.Settings, reload func()) error {
-	signals, clock := receiver.Received(), timer.NewSystem()
+func runUntilSignal(ctx context.Context, h host, s loader.Settings, signals *receiver.Receiver, reload func()) error {
+	clock := timer.NewSystem()
 	var policy receiver.Policy
 	next := func(ctx context.Context) (effect receiver.Effect) {
 		sig := signals.Next(ctx)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -3,9 +3,9 @@
 
 // Package receiver receives the signals of a host's process and decides on their effects.
 //
-// Without a handler the signals end the process. SIGHUP may arrive as soon as the process exists, so that its handler is
-// set when the package is initialized, and handlers remain until the process has exited. The package imports nothing but
-// what it needs for that, and so is initialized before the packages that take their time.
+// Without a handler the signals end the process. They may arrive as soon as the process exists, so that the handlers are
+// set when the package is initialized, and they remain until the process has exited. The package imports nothing but what
+// it needs for that, and so is initialized before the packages that take their time.
 //
 // # Usage
 //
@@ -54,16 +54,16 @@
 	hangup:    make(chan os.Signal, pending),
 }
 
-// command is the command of the program that runs a host. The signal ends the others.
+// command is the command of the program that runs a host. The signals end the others.
 const command = "serve"
 
 func init() {
 	if len(os.Args) > 1 && os.Args[1] == command {
-		signal.Notify(process.hangup, syscall.SIGHUP)
+		process.notify()
 	}
 }
 
-// Received returns the receiver of the signals of this process. From the call on none of them ends it.
+// Received returns the receiver of the signals of this process, including those that came before the call.
 func Received() *Receiver {
 	process.notify() // the command may follow other arguments
 	return process
