commander: Log each signal with its effect

A log did not show whether a host was ended by one signal or by several, nor which of them cut requests. The new line SignalReceived names the signal, its effect and how many of its kind have come. Hosts on the users' platform write it to standard output with their other lines, the others to standard error.

TestSignalsInSeries checks the lines: Cut is there exactly when an operator cut. It also repeats SIGTERM and SIGHUP until the process has exited, which must not change the exit code.

--- a/cmd/amaranthgate/process_test.go
+++ b/cmd/amaranthgate/process_test.go
@@ -29,8 +29,10 @@
 	"amaranthgate.example/amaranthgate/internal/deployment"
 	"amaranthgate.example/amaranthgate/internal/duration"
 	"amaranthgate.example/amaranthgate/internal/faultproxy"
+	"amaranthgate.example/amaranthgate/internal/receiver"
 	"amaranthgate.example/amaranthgate/internal/strictjson"
 	"amaranthgate.example/amaranthgate/loader"
+	"amaranthgate.example/amaranthgate/logger"
 	"amaranthgate.example/amaranthgate/runner"
 	"amaranthgate.example/amaranthgate/server"
 )
@@ -91,6 +93,7 @@
 	addr runner.Addresses
 	done chan struct{}
 	code int
+	log  []string // log has the lines after the start; it is complete when the process has exited.
 }
 
 func startSystem(t *testing.T, hosts int, opts deployment.Options) *system {
@@ -137,6 +140,9 @@
 		}
 	}
 	go func() {
+		for lines.Scan() {
+			p.log = append(p.log, lines.Text())
+		}
 		_, _ = io.Copy(io.Discard, logs)
 		_ = p.cmd.Wait()
 		p.code = p.cmd.ProcessState.ExitCode()
@@ -275,6 +281,7 @@
 		After  duration.Duration // After is the time since the signal before.
 		Signal string
 	}
+	Repeat bool // Repeat reports that the last signal comes again and again until the process has exited.
 	Tokens int  // Tokens is the length of the streams in progress, in tokens of 20 ms.
 	Cut    bool // Cut reports that the signals end the streams.
 }
@@ -305,6 +312,9 @@
 		time.Sleep(sig.After.Std())
 		s.host(1).signal(signalNumbers[sig.Signal])
 	}
+	if c.Repeat {
+		go s.host(1).repeat(signalNumbers[c.Signals[len(c.Signals)-1].Signal])
+	}
 	for range cap(replies) {
 		err := <-replies
 		assert.Check(t, (err != nil) == c.Cut, "%v", err)
@@ -315,6 +325,47 @@
 		code = 3
 	}
 	assert.Equal(t, s.host(1).code, code)
+	s.host(1).checkSignals(t, c)
+}
+
+// repeat sends a signal until the process has exited.
+func (p *process) repeat(sig syscall.Signal) {
+	for {
+		select {
+		case <-p.done:
+			return
+		case <-time.After(time.Millisecond):
+			p.signal(sig)
+		}
+	}
+}
+
+// checkSignals checks the lines about signals. Several of a kind may be delivered as one.
+func (p *process) checkSignals(t *testing.T, c signalsCase) {
+	t.Helper()
+	effects, counts := make(map[receiver.Effect]int), make(map[string]int)
+	for _, text := range p.log {
+		var line struct {
+			Message string `json:"message"`
+			Signal  string
+			Effect  receiver.Effect
+			Count   int
+		}
+		if json.Unmarshal([]byte(text), &line) == nil && line.Message == logger.SignalReceived {
+			effects[line.Effect]++
+			counts[line.Signal]++
+			assert.Equal(t, line.Count, counts[line.Signal], text)
+		}
+	}
+	cuts := 0
+	if c.Cut {
+		cuts = 1
+	}
+	assert.Equal(t, effects[receiver.Cut], cuts, "%v", effects)
+	assert.Assert(t, effects[receiver.Drain] > 0, "%v", effects)
+	for _, sig := range c.Signals {
+		assert.Assert(t, counts[sig.Signal] > 0, "no line about %s: %v", sig.Signal, counts)
+	}
 }
 
 // checkStream sends a prompt and returns an error unless the stream is complete and
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -32,12 +32,13 @@
 // platformHost is a host on the users' platform, with its log writer.
 type platformHost struct {
 	*conductor.Host
-	log io.Closer
+	log    *logger.Logger
+	writer io.Closer
 }
 
 // Drain drains the host, flushes the log and returns the number of aborted requests.
 func (h *platformHost) Drain(ctx context.Context) int {
-	defer func() { _ = h.log.Close() }() // an error on standard output cannot be reported
+	defer func() { _ = h.writer.Close() }() // an error on standard output cannot be reported
 	return h.Host.Drain(ctx)
 }
 
@@ -45,7 +46,8 @@
 func newPlatformHost(s loader.Settings, out io.Writer) *platformHost {
 	var dropped atomic.Uint64
 	writer := diode.NewWriter(out, logQueueLines, 0, func(missed int) { dropped.Add(uint64(missed)) })
-	return &platformHost{Host: conductor.New(platformOptions(s, logger.New(writer, s.LogLevel), dropped.Load)), log: writer}
+	log := logger.New(writer, s.LogLevel)
+	return &platformHost{Host: conductor.New(platformOptions(s, log, dropped.Load)), log: log, writer: writer}
 }
 
 func platformOptions(s loader.Settings, log *logger.Logger, dropped func() uint64) conductor.Options {
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -34,11 +34,13 @@
 			if err != nil {
 				return err
 			}
-			var h host = runner.New(s, logger.New(e.err, s.LogLevel).Logger)
+			log := logger.New(e.err, s.LogLevel)
+			var h host = runner.New(s, log.Logger)
 			if s.Platform != nil {
-				h = newPlatformHost(s, e.out)
+				p := newPlatformHost(s, e.out)
+				h, log = p, p.log
 			}
-			signals := receiver.Received() // before the listeners open
+			signals := newSignalHandler(log) // before the listeners open
 			if err := h.Start(); err != nil {
 				return err
 			}
@@ -80,31 +82,51 @@
 
 // runUntilSignal serves until SIGTERM, SIGINT or the end of ctx, then drains the host. Further signals have the effects
 // that receiver.Policy gives them.
-func runUntilSignal(ctx context.Context, h host, s loader.Settings, signals *receiver.Receiver, reload func()) error {
-	clock := timer.NewSystem()
-	var policy receiver.Policy
-	next := func(ctx context.Context) (effect receiver.Effect) {
-		sig := signals.Next(ctx)
-		if sig == receiver.None {
-			sig = receiver.Terminate // the end of ctx begins a drain as well
-		}
-		policy, effect = policy.Take(sig, clock.Now())
-		return effect
-	}
-	for next(ctx) == receiver.Reload {
+func runUntilSignal(ctx context.Context, h host, s loader.Settings, signals *signalHandler, reload func()) error {
+	for signals.next(ctx) == receiver.Reload {
 		reload()
 	}
-	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Timing.DrainTimeout.Std())
-	defer cancel()
+	ctx = context.WithoutCancel(ctx)
+	drainCtx, cut := context.WithTimeout(ctx, s.Timing.DrainTimeout.Std())
+	defer cut()
+	signalCtx, stop := context.WithCancel(ctx)
+	defer stop()
 	go func() {
-		for drainCtx.Err() == nil {
-			if next(drainCtx) == receiver.Cut {
-				cancel()
+		for signalCtx.Err() == nil {
+			if signals.next(signalCtx) == receiver.Cut {
+				cut()
 			}
 		}
 	}()
-	if cut := h.Drain(drainCtx); cut > 0 {
-		return withExitCode(ExitCut, errors.Errorf("%d requests were cut", cut))
+	if n := h.Drain(drainCtx); n > 0 {
+		return withExitCode(ExitCut, errors.Errorf("%d requests were cut", n))
 	}
 	return nil
 }
+
+// signalHandler decides on the effects of signals and logs them. It is not safe for concurrent use.
+type signalHandler struct {
+	signals *receiver.Receiver
+	policy  receiver.Policy
+	counts  map[receiver.Signal]int // counts has the number of signals of each kind.
+	clock   timer.Service
+	log     *logger.Logger
+}
+
+// newSignalHandler returns a handler. From the call on, signals do not end the process.
+func newSignalHandler(log *logger.Logger) *signalHandler {
+	return &signalHandler{signals: receiver.Received(), counts: make(map[receiver.Signal]int), clock: timer.NewSystem(), log: log}
+}
+
+// next waits for a signal and returns its effect. The end of ctx has the effect of SIGTERM.
+func (h *signalHandler) next(ctx context.Context) (effect receiver.Effect) {
+	sig := h.signals.Next(ctx)
+	if sig == receiver.None {
+		h.policy, effect = h.policy.Take(receiver.Terminate, h.clock.Now())
+		return effect
+	}
+	h.counts[sig]++
+	h.policy, effect = h.policy.Take(sig, h.clock.Now())
+	h.log.Info().Str("Signal", string(sig)).Str("Effect", string(effect)).Int("Count", h.counts[sig]).Msg(logger.SignalReceived)
+	return effect
+}
--- a/logger/kinds.go
+++ b/logger/kinds.go
@@ -8,6 +8,7 @@
 	Started              = "Started"
 	Listening            = "Listening"
 	ListenerEnded        = "ListenerEnded"
+	SignalReceived       = "SignalReceived"
 	Draining             = "Draining"
 	Stopped              = "Stopped"
 	SettingsReloaded     = "SettingsReloaded"
@@ -85,7 +86,7 @@
 
 // Kinds lists all events.
 var Kinds = []string{
-	Started, Listening, ListenerEnded, Draining, Stopped, SettingsReloaded, ReloadRefused,
+	Started, Listening, ListenerEnded, SignalReceived, Draining, Stopped, SettingsReloaded, ReloadRefused,
 	UpstreamChosen, RequestEnded, AnswerBrokenOff, AnswersSkipped, UpstreamEnded, RequestBarred, PartBarred, PartTried, UpstreamLeaving, RestBegun, RestEnded, RestMalformed, UpstreamSuspected, UpstreamAnswersAgain, UpstreamsCutOff, UpstreamsReached, UpstreamFull, UpstreamHasRoom, UpstreamBrittle, UpstreamSound, BrittleRefused, BrittleMalformed, RateLimitStated, RateLimitChanged, RateLimitMalformed, LoadMalformed, OverloadBegan, OverloadEnded, LinksInvalid, ContentionRejected, BarLifted, BarUnnoted, BarUnread, LinesLeftOut,
 	StoreLost, StoreBack, StoreRestored, FeedRecovered, FeedReadRefused, ListingApplied, FeedDiffers, RecordMissed, PageDropped, PageIncomplete, ConfigurationTaken, RecordApplied, WeightsReverted, RecordOutdated, ZoneEvacuated, ZoneTakenBack, RecordUnreadable, LapsedEntriesRemoved,
 	HostChanged, HostsUnread, HostRetracted, HostRecordUnreadable, MessageRefused,
