messenger: Bound the header of the answer to a handshake

A host dials the addresses of other hosts again and again. What answered there with a header, a status line or interim answers without end was read up to the 10 MB that net/http allows by default, in buffers that doubled, for each host and attempt.

The header is now read up to 16 KB.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -45,6 +45,8 @@
 	// middlebox or a stopped process still acknowledges TCP segments.
 	pingInterval = time.Second
 	pingTimeout  = time.Second
+	// maxHeaderBytes bounds the header of the answer to a handshake.
+	maxHeaderBytes = 16 << 10
 )
 
 // Options configures a Messenger.
@@ -97,7 +99,9 @@
 		opts.MaxBackoff = defaultMaxBackoff
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.New(dialer.Options{Timeout: connectTimeout}).DialContext}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.New(dialer.Options{Timeout: connectTimeout}).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
 	return &Messenger{opts: opts, http: client, ctx: ctx, cancel: cancel, links: make(map[string]*link)}
 }
 
