conductor: Leave the plan of a drain unchanged once it is published

beginDrain assigned the current state of the drain, for its log line, to the variable to which it had published a pointer, while requests read it: a data race at the start of each drain under load. The line uses a variable of its own.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -75,8 +75,8 @@
 	h.drainBegan.Store(&start)
 	h.leaving.Store(true)
 	h.post(DrainStarted{})
-	d, _ = h.draining()
-	ev := h.log.Info().Int64("Open", h.open.Load()).Bool("Alone", d.Alone).Dur("Refuses", d.Refuses.Sub(start))
+	current, _ := h.draining()
+	ev := h.log.Info().Int64("Open", h.open.Load()).Bool("Alone", current.Alone).Dur("Refuses", d.Refuses.Sub(start))
 	if !d.End.IsZero() {
 		ev.Dur("Ends", d.End.Sub(start))
 	}
