conductor: Let a host that is alone go on serving beside slow requests

A request counts as brief for 0.4 s at most. A body, an answer or a header that takes longer keeps the host serving instead of closing, headers for 2 s. If what is left lasts longer than 0.4 s, the host takes requests again. Requests that begin while a host closes are refused and not counted, and a connection that is read until its caller closes it counts for 1 s, 16 MB and 10 s at most.

Requests in progress are ended 0.9 s before the end of the grace instead of 0.7 s, and the messages for other hosts are sent before the connections are closed, so that a starved process ends before it is killed. Callers are given at most 0.4 of that time to hear of the drain.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -18,17 +18,20 @@
 	// addressTTLFactor is how many times the TTL some callers cache an address.
 	addressTTLFactor = 3
 	// maxEarlyShare bounds the part of a drain in which callers may not have heard of it.
-	maxEarlyShare = 0.5
+	maxEarlyShare = 0.4
 	// drainIdleTime is how long no request may have arrived before the host ends.
 	drainIdleTime     = 500 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 	// endTime is the part of a drain after the end of the requests in progress.
-	endTime = 700 * time.Millisecond
+	endTime = 900 * time.Millisecond
+	// headerTime is how long a host that is alone waits for headers once callers have heard of the drain.
+	headerTime = 2 * time.Second
 	// refusalTime is the part of endTime in which callers get refusals of requests that have not ended.
 	refusalTime = 300 * time.Millisecond
 	// closeTime is the part of endTime in which connections are closed.
 	closeTime = 100 * time.Millisecond
-	// lastTime is how long requests may go on after an operator has ended the drain, or connections of which no request has been read.
+	// lastTime is how long requests may go on after an operator has ended the drain, connections of which no request has
+	// been read after the listeners are closed, and a host that is alone refuses requests before it serves again.
 	lastTime = 400 * time.Millisecond
 )
 
@@ -49,15 +52,13 @@
 func (h *Host) Drain(ctx context.Context) int {
 	start := h.opts.Timer.Now()
 	h.beginDrain(ctx, start)
-	cause := h.awaitCallers(ctx)
-	h.closing.Store(true)
-	cause = h.awaitAnswers(ctx, cause)
+	cause := h.serveLast(ctx)
 	cut, limit := 0, lastTime
 	if cause == drainDeadline || cause == drainForced {
 		cut, limit = h.endRequests(cause), closeTime
 	}
-	h.closeServers(limit)
 	h.flushOrigins()
+	h.closeServers(limit)
 	h.messenger.Close()
 	h.cancel()
 	h.log.Info().Int("Cut", cut).Str("Cause", string(cause)).Dur("Took", h.opts.Timer.Now().Sub(start)).Msg(logger.Stopped)
@@ -83,12 +84,31 @@
 	ev.Msg(logger.Draining)
 }
 
-// awaitCallers serves requests until no more arrive, or none is left for which a host that is alone waits.
-func (h *Host) awaitCallers(ctx context.Context) drainCause {
+// serveLast serves requests until the host is to end. Then it takes no more, and those in progress have their answers
+// unless the time of the drain is over or an operator ended it.
+func (h *Host) serveLast(ctx context.Context) drainCause {
+	free := h.opts.Timer.Now()
+	for {
+		cause := h.awaitCallers(ctx, &free)
+		h.requests.closed.Store(true)
+		if cause, ok := h.awaitAnswers(ctx, cause); ok {
+			return cause
+		}
+		h.requests.closed.Store(false) // a request lasts longer than expected, and no other host takes requests meanwhile
+	}
+}
+
+// awaitCallers serves requests until no more arrive, or none is left for which a host that is alone waits. Free is when
+// last no request was being read and no answer written.
+func (h *Host) awaitCallers(ctx context.Context, free *time.Time) drainCause {
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
 		d, _ := h.draining()
 		p := DrainProgress{Drain: d, Arrived: h.started.Add(time.Duration(h.lastRequest.Load())), Open: h.open.Load(), Brief: h.exchanger.Brief(), Reading: h.inProgress()}
+		if h.requests.running.Load() <= p.Open {
+			*free = now
+		}
+		p.Slow = now.Sub(*free) > exchanger.BriefTime || h.requests.arriving.Load() > 0 && now.Before(d.Refuses.Add(headerTime))
 		switch {
 		case p.Over(now):
 			return drainDeadline
@@ -102,18 +122,25 @@
 	return endCause(ctx)
 }
 
-// awaitAnswers waits until all requests in progress have their answers. It returns cause, or why it has not waited for all.
-func (h *Host) awaitAnswers(ctx context.Context, cause drainCause) drainCause {
-	for h.inProgress() {
+// awaitAnswers waits until all requests in progress have their answers, but for those whose headers are being read. It
+// returns why the drain ends, which is cause unless it has not waited for all; false if it is to go on, since no other
+// host takes requests and this one would refuse them for longer than lastTime.
+func (h *Host) awaitAnswers(ctx context.Context, cause drainCause) (drainCause, bool) {
+	for start := h.opts.Timer.Now(); ; pause(ctx, drainPollInterval) {
+		now := h.opts.Timer.Now()
+		running := h.open.Load() > 0 || h.requests.running.Load() > 0
+		d, _ := h.draining()
 		switch {
+		case !running && (h.requests.lingering.Load() == 0 || d.Alone && now.Sub(start) > lastTime):
+			return cause, true
 		case ctx.Err() != nil:
-			return endCause(ctx)
-		case over(*h.drain.Load(), h.opts.Timer.Now()):
-			return drainDeadline
+			return endCause(ctx), true
+		case over(d, now):
+			return drainDeadline, true
+		case d.Alone && running && now.Sub(start) > lastTime:
+			return cause, false
 		}
-		pause(ctx, drainPollInterval)
 	}
-	return cause
 }
 
 // awaitAnswersFor waits for the same, for a time at most.
@@ -150,7 +177,7 @@
 		return r.Host != self && r.State == tracker.HostLive && r.Ready
 	})
 	d := *drain
-	d.Alone, d.Closing = !others, h.closing.Load()
+	d.Alone, d.Closing = !others, h.requests.closed.Load()
 	return d, true
 }
 
--- a/conductor/drainplan.go
+++ b/conductor/drainplan.go
@@ -30,6 +30,7 @@
 	Open    int64     // Open is the number of requests in progress.
 	Brief   int64     // Brief is the number of those for which a host that is alone does not wait.
 	Reading bool      // Reading reports that a request is in progress or is being read.
+	Slow    bool      // Slow reports that a request has been read, or an answer been written, for longer than a brief one lasts.
 }
 
 // Over reports whether the time of the drain is over.
@@ -42,5 +43,5 @@
 
 // OnlyBrief reports whether the host is alone and only brief requests are left.
 func (p DrainProgress) OnlyBrief(now time.Time) bool {
-	return p.Drain.Alone && now.After(p.Drain.Refuses) && p.Open <= p.Brief
+	return p.Drain.Alone && now.After(p.Drain.Refuses) && p.Open <= p.Brief && !p.Slow
 }
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -135,7 +135,6 @@
 	capacityFreed     chan struct{} // capacityFreed signals that upstreams may have room.
 	leaving           atomic.Bool
 	drain             atomic.Pointer[exchanger.Drain] // drain is nil while this host does not drain.
-	closing           atomic.Bool                     // closing reports that this host takes no requests any more.
 	requests          requestCounter                  // requests counts those of callers and of other hosts.
 	drainBegan        atomic.Pointer[time.Time]       // drainBegan is nil while this host does not drain.
 	evictsStores      atomic.Bool                     // evictsStores is set on the host that evicts unused KV caches.
--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -15,38 +16,71 @@
 // requestCounter counts the requests of servers from their first bytes until their answers have been written to the
 // connection, so that a host does not end while a request is being read or an answer is being written. The zero value
 // is ready to use.
-type requestCounter struct{ n atomic.Int64 }
+type requestCounter struct {
+	arriving  atomic.Int64 // arriving counts requests whose header is being read.
+	running   atomic.Int64 // running counts those that are processed, or whose body is read or answer written.
+	lingering atomic.Int64 // lingering counts connections that are read until their callers have closed them.
+	closed    atomic.Bool  // closed reports that requests that begin are not counted, as they are all refused.
+}
 
 // open returns the number of requests.
-func (c *requestCounter) open() int64 { return c.n.Load() }
+func (c *requestCounter) open() int64 {
+	return c.arriving.Load() + c.running.Load() + c.lingering.Load()
+}
+
+// of returns the count of a phase; nil for phaseNone.
+func (c *requestCounter) of(p phase) *atomic.Int64 {
+	switch p {
+	case phaseArriving:
+		return &c.arriving
+	case phaseRunning:
+		return &c.running
+	case phaseLingering:
+		return &c.lingering
+	}
+	return nil
+}
+
+// phase is what a connection is counted as.
+type phase string
+
+// Values of phase.
+const (
+	phaseNone      phase = ""
+	phaseArriving  phase = "Arriving"
+	phaseRunning   phase = "Running"
+	phaseLingering phase = "Lingering"
+)
 
 const (
 	// lingerTime is how long a caller whose answer has been written must have sent nothing before its connection is closed.
 	lingerTime = time.Second
-	// maxLinger bounds how long a connection whose answer has been written is read.
-	maxLinger = 10 * time.Second
-	// lingerBytes is the size of the buffer for what is thrown away.
-	lingerBytes = 4096
+	// maxLinger and maxLingerBytes bound for how long a connection whose answer has been written is read, and how much.
+	maxLinger      = 10 * time.Second
+	maxLingerBytes = 16 << 20
+	// lingerBuffer is the size of the buffer for what is thrown away.
+	lingerBuffer = 4096
 )
 
 // connection is a connection of a server that counts its request.
 type connection struct {
 	*net.TCPConn
 	requests *requestCounter
-	counted  atomic.Bool // counted reports whether it has a request that is counted.
-	answered atomic.Bool // answered reports that the request has been processed, and that no other has begun.
-	lingers  atomic.Bool // lingers reports that the connection is closed once its caller has closed it.
-	old      atomic.Bool // old reports that the caller may take the close of the connection as the end of its answer.
-	running  atomic.Bool // running reports that the request is being processed.
-	ended    atomic.Bool // ended reports that no request begins any more: it is closed, or the handler has taken it over.
 	writing  atomic.Bool // writing reports that a part of the answer is being written.
+
+	mu         sync.Mutex
+	phase      phase
+	ended      bool // ended reports that no request begins any more: it is closed, or the handler has taken it over.
+	answered   bool // answered reports that the request has been processed, and that no other has begun.
+	processing bool // processing reports that the request is being processed.
+	old        bool // old reports that the caller may take the close of the connection as the end of its answer.
 }
 
 // Read implements net.Conn. Line ends, which some callers send behind a body, begin no request.
 func (c *connection) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if len(bytes.TrimLeft(b[:n], "\r\n")) > 0 {
-		c.begin()
+		c.begin(phaseArriving)
 	}
 	return n, err
 }
@@ -58,55 +92,113 @@
 	return c.TCPConn.Write(b)
 }
 
-// incomplete reports whether a part of the answer is still to be written.
-func (c *connection) incomplete() bool { return c.running.Load() || c.writing.Load() }
-
 // Close implements net.Conn. It does not block. What has been received but not read makes a close reset the connection,
 // by which a caller that has sent more than its request loses the part of its answer that is still under way. So the
 // rest is read before. An answer that is incomplete ends with a reset if only that tells it from a whole one.
 func (c *connection) Close() error {
-	if c.incomplete() {
-		if c.old.Load() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.processing || c.writing.Load() {
+		if c.old {
 			_ = c.SetLinger(0)
 		}
 		return c.TCPConn.Close()
 	}
-	if !c.answered.Swap(false) || c.CloseWrite() != nil {
+	answered := c.answered
+	c.answered = false
+	if !answered || c.CloseWrite() != nil {
 		return c.TCPConn.Close()
 	}
-	c.lingers.Store(true)
-	go func() {
-		defer c.end()
-		defer func() { _ = c.TCPConn.Close() }()
-		buf := make([]byte, lingerBytes)
-		for end := time.Now().Add(maxLinger); time.Now().Before(end); {
-			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-			if _, err := c.TCPConn.Read(buf); err != nil {
-				return // the caller has closed the connection, or sent nothing for lingerTime
-			}
-		}
-	}()
+	if c.phase != phaseNone {
+		c.setPhase(phaseLingering)
+		time.AfterFunc(lingerTime, func() { c.end(false) })
+	}
+	go c.linger()
 	return nil
 }
 
-// begin counts a request, unless it is counted.
-func (c *connection) begin() {
-	if c.ended.Load() || c.counted.Swap(true) {
-		return
+// linger reads what the caller still sends, and closes the connection.
+func (c *connection) linger() {
+	defer c.end(false)
+	defer func() { _ = c.TCPConn.Close() }()
+	buf, length := make([]byte, lingerBuffer), 0
+	for last := time.Now().Add(maxLinger); length < maxLingerBytes && time.Now().Before(last); {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		n, err := c.TCPConn.Read(buf)
+		if err != nil {
+			return // the caller has closed the connection, or sent nothing for lingerTime
+		}
+		length += n
+	}
+}
+
+// begin counts a request as being in a phase from now on.
+func (c *connection) begin(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended:
+	case c.phase == phaseNone && !c.requests.closed.Load(), c.phase == phaseArriving:
+		c.setPhase(p)
+	}
+}
+
+// end counts the request as ended. No other begins on the connection if last is set.
+func (c *connection) end(last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = c.ended || last
+	c.setPhase(phaseNone)
+}
+
+// setPhase changes the phase; c.mu is held.
+func (c *connection) setPhase(p phase) {
+	if n := c.requests.of(p); n != nil {
+		n.Add(1)
+	}
+	if n := c.requests.of(c.phase); n != nil {
+		n.Add(-1)
 	}
-	c.requests.n.Add(1)
-	if c.ended.Load() { // meanwhile
-		c.end()
+	c.phase = p
+}
+
+// process notes that a request is processed from now on, until the returned function is called.
+func (c *connection) process(r *http.Request) func() {
+	c.begin(phaseRunning)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.old, c.processing = !r.ProtoAtLeast(1, 1), true
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.processing = false
 	}
 }
 
-// end counts the request as ended.
-func (c *connection) end() {
-	if c.counted.Swap(false) {
-		c.requests.n.Add(-1)
+// changed notes a change of the server's state of the connection.
+func (c *connection) changed(state http.ConnState) {
+	switch state {
+	case http.StateIdle:
+		c.setAnswered(false)
+		c.end(false)
+	case http.StateHijacked:
+		c.end(true)
+	case http.StateClosed:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.ended = true; c.phase != phaseLingering {
+			c.setPhase(phaseNone)
+		}
 	}
 }
 
+// setAnswered notes whether the last request has been processed.
+func (c *connection) setAnswered(answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = answered && !c.ended
+}
+
 // countingListener accepts connections that count their requests.
 type countingListener struct {
 	net.Listener
@@ -130,34 +222,16 @@
 	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, conn)
 	}
-	s.ConnState = func(conn net.Conn, state http.ConnState) {
-		tracked := conn.(*connection)
-		switch state {
-		case http.StateIdle:
-			tracked.answered.Store(false)
-			tracked.end()
-		case http.StateHijacked:
-			tracked.ended.Store(true)
-			tracked.end()
-		case http.StateClosed:
-			tracked.ended.Store(true)
-			if !tracked.lingers.Load() {
-				tracked.end()
-			}
-		}
-	}
+	s.ConnState = func(conn net.Conn, state http.ConnState) { conn.(*connection).changed(state) }
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connectionKey{}).(*connection)
-		if ok {
-			conn.begin() // it may have been read with the one before
-			conn.old.Store(!r.ProtoAtLeast(1, 1))
-			conn.running.Store(true)
-			defer conn.running.Store(false)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
 		}
+		defer conn.process(r)()
 		next.ServeHTTP(w, r)
-		if ok {
-			conn.answered.Store(!conn.ended.Load())
-		}
+		conn.setAnswered(true)
 	})
 }
--- a/exchanger/draining.go
+++ b/exchanger/draining.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -46,8 +47,8 @@
 const (
 	// estimateMargin multiplies the longest duration of a route's last requests.
 	estimateMargin = 1.25
-	// briefTime is how long a request usually lasts that does not keep a host from closing.
-	briefTime = 400 * time.Millisecond
+	// BriefTime is how long a request lasts that does not keep a host from closing.
+	BriefTime = 400 * time.Millisecond
 	// restartTime is the usual time from the end of requests in progress until a host that ends is back.
 	restartTime = time.Second
 )
@@ -63,27 +64,38 @@
 		if !draining {
 			return next(ctx, e)
 		}
-		basis, taken := drain.Admit(now, e.deadline, e.durations.Brief(now, e.deadline, e.route.Name))
+		brief := e.durations.Brief(now, e.deadline, e.route.Name)
+		basis, taken := drain.Admit(now, e.deadline, brief)
 		if !taken {
 			return e.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonDraining, RetryAfter: drain.RetryAfter()})
 		}
 		e.outcome.Taken = basis
-		if basis == BasisDeadline {
-			e.brief.Add(1)
-			defer e.brief.Add(-1)
+		if basis == BasisDeadline && brief {
+			defer e.countBrief()()
 		}
 		return next(ctx, e)
 	}
 }
 
+// countBrief counts the request as brief until the returned function is called, for BriefTime at most.
+func (e *exchange) countBrief() func() {
+	e.brief.Add(1)
+	end := sync.OnceFunc(func() { e.brief.Add(-1) })
+	cancel := e.opts.Timer.After(BriefTime, func(time.Time) { end() })
+	return func() {
+		cancel()
+		end()
+	}
+}
+
 // Brief returns the number of requests in progress for which a host that is alone does not wait before it closes.
 func (x *Exchanger) Brief() int64 { return x.brief.Load() }
 
 // Brief reports whether a request probably lasts no longer than 0.4 s, by its deadline or by others of its route.
 func (d *Durations) Brief(now, deadline time.Time, route string) bool {
-	if !deadline.After(now.Add(briefTime)) {
+	if !deadline.After(now.Add(BriefTime)) {
 		return true
 	}
 	longest, known := d.Longest(route)
-	return known && time.Duration(estimateMargin*float64(longest)) <= briefTime
+	return known && time.Duration(estimateMargin*float64(longest)) <= BriefTime
 }
--- a/experimenter/drainmodel.go
+++ b/experimenter/drainmodel.go
@@ -259,17 +259,26 @@
 	}
 	h.arrived = m.now
 	basis, taken := h.admit(r)
+	brief := basis == exchanger.BasisDeadline && h.durations.Brief(m.clock(), m.clock().Add(r.deadline), r.class.name)
 	if !taken {
 		m.result.Refusals++
 		r.caller.refused(r, h, h.state().RetryAfter())
 		return
 	}
 	r.late = h.draining && !m.clock().Before(h.plan.Refuses)
-	brief := basis == exchanger.BasisDeadline
+	brief = basis == exchanger.BasisDeadline && (brief || m.opts.Design == DrainByEstimate)
 	h.open[r] = brief
 	if brief {
 		h.brief++
 	}
+	if brief && m.opts.Design != DrainByEstimate {
+		m.after(exchanger.BriefTime, func() {
+			if h.open[r] {
+				h.open[r] = false
+				h.brief--
+			}
+		})
+	}
 	if added := m.now - drainLatency - r.sent; r.refused != nil {
 		m.result.Added += added
 		m.result.WorstAdded = max(m.result.WorstAdded, added)
@@ -367,6 +376,9 @@
 		h.end(began)
 		return
 	}
+	if h.closing > 0 && m.opts.Design != DrainByEstimate && h.state().Alone && m.now-h.closing > drainEstimateLast {
+		h.closing = 0
+	}
 	m.after(drainPoll, func() { h.poll(began) })
 }
 
