conductor: Count no refusal as a request that a drain cut

The number of requests that were cut was that of all open ones at the end of the drain. A request that arrived at this moment and got its refusal was counted: the host reported Cut 1 and exit code 3 although no caller had lost anything. This needs callers that return at once after refusals, so that a drain lasts to its end.

Counted are now requests that the host had to end, whose reason is Stopped as docs/LOGS.md says, and those that had arrived before and have not ended after the time for refusals. Requests still waiting for an upstream, which are refused as not run, are not counted any more.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -181,16 +181,17 @@
 	return d, true
 }
 
-// endRequests ends the requests in progress, which get their refusals, and returns their number.
+// endRequests ends the requests in progress, which get their refusals, and returns how many had to be ended. Those whose
+// answers are being written are not counted.
 func (h *Host) endRequests(cause drainCause) int {
 	h.exchanger.Close()
 	if cause == drainForced {
 		h.awaitAnswersFor(lastTime)
 	}
-	cut := h.open.Load()
+	h.ending.Store(true)
 	h.exchanger.Stop()
 	h.awaitAnswersFor(refusalTime)
-	return int(cut)
+	return int(h.stopped.Load() + h.openBeforeEnd.Load())
 }
 
 // closeServers closes listeners and connections. Requests that have arrived as the listeners are closed get their refusals
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -140,6 +140,9 @@
 	evictsStores      atomic.Bool                     // evictsStores is set on the host that evicts unused KV caches.
 	saveAgain         atomic.Bool                     // saveAgain is set if the store may have lost saved state.
 	open              atomic.Int64
+	openBeforeEnd     atomic.Int64 // openBeforeEnd counts those of open that arrived before this host ended requests.
+	ending            atomic.Bool  // ending reports that this host has ended requests.
+	stopped           atomic.Int64 // stopped counts requests that the end of this host has ended.
 	started           time.Time
 	lastRequest       atomic.Int64 // lastRequest is when the last request arrived, in ns after started.
 	servers           []*http.Server
@@ -343,7 +346,14 @@
 	h.open.Add(1)
 	h.lastRequest.Store(int64(h.opts.Timer.Now().Sub(h.started)))
 	defer h.open.Add(-1)
+	if !h.ending.Load() {
+		h.openBeforeEnd.Add(1)
+		defer h.openBeforeEnd.Add(-1)
+	}
 	o := h.exchanger.Handle(ctx, r, w)
+	if o.Reason == exchanger.ReasonStopped {
+		h.stopped.Add(1)
+	}
 	h.counters.request(r, o)
 	h.logSkipped(r, &o)
 	h.logRequest(r, o)
