--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -30,9 +30,12 @@
 	refusalTime = 300 * time.Millisecond
 	// closeTime is the part of endTime in which connections are closed.
 	closeTime = 100 * time.Millisecond
-	// lastTime is how long requests may go on after an operator has ended the drain, connections of which no request has
-	// been read after the listeners are closed, and a host that is alone refuses requests before it serves again.
-	lastTime = 400 * time.Millisecond
+	// forcedTime is how long requests may go on after an operator has ended the drain.
+	forcedTime = 400 * time.Millisecond
+	// shutdownTime is how long connections stay open of which no request has been read as the listeners are closed.
+	shutdownTime = 400 * time.Millisecond
+	// MaxClosing is how long a host that is alone refuses requests to end, before it takes requests again.
+	MaxClosing = 400 * time.Millisecond
 )
 
 // drainCause is why a drain has ended.
@@ -53,7 +56,7 @@
 	start := h.opts.Timer.Now()
 	h.beginDrain(ctx, start)
 	cause := h.serveLast(ctx)
-	cut, limit := 0, lastTime
+	cut, limit := 0, shutdownTime
 	if cause == drainDeadline || cause == drainForced {
 		cut, limit = h.endRequests(cause), closeTime
 	}
@@ -124,20 +127,20 @@
 
 // awaitAnswers waits until all requests in progress have their answers, but for those whose headers are being read. It
 // returns why the drain ends, which is cause unless it has not waited for all; false if it is to go on, since no other
-// host takes requests and this one would refuse them for longer than lastTime.
+// host takes requests and this one would refuse them for longer than MaxClosing.
 func (h *Host) awaitAnswers(ctx context.Context, cause drainCause) (drainCause, bool) {
 	for start := h.opts.Timer.Now(); ; pause(ctx, drainPollInterval) {
 		now := h.opts.Timer.Now()
 		running := h.open.Load() > 0 || h.requests.running.Load() > 0
 		d, _ := h.draining()
 		switch {
-		case !running && (h.requests.lingering.Load() == 0 || d.Alone && now.Sub(start) > lastTime):
+		case !running && (h.requests.lingering.Load() == 0 || d.Alone && now.Sub(start) > MaxClosing):
 			return cause, true
 		case ctx.Err() != nil:
 			return endCause(ctx), true
 		case over(d, now):
 			return drainDeadline, true
-		case d.Alone && running && now.Sub(start) > lastTime:
+		case d.Alone && running && now.Sub(start) > MaxClosing:
 			return cause, false
 		}
 	}
@@ -186,7 +189,7 @@
 func (h *Host) endRequests(cause drainCause) int {
 	h.exchanger.Close()
 	if cause == drainForced {
-		h.awaitAnswersFor(lastTime)
+		h.awaitAnswersFor(forcedTime)
 	}
 	h.ending.Store(true)
 	h.exchanger.Stop()
--- a/experimenter/drainmodel.go
+++ b/experimenter/drainmodel.go
@@ -376,7 +376,7 @@
 		h.end(began)
 		return
 	}
-	if h.closing > 0 && m.opts.Design != DrainByEstimate && h.state().Alone && m.now-h.closing > drainEstimateLast {
+	if h.closing > 0 && m.opts.Design != DrainByEstimate && h.state().Alone && m.now-h.closing > conductor.MaxClosing {
 		h.closing = 0
 	}
 	m.after(drainPoll, func() { h.poll(began) })
