conductor: Count a body that is read after the host takes requests again

Found by review. A request whose handler began while the host refused requests, and whose body was read once it took requests again, counted as one whose header is being read, for which a host that is alone does not wait. Comments on what happens to requests that arrive as the listeners are closed were wrong and say it now.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -32,7 +32,7 @@
 	closeTime = 100 * time.Millisecond
 	// forcedTime is how long requests may go on after an operator has ended the drain.
 	forcedTime = 400 * time.Millisecond
-	// shutdownTime is how long connections stay open of which no request has been read as the listeners are closed.
+	// shutdownTime bounds the time for requests that are being refused as the listeners are closed.
 	shutdownTime = 400 * time.Millisecond
 	// MaxClosing is how long a host that is alone refuses requests to end, before it takes requests again.
 	MaxClosing = 400 * time.Millisecond
@@ -93,11 +93,11 @@
 	free := h.opts.Timer.Now()
 	for {
 		cause := h.awaitCallers(ctx, &free)
-		h.requests.closed.Store(true)
+		h.requests.refusing.Store(true)
 		if cause, ok := h.awaitAnswers(ctx, cause); ok {
 			return cause
 		}
-		h.requests.closed.Store(false) // a request lasts longer than expected, and no other host takes requests meanwhile
+		h.requests.refusing.Store(false) // a request lasts longer than expected, and no other host takes requests meanwhile
 	}
 }
 
@@ -146,7 +146,7 @@
 	}
 }
 
-// awaitAnswersFor waits for the same, for a time at most.
+// awaitAnswersFor waits until nothing is in progress, for a time at most.
 func (h *Host) awaitAnswersFor(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -180,7 +180,7 @@
 		return r.Host != self && r.State == tracker.HostLive && r.Ready
 	})
 	d := *drain
-	d.Alone, d.Closing = !others, h.requests.closed.Load()
+	d.Alone, d.Closing = !others, h.requests.refusing.Load()
 	return d, true
 }
 
@@ -197,8 +197,8 @@
 	return int(h.stopped.Load() + h.openBeforeEnd.Load())
 }
 
-// closeServers closes listeners and connections. Requests that have arrived as the listeners are closed get their refusals
-// within the limit.
+// closeServers closes listeners and connections. Requests whose handlers run as the listeners are closed get their refusals
+// within the limit; others that arrive then meet a closed connection, and have not run.
 func (h *Host) closeServers(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -20,10 +20,10 @@
 	arriving  atomic.Int64 // arriving counts requests whose header is being read.
 	running   atomic.Int64 // running counts those that are processed, or whose body is read or answer written.
 	lingering atomic.Int64 // lingering counts connections that are read until their callers have closed them.
-	closed    atomic.Bool  // closed reports that requests that begin are not counted, as they are all refused.
+	refusing  atomic.Bool  // refusing reports that requests that begin are not counted, as the host refuses them.
 }
 
-// open returns the number of requests.
+// open returns the number of requests. Requests only move on to phases that are read later.
 func (c *requestCounter) open() int64 {
 	return c.arriving.Load() + c.running.Load() + c.lingering.Load()
 }
@@ -136,9 +136,12 @@
 func (c *connection) begin(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.processing {
+		p = phaseRunning
+	}
 	switch {
 	case c.ended:
-	case c.phase == phaseNone && !c.requests.closed.Load(), c.phase == phaseArriving:
+	case c.phase == phaseNone && !c.requests.refusing.Load(), c.phase == phaseArriving:
 		c.setPhase(p)
 	}
 }
@@ -164,15 +167,16 @@
 
 // process notes that a request is processed from now on, until the returned function is called.
 func (c *connection) process(r *http.Request) func() {
+	c.setProcessing(true, !r.ProtoAtLeast(1, 1))
 	c.begin(phaseRunning)
+	return func() { c.setProcessing(false, !r.ProtoAtLeast(1, 1)) }
+}
+
+// setProcessing notes whether a request is being processed.
+func (c *connection) setProcessing(processing, old bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.old, c.processing = !r.ProtoAtLeast(1, 1), true
-	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.processing = false
-	}
+	c.processing, c.old = processing, old
 }
 
 // changed notes a change of the server's state of the connection.
