--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -22,7 +22,8 @@
 	// drainIdleTime is how long no request may have arrived before the host ends.
 	drainIdleTime     = 500 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
-	// endTime is the part of a drain after the end of the requests in progress.
+	// endTime is the part of a drain after the end of the requests in progress. It exceeds refusalTime, flushTimeout and
+	// closeTime together, so that a slow process ends in time too.
 	endTime = 900 * time.Millisecond
 	// headerTime is how long a host that is alone waits for headers once callers have heard of the drain.
 	headerTime = 2 * time.Second
