receiver: Do not count time in which the process stands still between two SIGINT

Found by review. Callers lost all streams in progress if a process that an operator had interrupted once stood still: two deliveries of one Ctrl-C, or a SIGINT that came with a SIGTERM of a supervisor, were handled over a second apart, or in another order, and taken for a decision to cut. The time between two signals was taken as they were handled, an estimate of when they were sent.

Time in which the process does not run is not counted now, and of signals that wait SIGTERM is taken first.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"os"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -104,29 +106,42 @@
 	return nil
 }
 
-// signalHandler decides on the effects of signals and logs them. It is not safe for concurrent use.
+// signalHandler decides on the effects of signals and logs them. Only one goroutine at a time may wait for signals.
 type signalHandler struct {
 	signals *receiver.Receiver
 	policy  receiver.Policy
 	counts  map[receiver.Signal]int // counts has the number of signals of each kind.
 	clock   timer.Service
 	log     *logger.Logger
+
+	mu     sync.Mutex
+	uptime receiver.Uptime
 }
 
 // newSignalHandler returns a handler. From the call on, signals do not end the process.
 func newSignalHandler(log *logger.Logger) *signalHandler {
-	return &signalHandler{signals: receiver.Received(), counts: make(map[receiver.Signal]int), clock: timer.NewSystem(), log: log}
+	h := &signalHandler{signals: receiver.Received(), counts: make(map[receiver.Signal]int), clock: timer.NewSystem(), log: log}
+	h.clock.Every(receiver.TickInterval, func(now time.Time) { h.ranUntil(now) }) // until the process exits
+	return h
+}
+
+// ranUntil reads the uptime.
+func (h *signalHandler) ranUntil(now time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.uptime = h.uptime.At(now)
+	return h.uptime.Now()
 }
 
 // next waits for a signal and returns its effect. The end of ctx has the effect of SIGTERM.
 func (h *signalHandler) next(ctx context.Context) (effect receiver.Effect) {
 	sig := h.signals.Next(ctx)
 	if sig == receiver.None {
-		h.policy, effect = h.policy.Take(receiver.Terminate, h.clock.Now())
+		h.policy, effect = h.policy.Take(receiver.Terminate, h.ranUntil(h.clock.Now()))
 		return effect
 	}
 	h.counts[sig]++
-	h.policy, effect = h.policy.Take(sig, h.clock.Now())
+	h.policy, effect = h.policy.Take(sig, h.ranUntil(h.clock.Now()))
 	h.log.Info().Str("Signal", string(sig)).Str("Effect", string(effect)).Int("Count", h.counts[sig]).Msg(logger.SignalReceived)
 	return effect
 }
--- a/internal/receiver/policy.go
+++ b/internal/receiver/policy.go
@@ -39,7 +39,8 @@
 	since time.Time // since is the time of the first SIGINT.
 }
 
-// Take returns the policy after a signal that came at now, and the effect of the signal.
+// Take returns the policy after a signal that came at now, by a clock that stands still while the process does, and the
+// effect of the signal.
 func (p Policy) Take(s Signal, now time.Time) (Policy, Effect) {
 	switch {
 	case s == Hangup && p.phase == running:
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -11,13 +11,15 @@
 //
 //	r := receiver.Received()
 //	var policy receiver.Policy
+//	var uptime receiver.Uptime // read it every TickInterval as well
 //	for {
 //		signal := r.Next(ctx)
 //		if signal == receiver.None {
 //			break
 //		}
+//		uptime = uptime.At(time.Now())
 //		var effect receiver.Effect
-//		policy, effect = policy.Take(signal, time.Now())
+//		policy, effect = policy.Take(signal, uptime.Now())
 //		...
 //	}
 package receiver
@@ -75,8 +77,13 @@
 	signal.Notify(r.hangup, syscall.SIGHUP)
 }
 
-// Next waits for a signal and returns it, or None once ctx has ended.
+// Next waits for a signal and returns it, or None once ctx has ended. Of several that have come, SIGTERM is first.
 func (r *Receiver) Next(ctx context.Context) Signal {
+	select {
+	case <-r.terminate:
+		return Terminate
+	default:
+	}
 	select {
 	case <-r.terminate:
 		return Terminate
