conductor: Let a host be idle from the end of its last request on

Found by review. A caller whose stream had begun before a drain, and so had not been told to close its connection, sent its next request on it and met a closed connection: the host counted half a second from the arrival of the last request, long ago for a long stream, and ended 2 to 18 ms after its last byte. The time counts from the last end of a request too, so that such a request gets a refusal as not run, with Connection: close. A host with other hosts ready ends up to 0.5 s later by it. One that is alone ends as before; its callers may still meet a closed connection.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -19,7 +19,8 @@
 	addressTTLFactor = 3
 	// maxEarlyShare bounds the part of a drain in which callers may not have heard of it.
 	maxEarlyShare = 0.4
-	// drainIdleTime is how long no request may have arrived before the host ends.
+	// drainIdleTime is how long no request may have arrived or ended before the host ends. Callers whose streams began
+	// before the drain send their next request on the same connection.
 	drainIdleTime     = 500 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 	// endTime is the part of a drain after the end of the requests in progress. It exceeds refusalTime, flushTimeout and
@@ -43,7 +44,7 @@
 type drainCause string
 
 const (
-	drainIdle     drainCause = "Idle"     // drainIdle means that nothing was left and no request arrived any more.
+	drainIdle     drainCause = "Idle"     // drainIdle means that nothing was left, and no request arrived for a time.
 	drainAlone    drainCause = "Alone"    // drainAlone means that no other host takes requests and only brief ones were left.
 	drainDeadline drainCause = "Deadline" // drainDeadline means that the time of the drain was over.
 	drainForced   drainCause = "Forced"   // drainForced means that an operator ended it.
@@ -108,7 +109,7 @@
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
 		d, _ := h.draining()
-		p := DrainProgress{Drain: d, Arrived: h.started.Add(time.Duration(h.lastRequest.Load())), Open: h.open.Load(), Brief: h.exchanger.Brief(), Reading: h.inProgress()}
+		p := DrainProgress{Drain: d, Active: h.started.Add(time.Duration(h.lastActive.Load())), Open: h.open.Load(), Brief: h.exchanger.Brief(), Reading: h.inProgress()}
 		if h.requests.running.Load() <= p.Open {
 			*free = now
 		}
--- a/conductor/drainplan.go
+++ b/conductor/drainplan.go
@@ -26,7 +26,7 @@
 // DrainProgress is what decides when a host that drains takes no more requests.
 type DrainProgress struct {
 	Drain   exchanger.Drain
-	Arrived time.Time // Arrived is when the last request arrived.
+	Active  time.Time // Active is when last a request arrived or ended.
 	Open    int64     // Open is the number of requests in progress.
 	Brief   int64     // Brief is the number of those for which a host that is alone does not wait.
 	Reading bool      // Reading reports that a request is in progress or is being read.
@@ -38,7 +38,7 @@
 
 // Idle reports whether callers have heard of the drain, nothing is left and no request arrives any more.
 func (p DrainProgress) Idle(now time.Time) bool {
-	return now.After(p.Drain.Refuses.Add(drainIdleTime)) && now.Sub(p.Arrived) > drainIdleTime && !p.Reading
+	return now.After(p.Drain.Refuses.Add(drainIdleTime)) && now.Sub(p.Active) > drainIdleTime && !p.Reading
 }
 
 // OnlyBrief reports whether the host is alone and only brief requests are left.
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -144,7 +144,7 @@
 	ending            atomic.Bool  // ending reports that this host has ended requests.
 	stopped           atomic.Int64 // stopped counts requests that the end of this host has ended.
 	started           time.Time
-	lastRequest       atomic.Int64 // lastRequest is when the last request arrived, in ns after started.
+	lastActive        atomic.Int64 // lastActive is when last a request arrived or ended, in ns after started.
 	servers           []*http.Server
 	storeWatches      map[string]context.CancelFunc // storeWatches are by store address.
 }
@@ -344,8 +344,11 @@
 // Handle serves a caller's request.
 func (h *Host) Handle(ctx context.Context, r *exchanger.Request, w exchanger.Responder) {
 	h.open.Add(1)
-	h.lastRequest.Store(int64(h.opts.Timer.Now().Sub(h.started)))
-	defer h.open.Add(-1)
+	h.noteActive()
+	defer func() {
+		h.noteActive()
+		h.open.Add(-1)
+	}()
 	if !h.ending.Load() {
 		h.openBeforeEnd.Add(1)
 		defer h.openBeforeEnd.Add(-1)
@@ -359,6 +362,9 @@
 	h.logRequest(r, o)
 }
 
+// noteActive notes that a request has arrived or ended.
+func (h *Host) noteActive() { h.lastActive.Store(int64(h.opts.Timer.Now().Sub(h.started))) }
+
 // Ready reports whether this host takes callers.
 func (h *Host) Ready() bool { return h.view.Load().Ready() && !h.leaving.Load() }
 
--- a/experimenter/drainmodel.go
+++ b/experimenter/drainmodel.go
@@ -93,7 +93,7 @@
 	draining  bool
 	closing   time.Duration // closing is when it took no more requests; 0 if it does.
 	down      bool
-	arrived   time.Duration
+	active    time.Duration          // active is when last a request arrived or ended
 	open      map[*drainRequest]bool // open are the requests in progress, true if brief.
 	brief     int64
 }
@@ -257,7 +257,7 @@
 		r.caller.refused(r, h, drainRedial)
 		return
 	}
-	h.arrived = m.now
+	h.active = m.now
 	basis, taken := h.admit(r)
 	brief := basis == exchanger.BasisDeadline && h.durations.Brief(m.clock(), m.clock().Add(r.deadline), r.class.name)
 	if !taken {
@@ -303,6 +303,9 @@
 	}
 	delete(h.open, r)
 	r.over = true
+	if h.model.opts.Design != DrainByEstimate {
+		h.active = h.model.now
+	}
 }
 
 // state returns the state of the drain.
@@ -386,7 +389,7 @@
 func (h *drainHost) closes() bool {
 	m, now := h.model, h.model.clock()
 	p := conductor.DrainProgress{
-		Drain: h.state(), Arrived: now.Add(h.arrived - m.now), Open: int64(len(h.open)), Brief: h.brief, Reading: len(h.open) > 0,
+		Drain: h.state(), Active: now.Add(h.active - m.now), Open: int64(len(h.open)), Brief: h.brief, Reading: len(h.open) > 0,
 	}
 	switch m.opts.Design {
 	case DrainTakeAll:
