commander: Let a host end beside a reader of its log that has stopped reading

Found by review, by reading. A host whose standard output is a full pipe, as its reader has stopped, wrote its last lines for ever at the end of a drain: nobody served callers until the process was killed, and its exit code was lost. Lines of a reader that has stopped are dropped and counted while a host serves; the end is bounded by 0.2 s now too. TestHostEndsBesideLogReaderThatStopped fails before (killed after a minute) and passes in 2 s.

--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -38,10 +38,26 @@
 
 // Drain drains the host, flushes the log and returns the number of aborted requests.
 func (h *platformHost) Drain(ctx context.Context) int {
-	defer func() { _ = h.writer.Close() }() // an error on standard output cannot be reported
+	defer closeWithin(h.writer, logCloseTime)
 	return h.Host.Drain(ctx)
 }
 
+// logCloseTime bounds the time to write the last lines of the log to a reader that may have stopped reading.
+const logCloseTime = 200 * time.Millisecond
+
+// closeWithin closes a writer, and returns after the limit if that has not ended.
+func closeWithin(c io.Closer, limit time.Duration) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = c.Close() // an error on standard output cannot be reported
+	}()
+	select {
+	case <-closed:
+	case <-time.After(limit):
+	}
+}
+
 // newPlatformHost returns a host on the users' platform that logs to out.
 func newPlatformHost(s loader.Settings, out io.Writer) *platformHost {
 	var dropped atomic.Uint64
