conductor: Name waits of a drain as durations

Beside Drain.End, which is an instant, endTime, closeTime and headerTime read as instants too. Comments said that callers "have not heard of the drain", where the cause is that they may still use cached addresses, and some justified values or paraphrased the code.

endTime is endReserve now, closeTime closeTimeout, headerTime headerWait and forcedTime forcedWait, with the same values. Line.Draining of the explainer is DrainingMs and keeps its key in logs by a tag. The comments state what the code does. Nothing else changes.

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -17,23 +17,23 @@
 const (
 	// addressTTLFactor is how many times the TTL some callers cache an address.
 	addressTTLFactor = 3
-	// maxEarlyShare bounds the part of a drain in which callers may not have heard of it.
+	// maxEarlyShare bounds the part of a drain in which all requests are admitted, as callers may still use cached addresses.
 	maxEarlyShare = 0.4
 	// drainIdleTime is how long no request may have arrived or ended before the host ends. Callers whose streams began
 	// before the drain send their next request on the same connection.
 	drainIdleTime     = 500 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
-	// endTime is the part of a drain after the end of the requests in progress. It exceeds refusalTime, flushTimeout and
-	// closeTime together, so that a slow process ends in time too.
-	endTime = 900 * time.Millisecond
-	// headerTime is how long a host that is alone waits for headers once callers have heard of the drain.
-	headerTime = 2 * time.Second
-	// refusalTime is the part of endTime in which callers get refusals of requests that have not ended.
+	// endReserve is the part of a drain after the end of the requests in progress, in which callers get refusals,
+	// queued messages are sent and connections are closed.
+	endReserve = 900 * time.Millisecond
+	// headerWait is how long after Drain.Refuses a host that is alone waits for headers.
+	headerWait = 2 * time.Second
+	// refusalTime is the part of endReserve in which callers get refusals of requests that have not ended.
 	refusalTime = 300 * time.Millisecond
-	// closeTime is the part of endTime in which connections are closed.
-	closeTime = 100 * time.Millisecond
-	// forcedTime is how long requests may go on after an operator has ended the drain.
-	forcedTime = 400 * time.Millisecond
+	// closeTimeout is the part of endReserve in which connections are closed.
+	closeTimeout = 100 * time.Millisecond
+	// forcedWait is how long requests may go on after an operator has ended the drain.
+	forcedWait = 400 * time.Millisecond
 	// shutdownTime bounds the time for requests that are being refused as the listeners are closed.
 	shutdownTime = 400 * time.Millisecond
 	// MaxClosing is how long a host that is alone refuses requests to end, before it takes requests again.
@@ -60,7 +60,7 @@
 	cause := h.serveLast(ctx)
 	cut, limit := 0, shutdownTime
 	if cause == drainDeadline || cause == drainForced {
-		cut, limit = h.endRequests(cause), closeTime
+		cut, limit = h.endRequests(cause), closeTimeout
 	}
 	h.flushOrigins()
 	h.closeServers(limit)
@@ -103,8 +103,8 @@
 	}
 }
 
-// awaitCallers serves requests until no more arrive, or none is left for which a host that is alone waits. Free is when
-// last no request was being read and no answer written.
+// awaitCallers serves requests until no more arrive, or none is left for which a host that is alone waits. Free is the
+// last time at which no request was being read and no answer written.
 func (h *Host) awaitCallers(ctx context.Context, free *time.Time) drainCause {
 	for ctx.Err() == nil {
 		now := h.opts.Timer.Now()
@@ -113,7 +113,7 @@
 		if h.requests.running.Load() <= p.Open {
 			*free = now
 		}
-		p.Slow = now.Sub(*free) > exchanger.BriefTime || h.requests.arriving.Load() > 0 && now.Before(d.Refuses.Add(headerTime))
+		p.Slow = now.Sub(*free) > exchanger.BriefTime || h.requests.arriving.Load() > 0 && now.Before(d.Refuses.Add(headerWait))
 		switch {
 		case p.Over(now):
 			return drainDeadline
@@ -191,7 +191,7 @@
 func (h *Host) endRequests(cause drainCause) int {
 	h.exchanger.Close()
 	if cause == drainForced {
-		h.awaitAnswersFor(forcedTime)
+		h.awaitAnswersFor(forcedWait)
 	}
 	h.ending.Store(true)
 	h.exchanger.Stop()
--- a/conductor/drainplan.go
+++ b/conductor/drainplan.go
@@ -15,7 +15,7 @@
 	early := addressTTLFactor * timeToLive
 	d := exchanger.Drain{}
 	if left != 0 {
-		left -= endTime
+		left -= endReserve
 		d.End = now.Add(left)
 		early = min(early, time.Duration(maxEarlyShare*float64(left)))
 	}
@@ -26,7 +26,7 @@
 // DrainProgress is what decides when a host that drains takes no more requests.
 type DrainProgress struct {
 	Drain   exchanger.Drain
-	Active  time.Time // Active is when last a request arrived or ended.
+	Active  time.Time // Active is the last time at which a request arrived or ended.
 	Open    int64     // Open is the number of requests in progress.
 	Brief   int64     // Brief is the number of those for which a host that is alone does not wait.
 	Reading bool      // Reading reports that a request is in progress or is being read.
@@ -36,7 +36,7 @@
 // Over reports whether the time of the drain is over.
 func (p DrainProgress) Over(now time.Time) bool { return over(p.Drain, now) }
 
-// Idle reports whether callers have heard of the drain, nothing is left and no request arrives any more.
+// Idle reports whether callers should no longer use cached addresses, nothing is left and no request arrives any more.
 func (p DrainProgress) Idle(now time.Time) bool {
 	return now.After(p.Drain.Refuses.Add(drainIdleTime)) && now.Sub(p.Active) > drainIdleTime && !p.Reading
 }
--- a/exchanger/draining.go
+++ b/exchanger/draining.go
@@ -12,14 +12,14 @@
 
 // Drain is the drain of a host.
 type Drain struct {
-	// Refuses is from when on requests are refused that may outlast the host. Callers have not heard of the drain before.
+	// Refuses is from when on requests are refused that may outlast the host. Before, callers may still use cached addresses.
 	Refuses time.Time
 	End     time.Time // End is when requests in progress are ended; zero if never.
 	Alone   bool      // Alone reports that no other host takes requests; this one ends as soon as it can, to be back sooner.
 	Closing bool      // Closing reports that the host ends once the requests in progress have ended, and takes no others.
 }
 
-// Admit reports whether the host takes a request, and on what. Brief is the result of Durations.Brief.
+// Admit reports whether the host takes a request, and why. Brief is the result of Durations.Brief.
 //
 // Only the deadline bounds a request. How long others have lasted decides whether the host waits for it before it closes.
 func (d Drain) Admit(now, deadline time.Time, brief bool) (Basis, bool) {
@@ -41,7 +41,7 @@
 	return retryAfterFull
 }
 
-// covers reports whether the host takes no part of the time before t away from a request.
+// covers reports whether t is not after End, or there is no End.
 func (d Drain) covers(t time.Time) bool { return d.End.IsZero() || !t.After(d.End) }
 
 const (
@@ -91,7 +91,7 @@
 // Brief returns the number of requests in progress for which a host that is alone does not wait before it closes.
 func (x *Exchanger) Brief() int64 { return x.brief.Load() }
 
-// Brief reports whether a request probably lasts no longer than 0.4 s, by its deadline or by others of its route.
+// Brief reports whether a request probably lasts no longer than BriefTime, by its deadline or by others of its route.
 func (d *Durations) Brief(now, deadline time.Time, route string) bool {
 	if !deadline.After(now.Add(BriefTime)) {
 		return true
--- a/exchanger/draining_test.go
+++ b/exchanger/draining_test.go
@@ -23,7 +23,7 @@
 type drainCase struct {
 	Name    string
 	Drains  bool
-	Early   bool                // Early reports that callers may not have heard of the drain.
+	Early   bool                // Early reports that callers may still use cached addresses.
 	Left    duration.Duration   // Left is the time until the host ends what is in progress; 0 if it does not.
 	Alone   bool                // Alone reports that no other host takes requests.
 	Closing bool                // Closing reports that the host takes no requests any more.
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -66,13 +66,13 @@
 	ReasonCutOff        Reason = "CutOff"        // ReasonCutOff means that this host reaches no upstream, and no other host took the request.
 )
 
-// Basis is on what a host that drains took a request.
+// Basis is why a draining host admitted a request.
 type Basis string
 
 // Values of Basis.
 const (
 	BasisNone     Basis = ""         // BasisNone means that the host did not drain.
-	BasisEarly    Basis = "Early"    // BasisEarly means that callers may not have heard of the drain.
+	BasisEarly    Basis = "Early"    // BasisEarly means that callers may still use cached addresses.
 	BasisDeadline Basis = "Deadline" // BasisDeadline means that its deadline lies before the end of the host.
 )
 
@@ -86,7 +86,7 @@
 	Route      string
 	Service    string
 	Upstream   string
-	Taken      Basis  // Taken is on what the request was taken during a drain.
+	Taken      Basis  // Taken is why the request was admitted during a drain.
 	PassedTo   string // PassedTo is the last host that the request was passed on to; empty if there is none.
 	Attempts   int
 	// BrokenOff is the number of attempts whose answers have been broken off by their upstreams.
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -65,9 +65,9 @@
 	Answered  int
 	Ambiguous bool // Ambiguous reports that hosts named different origins.
 
-	Taken     string   // Taken is on what a host that drains took the request.
-	Draining  *float64 // Draining is the time from the begin of the drain until the request arrived, in milliseconds; nil without one.
-	StopCause string   `json:"Cause"` // StopCause is why the drain of the host ended.
+	Taken      string   // Taken is why a draining host admitted the request.
+	DrainingMs *float64 `json:"Draining"` // DrainingMs is the time from the begin of the drain until the request arrived; nil without one.
+	StopCause  string   `json:"Cause"`    // StopCause is why the drain of the host ended.
 
 	Part    string   // Part is the part of the prompt for which the request was refused; empty for none.
 	Parts   endParts // Parts are those of a prompt under which an upstream has ended.
@@ -363,14 +363,14 @@
 	"Deadline": "taken, as its deadline lay before the end of the host",
 }
 
-// writeDrain writes when a request arrived at a host that drained, and on what it was taken.
+// writeDrain writes when a request arrived at a host that drained, and why it was admitted.
 func (l *Line) writeDrain(b *strings.Builder) {
 	switch {
-	case l.Draining == nil:
-	case *l.Draining < 0:
-		fmt.Fprintf(b, "  arrived %.0f ms before the host began to drain\n", -*l.Draining)
+	case l.DrainingMs == nil:
+	case *l.DrainingMs < 0:
+		fmt.Fprintf(b, "  arrived %.0f ms before the host began to drain\n", -*l.DrainingMs)
 	default:
-		fmt.Fprintf(b, "  arrived %.0f ms after the host began to drain, %s\n", *l.Draining, cmp.Or(takenCauses[l.Taken], "not taken"))
+		fmt.Fprintf(b, "  arrived %.0f ms after the host began to drain, %s\n", *l.DrainingMs, cmp.Or(takenCauses[l.Taken], "not taken"))
 	}
 }
 
--- a/internal/receiver/policy.go
+++ b/internal/receiver/policy.go
@@ -16,8 +16,7 @@
 	Reload  Effect = "Reload"  // Reload reads the settings again.
 )
 
-// RepeatTime is the time from the first SIGINT from which on a further one is a decision of the operator. Shells and
-// wrappers deliver a single one several times within milliseconds.
+// RepeatTime is the time from the first SIGINT from which on a further one is a decision of the operator.
 const RepeatTime = time.Second
 
 // phase says what a host does.
