--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -28,8 +28,8 @@
 	return c.arriving.Load() + c.running.Load() + c.lingering.Load()
 }
 
-// of returns the count of a phase; nil for phaseNone.
-func (c *requestCounter) of(p phase) *atomic.Int64 {
+// counter returns the counter of a phase; nil for phaseNone.
+func (c *requestCounter) counter(p phase) *atomic.Int64 {
 	switch p {
 	case phaseArriving:
 		return &c.arriving
@@ -58,8 +58,8 @@
 	// maxLinger and maxLingerBytes bound for how long a connection whose answer has been written is read, and how much.
 	maxLinger      = 10 * time.Second
 	maxLingerBytes = 16 << 20
-	// lingerBuffer is the size of the buffer for what is thrown away.
-	lingerBuffer = 4096
+	// lingerBufferBytes is the size of the buffer for what is thrown away.
+	lingerBufferBytes = 4096
 )
 
 // connection is a connection of a server that counts its request.
@@ -73,7 +73,7 @@
 	ended      bool // ended reports that no request begins any more: it is closed, or the handler has taken it over.
 	answered   bool // answered reports that the request has been processed, and that no other has begun.
 	processing bool // processing reports that the request is being processed.
-	old        bool // old reports that the caller may take the close of the connection as the end of its answer.
+	http10     bool // http10 reports a request of HTTP/1.0, whose answer may end with the close of the connection.
 }
 
 // Read implements net.Conn. Line ends, which some callers send behind a body, begin no request.
@@ -99,7 +99,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.processing || c.writing.Load() {
-		if c.old {
+		if c.http10 {
 			_ = c.SetLinger(0)
 		}
 		return c.TCPConn.Close()
@@ -121,7 +121,7 @@
 func (c *connection) linger() {
 	defer c.end(false)
 	defer func() { _ = c.TCPConn.Close() }()
-	buf, length := make([]byte, lingerBuffer), 0
+	buf, length := make([]byte, lingerBufferBytes), 0
 	for last := time.Now().Add(maxLinger); length < maxLingerBytes && time.Now().Before(last); {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		n, err := c.TCPConn.Read(buf)
@@ -156,10 +156,10 @@
 
 // setPhase changes the phase; c.mu is held.
 func (c *connection) setPhase(p phase) {
-	if n := c.requests.of(p); n != nil {
+	if n := c.requests.counter(p); n != nil {
 		n.Add(1)
 	}
-	if n := c.requests.of(c.phase); n != nil {
+	if n := c.requests.counter(c.phase); n != nil {
 		n.Add(-1)
 	}
 	c.phase = p
@@ -173,10 +173,10 @@
 }
 
 // setProcessing notes whether a request is being processed.
-func (c *connection) setProcessing(processing, old bool) {
+func (c *connection) setProcessing(processing, http10 bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.processing, c.old = processing, old
+	c.processing, c.http10 = processing, http10
 }
 
 // changed notes a change of the server's state of the connection.
