exchanger: Ask a third host where two have ended

A host that reaches no upstream refused a request, though a third host could have served it, once two others had refused the connection. After two hosts that cannot serve a request it is given up, as others will hardly reach more upstreams; a host that is no longer there says nothing of upstreams, as one that is ending does not, and is found out at once.

Now neither a host without a listener nor one that closes the connection before it has read the request counts for that limit. One that cannot be connected to in time still does, since each costs the time of a connection.

Case "two hosts have ended: a third one" of TestPassing failed before, "503 (string) != 200 (c.Want string)". "two hosts cannot be connected to: refused" held before and stays as a guard.

--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -69,6 +69,10 @@
 		return nil, &forwarder.Failure{Cause: forwarder.CauseRefused, Ran: forwarder.RanNo}
 	case "unreached":
 		return nil, &forwarder.Failure{Cause: forwarder.CauseConnect, Ran: forwarder.RanNo}
+	case "ended":
+		return nil, &forwarder.Failure{Cause: forwarder.CauseConnect, Ran: forwarder.RanNo, NoListener: true}
+	case "unconfirmed":
+		return nil, &forwarder.Failure{Cause: forwarder.CauseLost, Ran: forwarder.RanNo}
 	case "lost":
 		return nil, &forwarder.Failure{Cause: forwarder.CauseLost, Ran: forwarder.RanUnknown}
 	case "hang":
--- a/exchanger/passing.go
+++ b/exchanger/passing.go
@@ -71,7 +71,7 @@
 	avoid    []string // avoid are the hosts that the request is not passed on to any more.
 	silent   string   // silent is a host that has sent nothing for long; others are better.
 	unserved int      // unserved is the number of hosts that could not serve the request.
-	ending   int      // ending is the number of them that refused it as they end, which says nothing of others.
+	ending   int      // ending is the number of them that end or have ended, which says nothing of others.
 	refusal  *Refusal // refusal is the final refusal of a host that could have served the request.
 }
 
@@ -187,7 +187,7 @@
 	default:
 		d.passing.avoid = append(d.passing.avoid, a.choice.host.Name)
 		d.passing.unserved++
-		if isEnding(f.Reason) {
+		if isEnding(f.Reason) || hasEnded(&f.Failure) {
 			d.passing.ending++
 		}
 		r.Reached = false
@@ -206,6 +206,11 @@
 // isEnding reports whether a host has refused a request as it ends.
 func isEnding(r Reason) bool { return r == ReasonDraining || r == ReasonLeaving || r == ReasonStopped }
 
+// hasEnded reports whether a host refused or closed the connection before it had read the request.
+func hasEnded(f *forwarder.Failure) bool {
+	return f.NoListener || f.Cause == forwarder.CauseLost && f.Ran == forwarder.RanNo
+}
+
 // isFinal reports whether other hosts would refuse a request for the same reason.
 func isFinal(r Reason) bool {
 	switch r {
