forwarder, platform: Pass requests on at most once by a confirmed call

Callers got 502, which says that a request may have run, for one that had not run: a host that reaches no upstream had passed it on to a host that was ending, as that one closed its listener or a kept connection, with seconds of its grace left. A connection that is lost after a request was written leaves open whether it ran.

Requests that may not be repeated are now passed on with Expect: 100-continue: their body, or the last chunk of an empty one, follows once the other host has asked for it. A host runs no request before it has read the body, so that a call that is lost before is known not to have run, and another host gets it. The cost is one more round trip between two hosts, for requests that are passed on at most once; the idle time of a connection does not matter for them any more. Weighed: delaying the close of a host (moves the race), telling other hosts before it (a message may be late), repeating (may run twice).

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -118,7 +118,7 @@
 	// PoolOptions.ConnsPerUpstream applies.
 	MaxConns int
 	// Once marks a request that must run at most once. It is not sent on a connection
-	// that was idle for long.
+	// that was idle for long, unless it is Confirmed.
 	Once bool
 	// ID is what answers are told apart by, if they are. All attempts of a request share it, and an upstream may send
 	// an answer again late, so that no connection carries an ID twice.
@@ -128,6 +128,9 @@
 	// Alone gives the call a connection of its own, which is closed afterwards. It is for calls of which nothing in the
 	// answer shows that it belongs to them.
 	Alone bool
+	// Confirmed sends the body only after the server has asked for it (Expect: 100-continue), so that a call that is lost
+	// before has not run. The server must not run a call before it has the whole body, and may answer without it.
+	Confirmed bool
 }
 
 // Reply is an answer of which the body has not been read.
@@ -232,10 +235,7 @@
 	if call.Complete != nil {
 		call.Complete(call.Header)
 	}
-	sent, err := r.send(call)
-	if err == nil {
-		err = r.receive(call)
-	}
+	ran, err := r.exchange(call)
 	if ctx.Err() == nil || err == nil {
 		p.observeFirst(c, err)
 	}
@@ -244,14 +244,11 @@
 	}
 	stop()
 	p.discard(c)
-	fail = &Failure{Cause: CauseLost, Ran: RanUnknown, Detail: err.Error(), Trace: r.Trace}
+	fail = &Failure{Cause: CauseLost, Ran: ran, Detail: err.Error(), Trace: r.Trace}
 	if exceeded := c.bounds.exceeded; exceeded != nil { // err may be that of decoding what was cut there
 		p.Exceeded.Add(1)
 		fail.Cause, fail.Detail = CauseMalformed, exceeded.Error()
 	}
-	if sent == 0 {
-		fail.Ran = RanNo
-	}
 	if ctx.Err() != nil {
 		fail.Cause = CauseCallerGone
 	}
@@ -363,7 +360,7 @@
 		idle := now.Sub(c.idleSince)
 		open := idle < c.idleTimeout
 		switch {
-		case open && call.Once && idle > maxOnceIdle:
+		case open && call.Once && !call.Confirmed && idle > maxOnceIdle:
 			return nil
 		case open && c.ids.has(call.ID):
 			continue
@@ -401,31 +398,71 @@
 	return err == nil && empty
 }
 
+// exchange writes a call and reads the header of its answer. If it fails, it returns whether the call may have run.
+func (r *Reply) exchange(call *Call) (Ran, error) {
+	if call.Confirmed {
+		if answered, err := r.offer(call); answered || err != nil {
+			return RanNo, err
+		}
+		if n, err := r.sendBody(call); n == 0 && err != nil {
+			return RanNo, err
+		}
+		return RanUnknown, r.receive(call)
+	}
+	n, err := r.send(call)
+	switch {
+	case err == nil:
+		return RanUnknown, r.receive(call)
+	case n == 0:
+		return RanNo, err
+	}
+	return RanUnknown, err
+}
+
 // send writes the request and returns the number of bytes passed to the kernel.
 func (r *Reply) send(call *Call) (int, error) {
-	var head bytes.Buffer
-	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
-	}
-	if err := call.Header.Write(&head); err != nil {
+	head, err := call.head()
+	if err != nil {
 		return 0, err
 	}
-	head.WriteString("\r\n")
 	if len(call.Body) <= maxInlineBodyBytes {
 		head.Write(call.Body)
 		return r.conn.conn.Write(head.Bytes())
 	}
 	n, err := r.conn.conn.Write(head.Bytes())
-	if err != nil {
-		return n, err
+	if err == nil {
+		r.sendLater(call.Body)
 	}
+	return n, err
+}
+
+// sendLater writes a body while the answer is read.
+func (r *Reply) sendLater(body []byte) {
 	r.written = make(chan error, 1)
 	go func() {
-		_, err := r.conn.conn.Write(call.Body)
+		_, err := r.conn.conn.Write(body)
 		r.written <- err
 	}()
-	return n, nil
+}
+
+// head returns the request line and the header.
+func (c *Call) head() (*bytes.Buffer, error) {
+	head := &bytes.Buffer{}
+	head.WriteString(c.Method + " " + c.Target + " HTTP/1.1\r\nHost: " + c.Host + "\r\n")
+	switch {
+	case c.Confirmed && len(c.Body) == 0:
+		head.WriteString("Transfer-Encoding: chunked\r\n") // a body of no chunks can be sent later
+	case len(c.Body) > 0, c.Method != http.MethodGet && c.Method != http.MethodHead:
+		head.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
+	}
+	if c.Confirmed {
+		head.WriteString("Expect: 100-continue\r\n")
+	}
+	if err := c.Header.Write(head); err != nil {
+		return nil, err
+	}
+	head.WriteString("\r\n")
+	return head, nil
 }
 
 var errForeign = errors.New("forwarder: received only answers to other requests")
@@ -437,10 +474,7 @@
 		if err != nil {
 			return err
 		}
-		if call.Accept == nil || call.Accept(resp.Header) {
-			r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
-			r.Framing = framingOf(resp)
-			r.body, r.closeAfter = resp.Body, resp.Close || r.Framing == FramingConnection || call.Alone
+		if r.accept(call, resp) {
 			return nil
 		}
 		r.pool.Crossed.Add(1)
@@ -458,8 +492,24 @@
 	return errForeign
 }
 
+// accept takes an answer if it belongs to the call.
+func (r *Reply) accept(call *Call, resp *http.Response) bool {
+	if call.Accept != nil && !call.Accept(resp.Header) {
+		return false
+	}
+	r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
+	r.Framing = framingOf(resp)
+	r.body, r.closeAfter = resp.Body, resp.Close || r.Framing == FramingConnection || call.Alone
+	return true
+}
+
 // readHeader reads the status line and header of the next final answer.
 func (r *Reply) readHeader(call *Call) (*http.Response, error) {
+	return r.readUntil(call, func(status int) bool { return status >= http.StatusOK || status == http.StatusSwitchingProtocols })
+}
+
+// readUntil reads status lines and headers until one has a status that is wanted.
+func (r *Reply) readUntil(call *Call, wanted func(status int) bool) (*http.Response, error) {
 	r.conn.bounds.bound(maxHeadBytes)
 	defer r.conn.bounds.unbound()
 	for range maxInterimAnswers + 1 {
@@ -467,7 +517,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if wanted(resp.StatusCode) {
 			return resp, nil
 		}
 	}
