conductor, platform: Neither ask for nor overlook a request as the host closes

Two gaps were left in which a request that is passed on may run perhaps, by reading: a host that already refuses all requests asked for the body, refused it, and could close the connection before the refusal had arrived; and a request that began at the moment at which the host stopped taking requests could be counted after the host had seen that nothing is in progress, so that it was neither refused nor waited for.

The counter counts a request before it looks whether the host refuses, and the host refuses before it looks at the counter, so that one of both sees the other.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -374,6 +374,9 @@
 // Leaving reports whether this host is draining.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
 
+// Closing reports whether this host refuses all requests, and closes its connections soon.
+func (h *Host) Closing() bool { return h.requests.refusing.Load() }
+
 // BodyBytes returns the largest request body accepted.
 func (h *Host) BodyBytes() int64 {
 	limits := matcher.Limits{BodyBytes: h.opts.Settings.Limits.BodyBytes}
--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -141,8 +141,13 @@
 	}
 	switch {
 	case c.ended:
-	case c.phase == phaseNone && !c.requests.refusing.Load(), c.phase == phaseArriving:
+	case c.phase == phaseArriving:
 		c.setPhase(p)
+	case c.phase == phaseNone:
+		c.setPhase(p)
+		if c.requests.refusing.Load() { // read after the request is counted: it is seen to be in progress, or is refused
+			c.setPhase(phaseNone)
+		}
 	}
 }
 
--- a/conductor/requestcounter_test.go
+++ b/conductor/requestcounter_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -38,3 +40,36 @@
 	assert.NilError(t, err)
 	assert.Equal(t, <-counted, [2]int64{0, 1})
 }
+
+// TestClosingHostSeesEachRequestThatItTakes guards against a request that begins as the host stops taking requests, and that
+// the host neither refuses nor waits for.
+func TestClosingHostSeesEachRequestThatItTakes(t *testing.T) {
+	const rounds = 20_000
+	counters, connections := make([]requestCounter, rounds), make([]connection, rounds)
+	var round atomic.Int64
+	begun := make(chan struct{})
+	go func() {
+		defer close(begun)
+		for i := range rounds {
+			for round.Load() < int64(i+1) {
+				runtime.Gosched()
+			}
+			connections[i].begin(phaseRunning)
+		}
+	}()
+	seen := make([]bool, rounds)
+	for i := range rounds {
+		c := &counters[i]
+		connections[i].requests = c
+		round.Store(int64(i + 1))
+		for range i % 64 {
+			_ = round.Load() // meets begin at another step in each round
+		}
+		c.refusing.Store(true)
+		seen[i] = c.running.Load() > 0
+	}
+	<-begun
+	for i := range rounds {
+		assert.Assert(t, seen[i] || connections[i].phase == phaseNone, "round %d", i)
+	}
+}
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -85,6 +85,7 @@
 				Ready:     h.Ready,
 				Addresses: h.Addresses,
 				Leaving:   h.Leaving,
+				Closing:   h.Closing,
 				BodyBytes: h.BodyBytes,
 				Signer:    passing,
 			}
