--- a/forwarder/confirm.go
+++ b/forwarder/confirm.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 )
 
 // lastChunk ends a chunked body.
@@ -21,6 +22,9 @@
 	if _, err := r.conn.conn.Write(head.Bytes()); err != nil {
 		return false, err
 	}
+	if err := r.conn.conn.SetReadDeadline(time.Now().Add(r.pool.opts.DialTimeout)); err != nil {
+		return false, err
+	}
 	resp, err := r.readUntil(call, func(status int) bool {
 		return status == http.StatusContinue || status >= http.StatusOK || status == http.StatusSwitchingProtocols
 	})
@@ -28,22 +32,25 @@
 	case err != nil:
 		return false, err
 	case resp.StatusCode == http.StatusContinue:
-		return false, nil
+		return false, r.conn.conn.SetReadDeadline(time.Time{})
 	case !r.accept(call, resp):
+		r.pool.Crossed.Add(1)
+		r.Trace.Foreign++
 		return false, errForeign
 	}
 	r.closeAfter = true
-	return true, nil
+	return true, r.conn.conn.SetReadDeadline(time.Time{})
 }
 
-// sendBody writes the body of a confirmed call and returns the number of bytes passed to the kernel, as far as it is known.
-func (r *Reply) sendBody(call *Call) (int, error) {
+// sendBody writes the body of a confirmed call. After an error the server cannot get the whole body.
+func (r *Reply) sendBody(call *Call) (err error) {
 	switch {
 	case len(call.Body) == 0:
-		return io.WriteString(r.conn.conn, lastChunk)
+		_, err = io.WriteString(r.conn.conn, lastChunk)
 	case len(call.Body) <= maxInlineBodyBytes:
-		return r.conn.conn.Write(call.Body)
+		_, err = r.conn.conn.Write(call.Body)
+	default:
+		r.sendLater(call.Body)
 	}
-	r.sendLater(call.Body)
-	return 0, nil
+	return err
 }
--- a/forwarder/confirm_test.go
+++ b/forwarder/confirm_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,11 +25,16 @@
 	Length int    // Length is that of the body of the call.
 	First  string // First is written once the header has arrived, with | for line ends.
 	Second string // Second is written once the body has arrived; the connection is closed before the body if it is empty.
+	Stalls bool   // Stalls leaves the connection open without anything but First.
 	Status int    // Status is that of the answer; 0 for a failure.
+	Cause  Cause  // Cause is that of the failure.
 	Ran    Ran
 	Sent   bool // Sent reports whether the body is sent.
 }
 
+// confirmTimeout bounds the wait of a call for its confirmation.
+const confirmTimeout = 300 * time.Millisecond
+
 // TestLostBeforeConfirmationHasNotRun guards against calls that are said to have run perhaps, although the server ended the
 // connection before it asked for the body.
 func TestLostBeforeConfirmationHasNotRun(t *testing.T) {
@@ -49,13 +55,14 @@
 	received := make(chan string, 1)
 	go func() { received <- c.serve(l) }()
 	body := strings.Repeat("b", c.Length)
-	reply, fail := NewPool(PoolOptions{}).Do(context.Background(), &Call{
+	reply, fail := NewPool(PoolOptions{DialTimeout: confirmTimeout}).Do(context.Background(), &Call{
 		Address: l.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(body),
 		ID: "1", Accept: func(h http.Header) bool { return h.Get("X-Id") != "other" }, Once: true, Confirmed: true,
 	})
 	switch {
 	case c.Status == 0:
 		assert.Assert(t, fail != nil)
+		assert.Equal(t, fail.Cause, c.Cause)
 		assert.Equal(t, fail.Ran, c.Ran)
 	default:
 		assert.Assert(t, fail == nil, "%v", fail)
@@ -86,11 +93,11 @@
 	}
 	lines := strings.NewReplacer("|", "\r\n")
 	_, _ = lines.WriteString(conn, c.First) // the client may have closed the connection
-	if c.Second == "" && c.Status == 0 && !c.Sent {
+	if c.Second == "" && c.Status == 0 && !c.Sent && !c.Stalls {
 		return ""
 	}
 	body, err := io.ReadAll(req.Body)
-	if err != nil {
+	if err != nil { // the client has closed the connection
 		return string(body)
 	}
 	_, _ = lines.WriteString(conn, c.Second)
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -9,7 +9,7 @@
 // stream is complete only with a finish reason, a matching token count, and its end
 // marker or the regular end of the body. A failure says whether the request may
 // have run: RanNo only if it was not sent, or not whole as the upstream did not ask
-for the rest, or the upstream says so.
+// for the rest, or the upstream says so.
 //
 // # Usage
 //
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,7 +51,7 @@
 
 // PoolOptions configure a Pool. The zero value is ready to use.
 type PoolOptions struct {
-	DialTimeout      time.Duration // DialTimeout defaults to 1 s.
+	DialTimeout      time.Duration // DialTimeout defaults to 1 s. It also bounds the wait for a confirmation.
 	Source           net.IP        // Source is the IP address of connections; nil means that the system selects one.
 	ConnsPerUpstream int           // ConnsPerUpstream limits connections to an address; 0 for no limit.
 	// Dial connects to an address; default are connections of package dialer.
@@ -129,7 +130,8 @@
 	// answer shows that it belongs to them.
 	Alone bool
 	// Confirmed sends the body only after the server has asked for it (Expect: 100-continue), so that a call that is lost
-	// before has not run. The server must not run a call before it has the whole body, and may answer without it.
+	// before has not run. The server must not run a call before it has the whole body, and may answer without it. A server
+	// that does not ask within PoolOptions.DialTimeout has no connection to offer: the failure has CauseConnect.
 	Confirmed bool
 }
 
@@ -249,8 +251,11 @@
 		p.Exceeded.Add(1)
 		fail.Cause, fail.Detail = CauseMalformed, exceeded.Error()
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		fail.Cause = CauseCallerGone
+	case ran == RanNo && errors.Is(err, os.ErrDeadlineExceeded):
+		fail.Cause = CauseConnect
 	}
 	return nil, fail
 }
@@ -404,7 +409,7 @@
 		if answered, err := r.offer(call); answered || err != nil {
 			return RanNo, err
 		}
-		if n, err := r.sendBody(call); n == 0 && err != nil {
+		if err := r.sendBody(call); err != nil {
 			return RanNo, err
 		}
 		return RanUnknown, r.receive(call)
