runner: End requests before the end of the grace

It now ends them 0.9 s before, as hosts on the users' platform do, or a quarter of the time left, if that is less.

The tests of runner were not run on this change.

--- a/runner/host.go
+++ b/runner/host.go
@@ -258,8 +258,10 @@
 // Drain shuts the host down without interrupting requests: the host releases its
 // leases, is no longer advertised to callers, serves requests that still arrive and
 // stops when it is idle. It returns the number of requests interrupted because ctx
-// ended.
+// was about to end or has ended.
 func (h *Host) Drain(ctx context.Context) int {
+	ctx, cancel := withReserve(ctx)
+	defer cancel()
 	h.logger.Info().Int("Open", h.server.Open()).Msg(logger.Draining)
 	h.loop.post(controller.Leave{})
 	cut := h.server.Drain(ctx)
@@ -270,6 +272,22 @@
 	return cut
 }
 
+const (
+	// endReserve is the part of a drain after the end of the requests in progress, in which the process ends.
+	endReserve = 900 * time.Millisecond
+	// maxReserveShare is the largest share of a drain that is reserved, as 1 / maxReserveShare.
+	maxReserveShare = 4
+)
+
+// withReserve returns a context that ends before the deadline of ctx, so that the process has exited by then.
+func withReserve(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(endReserve, time.Until(deadline)/maxReserveShare)))
+}
+
 // idleTimeout bounds the wait for pending claim outcomes and reports in Drain.
 const idleTimeout = 3 * time.Second
 
