platform: Refuse requests whose bodies are being read as the grace ends

Cause: the end of requests reaches only those that the exchanger has. The edge was still blocked in a read, which the close of the servers made fail, and took that for a caller that had left.

The edge answers with the refusal of a host that has stopped: 503, Retry-After and, as the host is leaving, Connection: close; hosts that passed the request on see Stopped and go on elsewhere. A caller that disconnected still gets nothing. Headers that are being read still get no refusal.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -377,6 +377,9 @@
 // Closing reports whether this host refuses all requests, and closes its connections soon.
 func (h *Host) Closing() bool { return h.requests.refusing.Load() }
 
+// Stopped returns the context that ends as this host ends requests.
+func (h *Host) Stopped() context.Context { return h.exchanger.Stopped() }
+
 // BodyBytes returns the largest request body accepted.
 func (h *Host) BodyBytes() int64 {
 	limits := matcher.Limits{BodyBytes: h.opts.Settings.Limits.BodyBytes}
--- a/exchanger/dispatch.go
+++ b/exchanger/dispatch.go
@@ -467,7 +467,7 @@
 	case d.fallback != nil:
 		d.forwardBuffered(d.fallback)
 	case stopped && tries.Ran() == forwarder.RanNo:
-		d.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonStopped, RetryAfter: retryAfterFull})
+		d.refuse(StoppedRefusal())
 	case stopped:
 		d.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonStopped})
 	case ending == dispatcher.CallerGone, d.abandonedWait && tries.Ran() == forwarder.RanNo:
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -240,6 +240,14 @@
 // whether the request may have run.
 func (x *Exchanger) Stop() { x.stop() }
 
+// Stopped returns the context that Stop ends.
+func (x *Exchanger) Stopped() context.Context { return x.stopped }
+
+// StoppedRefusal returns the refusal of a request that has not run as this host had to end.
+func StoppedRefusal() Refusal {
+	return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonStopped, RetryAfter: retryAfterFull}
+}
+
 // limitTime sets the deadline. A request that must run at most once is not canceled
 // when the caller leaves, as that would leave its result unknown, unless it waits and cannot have run yet.
 func limitTime(next handler) handler {
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -86,6 +86,7 @@
 				Addresses: h.Addresses,
 				Leaving:   h.Leaving,
 				Closing:   h.Closing,
+				Stopped:   h.Stopped,
 				BodyBytes: h.BodyBytes,
 				Signer:    passing,
 			}
