Let refused requests keep no host that is alone from ending

Callers of a host that drains with no other host ready were refused for 0.4 s twice or more, beside a connection that lingers: TestAloneHostGoesOnServing/Header once had 119 requests served and 144 refused.

awaitAnswers took the count of open requests for those that the host waits for, but requests that it refuses are in that count while they are refused. If one was in progress as MaxClosing ended, the host took it for a long request, served again, and refused for another MaxClosing.

The host now waits for requests that were taken, besides those whose connections count them. A request that is taken looks again, after it has been counted, whether the host closes, and is refused then; so none is taken that the host has not seen (case ClosesMeanwhile: 200 before, 503 after).

--- a/conductor/drain.go
+++ b/conductor/drain.go
@@ -127,13 +127,14 @@
 	return endCause(ctx)
 }
 
-// awaitAnswers waits until all requests in progress have their answers, but for those whose headers are being read. It
-// returns why the drain ends, which is cause unless it has not waited for all; false if it is to go on, since no other
-// host takes requests and this one would refuse them for longer than MaxClosing.
+// awaitAnswers waits until all requests in progress have their answers, but for those whose headers are being read, and
+// refused ones, of which more may arrive all the time. It returns why the drain ends, which is cause unless it has not
+// waited for all; false if it is to go on, since no other host takes requests and this one would refuse them for longer
+// than MaxClosing.
 func (h *Host) awaitAnswers(ctx context.Context, cause drainCause) (drainCause, bool) {
 	for start := h.opts.Timer.Now(); ; pause(ctx, drainPollInterval) {
 		now := h.opts.Timer.Now()
-		running := h.open.Load() > 0 || h.requests.running.Load() > 0
+		running := h.exchanger.Taken() > 0 || h.requests.running.Load() > 0
 		d, _ := h.draining()
 		switch {
 		case !running && (h.requests.lingering.Load() == 0 || d.Alone && now.Sub(start) > MaxClosing):
--- a/exchanger/draining.go
+++ b/exchanger/draining.go
@@ -62,11 +62,16 @@
 		now := e.opts.Timer.Now()
 		drain, draining := e.opts.Draining()
 		if !draining {
+			defer e.countTaken()()
 			return next(ctx, e)
 		}
 		brief := e.durations.Brief(now, e.deadline, e.route.Name)
 		basis, taken := drain.Admit(now, e.deadline, brief)
-		if !taken {
+		if taken {
+			defer e.countTaken()()
+			drain, _ = e.opts.Draining() // a host that closes reads the count after it has set Closing
+		}
+		if !taken || drain.Closing {
 			return e.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonDraining, RetryAfter: drain.RetryAfter()})
 		}
 		e.outcome.Taken = basis
@@ -77,6 +82,15 @@
 	}
 }
 
+// countTaken counts the request as taken until the returned function is called.
+func (e *exchange) countTaken() func() {
+	e.taken.Add(1)
+	return func() { e.taken.Add(-1) }
+}
+
+// Taken returns the number of requests in progress that were not refused because of a drain.
+func (x *Exchanger) Taken() int64 { return x.taken.Load() }
+
 // countBrief counts the request as brief until the returned function is called, for BriefTime at most.
 func (e *exchange) countBrief() func() {
 	e.brief.Add(1)
--- a/exchanger/draining_test.go
+++ b/exchanger/draining_test.go
@@ -23,15 +23,17 @@
 type drainCase struct {
 	Name    string
 	Drains  bool
-	Early   bool                // Early reports that callers may still use cached addresses.
-	Left    duration.Duration   // Left is the time until the host ends what is in progress; 0 if it does not.
-	Alone   bool                // Alone reports that no other host takes requests.
-	Closing bool                // Closing reports that the host takes no requests any more.
-	Kind    string              // Kind is that of the view of the configuration; Idempotent by default.
-	Lasted  []duration.Duration // Lasted are the durations of earlier requests of the route.
-	Status  int
-	Reason  Reason
-	Within  duration.Duration // Within bounds the time until the caller is to return, from below and by a second above.
+	Early   bool              // Early reports that callers may still use cached addresses.
+	Left    duration.Duration // Left is the time until the host ends what is in progress; 0 if it does not.
+	Alone   bool              // Alone reports that no other host takes requests.
+	Closing bool              // Closing reports that the host takes no requests any more.
+	// ClosesMeanwhile reports that the host stops taking requests as it takes this one.
+	ClosesMeanwhile bool
+	Kind            string              // Kind is that of the view of the configuration; Idempotent by default.
+	Lasted          []duration.Duration // Lasted are the durations of earlier requests of the route.
+	Status          int
+	Reason          Reason
+	Within          duration.Duration // Within bounds the time until the caller is to return, from below and by a second above.
 }
 
 // TestDrainingHostRefusesWhatMayOutlastIt guards against requests that a draining host takes and then cuts.
@@ -49,9 +51,11 @@
 			sender := &blockingSender{release: make(chan struct{})}
 			close(sender.release)
 			clock := timer.NewManual(time.Unix(1000, 0))
+			asked := 0
 			x := New(Options{Views: &lateView{view: view}, Placer: p, Sender: sender, Timer: clock,
 				Budget: retrier.NewSharedBudgets(retrier.Allowance{}), Draining: func() (Drain, bool) {
-					d := Drain{Alone: c.Alone, Closing: c.Closing}
+					asked++
+					d := Drain{Alone: c.Alone, Closing: c.Closing || c.ClosesMeanwhile && asked > 1}
 					if c.Left != 0 {
 						d.End = clock.Now().Add(c.Left.Std())
 					}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -106,6 +106,7 @@
 	returns *returns
 	// durations are those of answered requests.
 	durations Durations
+	taken     atomic.Int64 // taken is the number of requests in progress that were not refused because of a drain.
 	brief     atomic.Int64 // brief is the number of requests that were taken during a drain and are probably short, for BriefTime after that.
 	closed    atomic.Bool  // closed is set by Close.
 	// failures are requests that upstreams have answered with a 5xx.
