Bound what callers hold together, in memory and connections

A host ended as callers made it exceed its memory, and served nobody while silent connections took its descriptors.

Cause: nothing bounds what all connections hold. A head is bounded by itself, but takes many times its bytes once it is decoded (15 KB of short lines: 1.6 MB until the request ends); a body is read into memory for every connection at once, twice over while its buffer grows; connections are accepted until descriptors run out. The process knows neither its memory nor its descriptors.

Each listener now has a budget (package reserver). Connections reserve from it as bytes arrive, by what heads, parts of prompts and bodies take, and give it back with the answer. If nothing is left, the request that has stopped arriving for longest loses its memory; otherwise the new one is refused at once: 503 with Retry-After, which is true, as nothing has run. Large requests fill three quarters at most. A connection too many closes the one that has waited longest, and never one with a request in progress. Budgets are shares of the memory and descriptors in the settings, which the template of the deployment fills in; a listener's crowd leaves the other listeners alone. A refused head ends its connection: what would follow must not be taken for the rest of it. The header of a request is no longer copied before it is sent on, bodies are read without a second buffer at the end, and the garbage collector knows the memory limit. A body that times out gets 408.

Weighed and left out: semaphores of requests (a bound that holds for 4 MB bodies refuses ordinary callers of 1 KB), shares by address (callers may share one), a lower bound of lines in one head (refuses what the configuration allows).

TestRefusedHeadIsNotReadOn and TestStalledBodyIsRefusedOnce fail without the sticky refusal (two requests are read out of the rest) and without telling the rest of a body from a head (two answers).

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/pricer"
 	"amaranthgate.example/amaranthgate/registrar"
+	"amaranthgate.example/amaranthgate/reserver"
 	"amaranthgate.example/amaranthgate/tracker"
 	"amaranthgate.example/amaranthgate/updater"
 )
@@ -106,9 +108,29 @@
 	c.set.NewGauge("amaranthgate_log_lines_dropped_total", func() float64 { return float64(h.opts.Dropped()) })
 	c.set.NewGauge("amaranthgate_peer_bytes_sent_total", func() float64 { return float64(h.messenger.Traffic().SentBytes) })
 	c.addLanes(h.exchanger)
+	for name, b := range h.budgets {
+		c.addBudget(name, b)
+	}
 	return c
 }
 
+// addBudget adds what the connections of a listener hold together.
+func (c *counters) addBudget(name listener, b *reserver.Budget) {
+	for _, p := range reserver.Phases {
+		labels := fmt.Sprintf("{listener=%q,phase=%q}", string(name), strings.ToLower(string(p)))
+		c.set.NewGauge("amaranthgate_connections"+labels, func() float64 { return float64(b.Stats().Connections[p]) })
+		c.set.NewGauge("amaranthgate_connection_bytes"+labels, func() float64 { return float64(b.Stats().Bytes[p]) })
+	}
+	for _, e := range reserver.Evictions {
+		labels := fmt.Sprintf("{listener=%q,reason=%q}", string(name), strings.ToLower(string(e)))
+		c.set.NewGauge("amaranthgate_connections_evicted_total"+labels, func() float64 { return float64(b.Stats().Evicted[e]) })
+	}
+	for _, r := range reserver.Refusals {
+		labels := fmt.Sprintf("{listener=%q,reason=%q}", string(name), strings.ToLower(string(r)))
+		c.set.NewGauge("amaranthgate_connections_refused_total"+labels, func() float64 { return float64(b.Stats().Refused[r]) })
+	}
+}
+
 func gaugeValue(b bool) float64 {
 	if b {
 		return 1
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -24,6 +24,7 @@
 	"amaranthgate.example/amaranthgate/placer"
 	"amaranthgate.example/amaranthgate/quarantiner"
 	"amaranthgate.example/amaranthgate/registrar"
+	"amaranthgate.example/amaranthgate/reserver"
 	"amaranthgate.example/amaranthgate/retrier"
 	"amaranthgate.example/amaranthgate/throttler"
 	"amaranthgate.example/amaranthgate/timer"
@@ -146,6 +147,7 @@
 	started           time.Time
 	lastActive        atomic.Int64 // lastActive is when last a request arrived or ended, in ns after started.
 	servers           []*http.Server
+	budgets           map[listener]*reserver.Budget // budgets are what the connections of each listener may hold together.
 	storeWatches      map[string]context.CancelFunc // storeWatches are by store address.
 }
 
@@ -160,6 +162,7 @@
 		opts:              opts,
 		started:           opts.Timer.Now(),
 		log:               opts.Log,
+		budgets:           newBudgets(s.Limits),
 		events:            make(chan Event, eventQueue),
 		storeWatches:      make(map[string]context.CancelFunc),
 		owners:            make(senders),
@@ -252,22 +255,19 @@
 func (h *Host) Start() error {
 	edge := h.opts.Edge(h)
 	s := h.opts.Settings
+	limitMemory(s.Limits)
 	for _, e := range []struct {
+		name     listener
 		endpoint loader.Endpoint
 		handler  http.Handler
 	}{
-		{s.Callers, edge.RequestHandler()},
-		{s.Platform.Ready, edge.ReadyHandler()},
-		{s.Platform.Directory, edge.DirectoryHandler()},
-		{s.Peers, edge.PassedHandler(h.messenger.Handler())},
-		{s.Operators, h.operators()},
+		{listenerCallers, s.Callers, edge.RequestHandler()},
+		{listenerReady, s.Platform.Ready, edge.ReadyHandler()},
+		{listenerDirectory, s.Platform.Directory, edge.DirectoryHandler()},
+		{listenerPeers, s.Peers, edge.PassedHandler(h.messenger.Handler())},
+		{listenerOperators, s.Operators, h.operators()},
 	} {
-		headerBytes := s.Limits.HeaderBytes
-		if e.endpoint == s.Peers {
-			headerBytes += passageHeaderBytes
-		}
-		counts := e.endpoint == s.Callers || e.endpoint == s.Peers
-		if err := h.listen(e.endpoint.Listen, e.handler, headerBytes, counts); err != nil {
+		if err := h.listen(e.name, e.endpoint.Listen, e.handler); err != nil {
 			h.cancel()
 			return err
 		}
@@ -316,8 +316,8 @@
 	passageHeaderBytes = 1024
 )
 
-// listen serves an address. Requests are counted for the end of a drain if counts is set.
-func (h *Host) listen(address string, handler http.Handler, headerBytes int, counts bool) error {
+// listen serves an address. The requests of callers, and those that other hosts pass on, are counted for the end of a drain.
+func (h *Host) listen(name listener, address string, handler http.Handler) error {
 	l, err := (&net.ListenConfig{KeepAlive: 5 * time.Second}).Listen(h.ctx, "tcp4", address)
 	if err != nil {
 		return errors.Wrap(err, "conductor: listen")
@@ -326,12 +326,18 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
+		MaxHeaderBytes:    h.opts.Settings.Limits.HeaderBytes,
 	}
-	if counts {
-		h.requests.watch(server)
-		l = countingListener{Listener: l, requests: &h.requests}
+	requests := &requestCounter{}
+	switch name {
+	case listenerCallers:
+		requests = &h.requests
+	case listenerPeers:
+		requests = &h.requests
+		server.MaxHeaderBytes += passageHeaderBytes
 	}
+	requests.watch(server)
+	l = countingListener{Listener: l, requests: requests, budget: h.budgets[name]}
 	h.servers = append(h.servers, server)
 	h.spawn(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -8,9 +8,12 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"amaranthgate.example/amaranthgate/reserver"
 )
 
 // requestCounter counts the requests of servers from their first bytes until their answers have been written to the
@@ -62,11 +65,14 @@
 	lingerBufferBytes = 4096
 )
 
-// connection is a connection of a server that counts its request.
+// connection is a connection of a server that counts its request and reserves what it holds.
 type connection struct {
 	*net.TCPConn
 	requests *requestCounter
-	writing  atomic.Bool // writing reports that a part of the answer is being written.
+	claim    *reserver.Claim // claim is nil if nothing bounds what the connection holds.
+	writing  atomic.Bool     // writing reports that a part of the answer is being written.
+	stalled  atomic.Bool     // stalled reports that the request lost its memory to another one.
+	refused  atomic.Bool     // refused reports that a part of a head was thrown away, so that nothing more is read.
 
 	mu         sync.Mutex
 	phase      phase
@@ -74,19 +80,30 @@
 	answered   bool // answered reports that the request has been processed, and that no other has begun.
 	processing bool // processing reports that the request is being processed.
 	http10     bool // http10 reports a request of HTTP/1.0, whose answer may end with the close of the connection.
+	head       headMeter
 }
 
-// Read implements net.Conn. Line ends, which some callers send behind a body, begin no request.
+// Read implements net.Conn. Line ends, which some callers send behind a body, begin no request. A caller for whose head there is
+// no memory is refused.
 func (c *connection) Read(b []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, os.ErrDeadlineExceeded // what follows would be taken for the rest of what has been thrown away
+	}
 	n, err := c.TCPConn.Read(b)
 	if len(bytes.TrimLeft(b[:n], "\r\n")) > 0 {
 		c.begin(phaseArriving)
 	}
+	if !c.reserveHead(b[:n]) {
+		return 0, c.refuse()
+	}
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The refusal of a head is the only answer to it.
 func (c *connection) Write(b []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	return c.TCPConn.Write(b)
@@ -102,13 +119,16 @@
 		if c.http10 {
 			_ = c.SetLinger(0)
 		}
+		c.release()
 		return c.TCPConn.Close()
 	}
 	answered := c.answered
 	c.answered = false
 	if !answered || c.CloseWrite() != nil {
+		c.release()
 		return c.TCPConn.Close()
 	}
+	c.lingers()
 	if c.phase != phaseNone {
 		c.setPhase(phaseLingering)
 		time.AfterFunc(lingerTime, func() { c.end(false) })
@@ -120,10 +140,11 @@
 // linger reads what the caller still sends, and closes the connection.
 func (c *connection) linger() {
 	defer c.end(false)
+	defer c.release()
 	defer func() { _ = c.TCPConn.Close() }()
 	buf, length := make([]byte, lingerBufferBytes), 0
 	for last := time.Now().Add(maxLinger); length < maxLingerBytes && time.Now().Before(last); {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
 		n, err := c.TCPConn.Read(buf)
 		if err != nil {
 			return // the caller has closed the connection, or sent nothing for lingerTime
@@ -173,6 +194,7 @@
 // process notes that a request is processed from now on, until the returned function is called.
 func (c *connection) process(r *http.Request) func() {
 	c.setProcessing(true, !r.ProtoAtLeast(1, 1))
+	c.headRead(r)
 	c.begin(phaseRunning)
 	return func() { c.setProcessing(false, !r.ProtoAtLeast(1, 1)) }
 }
@@ -190,8 +212,10 @@
 	case http.StateIdle:
 		c.setAnswered(false)
 		c.end(false)
+		c.rests()
 	case http.StateHijacked:
 		c.end(true)
+		c.release()
 	case http.StateClosed:
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -208,19 +232,26 @@
 	c.answered = answered && !c.ended
 }
 
-// countingListener accepts connections that count their requests.
+// countingListener accepts connections that count their requests, and closes those for which there is no room.
 type countingListener struct {
 	net.Listener
 	requests *requestCounter
+	budget   *reserver.Budget // budget is nil if nothing bounds the connections.
 }
 
 // Accept implements net.Listener.
 func (l countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &connection{TCPConn: conn.(*net.TCPConn), requests: l.requests}
+		if l.budget == nil || c.open(l.budget) {
+			return c, nil
+		}
+		_ = conn.Close()
 	}
-	return &connection{TCPConn: conn.(*net.TCPConn), requests: l.requests}, nil
 }
 
 // connectionKey is the key of a request's connection in its context.
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -63,6 +63,7 @@
 	ReasonOriginUnknown Reason = "OriginUnknown" // ReasonOriginUnknown means that nobody knows at which software version a stream began.
 	ReasonSoftwareGone  Reason = "SoftwareGone"  // ReasonSoftwareGone means that no upstream has the software version at which a stream began.
 	ReasonDraining      Reason = "Draining"      // ReasonDraining means that this host ends before the request may have ended.
+	ReasonNoMemory      Reason = "NoMemory"      // ReasonNoMemory means that the callers of this host hold the memory that they may use.
 	ReasonCutOff        Reason = "CutOff"        // ReasonCutOff means that this host reaches no upstream, and no other host took the request.
 )
 
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -89,6 +89,9 @@
 				Stopped:   h.Stopped,
 				BodyBytes: h.BodyBytes,
 				Signer:    passing,
+				Reservation: func(ctx context.Context) platform.Reservation {
+					return h.Reservation(ctx)
+				},
 			}
 		},
 		Timing:  conductor.DefaultTiming(),
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -25,6 +25,13 @@
 // minSecretBytes is the minimum length of PeerSecret and BlockSecret.
 const minSecretBytes = 16
 
+const (
+	// minMemoryMB is about twice what a process without callers uses, in units of 10^6 bytes.
+	minMemoryMB = 64
+	// minDescriptors leaves a host some connections to each of its listeners.
+	minDescriptors = 256
+)
+
 // Settings are the local settings of one process.
 type Settings struct {
 	Host             string
@@ -78,6 +85,10 @@
 	HeaderBytes int
 	OpenStreams int
 	ReadTimeout duration.Duration
+	// MemoryMB is the memory that the process may use, in units of 10^6 bytes; 0 for that of the machine.
+	MemoryMB int `json:",omitempty"`
+	// Descriptors is the number of descriptors that the process may open; 0 for the limit of the process.
+	Descriptors int `json:",omitempty"`
 }
 
 // Timing holds the intervals and timeouts of the control plane.
@@ -174,6 +185,8 @@
 	v.check(s.Limits.HeaderBytes >= 1024, "/Limits/HeaderBytes", "want at least 1024")
 	v.check(s.Limits.OpenStreams > 0, "/Limits/OpenStreams", "want more than 0")
 	v.check(s.Limits.ReadTimeout > 0, "/Limits/ReadTimeout", "want more than 0")
+	v.check(s.Limits.MemoryMB == 0 || s.Limits.MemoryMB >= minMemoryMB, "/Limits/MemoryMB", "want 0 or at least %d", minMemoryMB)
+	v.check(s.Limits.Descriptors == 0 || s.Limits.Descriptors >= minDescriptors, "/Limits/Descriptors", "want 0 or at least %d", minDescriptors)
 	v.timing(s.Timing)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
