conductor: Apply the configuration's timeouts of heads and idle connections

A caller that sent a part of a head, or nothing, kept its connection for 15 s, and an idle one for 2 min, whatever the operator had configured.

Cause: header_timeout_ms and idle_timeout_ms are decoded into the route table, but a server's timeouts are fixed at its start, so that constants above all tables apply.

The budget of the listener for callers is swept each second, and closes the connections that are overdue by the limits in force, with a second of tolerance: callers reuse connections for four fifths of the idle timeout.

--- a/conductor/budgets.go
+++ b/conductor/budgets.go
@@ -5,6 +5,7 @@
 
 import (
 	"runtime/debug"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -93,3 +94,16 @@
 		debug.SetMemoryLimit(int64(collectorShare * float64(memoryOf(l))))
 	}
 }
+
+// sweep closes the connections of callers whose heads or next requests are overdue.
+func (h *Host) sweep(now time.Time) {
+	for name, b := range h.budgets {
+		t := reserver.Timeouts{Head: headerTimeout, Idle: idleTimeout}
+		if table := h.view.Load().Table; name == listenerCallers && table != nil {
+			if l := table.Limits(); l.HeaderTimeout > 0 && l.IdleTimeout > 0 {
+				t = reserver.Timeouts{Head: l.HeaderTimeout, Idle: l.IdleTimeout}
+			}
+		}
+		b.Sweep(now, t)
+	}
+}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -290,6 +290,8 @@
 		h.log.ReportOmitted()
 		h.logOverloads(now)
 	})
+	cancelSweep := h.opts.Timer.Every(reserver.SweepInterval, h.sweep)
+	context.AfterFunc(h.ctx, cancelSweep)
 	context.AfterFunc(h.ctx, cancelTick)
 	context.AfterFunc(h.ctx, cancelAccount)
 	context.AfterFunc(h.ctx, cancelLending)
