forwarder: Take no reset beside an upload for the end of an answer

A server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: an answer without a length ends with its connection, and the kernel reports a reset once. A body of more than 16 KiB is written by a goroutine of its own; if its write gets the error, the read that follows finds an orderly end.

At such an end the writer is stopped and asked: if it failed in any way but by being stopped, the answer has been broken off. Weighed and left out: the connection's state by TCP_INFO, which is not to be had everywhere.

--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -533,12 +533,33 @@
 // Read reads the body. It returns io.EOF only after the complete body.
 func (r *Reply) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	if err == io.EOF && r.Framing == FramingConnection {
+		err = r.connectionEnd()
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
 	return n, err
 }
 
+// connectionEnd returns io.EOF if the upstream has closed the connection, and an error if it has reset it. The kernel reports a
+// reset once: if a write of the request gets the error, reads only find the end.
+func (r *Reply) connectionEnd() error {
+	if r.written == nil {
+		return io.EOF
+	}
+	_ = r.conn.conn.SetWriteDeadline(past) // the rest of the request is of no use; the connection is not used again
+	err := <-r.written
+	r.written <- err
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return io.EOF
+	}
+	return errors.Wrap(io.ErrUnexpectedEOF, "forwarder: the connection ended while the request was written: "+err.Error())
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // Close ends the call. The connection is kept if the answer was read completely and
 // the upstream can read another request from it.
 func (r *Reply) Close() {
