forwarder: State in one place what makes a response an answer

A server in trouble answered with the status 000, and the caller got what stood in its body as an answer. A server answered with a blank in the name of a field, and the caller got the answer with that line passed on, or with a body that was not the server's.

Cause: package http reads more than answers. A status below 100 is taken, and the pool took every status below 200 for an interim answer, so that the body behind it was read as the next head. A name with a blank is kept as it is: the line is passed on, and 'Content-Length :' is no Content-Length, so that all bytes up to the end of the connection are the body. 101 was taken though nobody had asked for it.

Package internal/verifier states what makes an answer: HTTP/1.0 or 1.1, a status from 100 to 599, 101 only to a request to upgrade, names that are tokens, in trailers and interim answers too. The pool checks each response, for upstreams, hosts that requests are passed on to, stores of kept context and the probe; the attempt has failed as malformed, it may have run, and its connection is not used again. A transport checks those of package http's clients: the platform's store, the built-in log, upstreams of the built-in deployment, the client of callers, and the handshake between hosts.

Weighed and left out: a length beside chunks, which package http removes before it can be seen, and which RFC 9112 lets chunks override.

--- a/caller/client.go
+++ b/caller/client.go
@@ -27,6 +27,7 @@
 
 	"github.com/pkg/errors"
 
+	"amaranthgate.example/amaranthgate/internal/verifier"
 	"amaranthgate.example/amaranthgate/server"
 )
 
@@ -53,7 +54,7 @@
 	if opts.Transport == nil {
 		opts.Transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
 	}
-	return &Client{opts: opts, http: &http.Client{Transport: opts.Transport}}
+	return &Client{opts: opts, http: &http.Client{Transport: verifier.Transport{RoundTripper: opts.Transport}}}
 }
 
 // addressTimeout limits the lookup at one seed address.
--- a/connector/log.go
+++ b/connector/log.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"amaranthgate.example/amaranthgate/internal/verifier"
 	"amaranthgate.example/amaranthgate/replayer"
 )
 
@@ -40,7 +41,7 @@
 }
 
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: verifier.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}}
 }
 
 // Append appends a record to a stream and returns its offset. After an error the
--- a/forwarder/confirm.go
+++ b/forwarder/confirm.go
@@ -26,7 +26,7 @@
 		return false, err
 	}
 	resp, err := r.readUntil(call, func(status int) bool {
-		return status == http.StatusContinue || status >= http.StatusOK || status == http.StatusSwitchingProtocols
+		return status == http.StatusContinue || status >= http.StatusOK
 	})
 	switch {
 	case err != nil:
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"amaranthgate.example/amaranthgate/internal/dialer"
+	"amaranthgate.example/amaranthgate/internal/verifier"
 	"amaranthgate.example/amaranthgate/timer"
 )
 
@@ -146,7 +147,7 @@
 
 	pool       *Pool
 	conn       *pooledConn
-	body       io.ReadCloser
+	response   *http.Response // response has the body, and its trailer once it has been read.
 	stop       func() bool
 	written    chan error // written receives the result of writing a large request body; otherwise nil.
 	closeAfter bool       // closeAfter means that the connection cannot be reused.
@@ -256,6 +257,8 @@
 		fail.Cause = CauseCallerGone
 	case ran == RanNo && errors.Is(err, os.ErrDeadlineExceeded):
 		fail.Cause = CauseConnect
+	case verifier.IsError(err):
+		fail.Cause = CauseMalformed
 	}
 	return nil, fail
 }
@@ -504,13 +507,13 @@
 	}
 	r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
 	r.Framing = framingOf(resp)
-	r.body, r.closeAfter = resp.Body, resp.Close || r.Framing == FramingConnection || call.Alone
+	r.response, r.closeAfter = resp, resp.Close || r.Framing == FramingConnection || call.Alone
 	return true
 }
 
 // readHeader reads the status line and header of the next final answer.
 func (r *Reply) readHeader(call *Call) (*http.Response, error) {
-	return r.readUntil(call, func(status int) bool { return status >= http.StatusOK || status == http.StatusSwitchingProtocols })
+	return r.readUntil(call, func(status int) bool { return status >= http.StatusOK })
 }
 
 // readUntil reads status lines and headers until one has a status that is wanted.
@@ -519,6 +522,9 @@
 	defer r.conn.bounds.unbound()
 	for range maxInterimAnswers + 1 {
 		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: call.Method})
+		if err == nil {
+			err = verifier.Check(resp)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -532,10 +538,13 @@
 
 // Read reads the body. It returns io.EOF only after the complete body.
 func (r *Reply) Read(b []byte) (int, error) {
-	n, err := r.body.Read(b)
+	n, err := r.response.Body.Read(b)
 	if err == io.EOF && r.Framing == FramingConnection {
 		err = r.connectionEnd()
 	}
+	if err == io.EOF {
+		err = r.trailerEnd()
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
@@ -557,6 +566,14 @@
 	return errors.Wrap(io.ErrUnexpectedEOF, "forwarder: the connection ended while the request was written: "+err.Error())
 }
 
+// trailerEnd returns io.EOF unless the trailer is not that of an answer.
+func (r *Reply) trailerEnd() error {
+	if err := verifier.CheckTrailer(r.response); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -130,7 +130,7 @@
 		forwarder: New(Options{}),
 		attempt:   &Attempt{Nonce: "N-01", Interval: time.Minute},
 		ctx:       ctx, cancel: cancel, watchdog: newWatchdog(time.Minute, cancel),
-		reply: &Reply{body: &repeatedEvent{event: event, left: b.N}},
+		reply: &Reply{response: &http.Response{Body: &repeatedEvent{event: event, left: b.N}}},
 	}
 	b.ReportAllocs()
 	r.Stream(discard{})
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthgate.example/amaranthgate/internal/dialer"
+	"amaranthgate.example/amaranthgate/internal/verifier"
 	"amaranthgate.example/amaranthgate/logger"
 )
 
@@ -99,9 +100,9 @@
 		opts.MaxBackoff = defaultMaxBackoff
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: verifier.Transport{RoundTripper: &http.Transport{
 		DialContext: dialer.New(dialer.Options{Timeout: connectTimeout}).DialContext, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}}}
 	return &Messenger{opts: opts, http: client, ctx: ctx, cancel: cancel, links: make(map[string]*link)}
 }
 
--- a/runner/poll.go
+++ b/runner/poll.go
@@ -17,6 +17,7 @@
 
 	"amaranthgate.example/amaranthgate/configurer"
 	"amaranthgate.example/amaranthgate/controller"
+	"amaranthgate.example/amaranthgate/internal/verifier"
 	"amaranthgate.example/amaranthgate/internal/wire"
 	"amaranthgate.example/amaranthgate/logger"
 )
@@ -44,7 +45,7 @@
 
 // pollLoads polls the load of the upstreams that this host watches.
 func (h *Host) pollLoads() {
-	client := &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Timeout: loadTimeout, Transport: verifier.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	for h.ctx.Err() == nil {
 		var watched []configurer.Upstream
 		h.loop.do(func(_ time.Time, n *controller.Node) { watched = n.Watched() })
@@ -103,7 +104,7 @@
 // pollCaches polls the cache events of the upstreams that this host issues orders
 // to.
 func (h *Host) pollCaches() {
-	client := &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Timeout: loadTimeout, Transport: verifier.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	for h.ctx.Err() == nil {
 		var requests []controller.CacheRequest
 		h.loop.do(func(_ time.Time, n *controller.Node) { requests = n.CacheRequests() })
@@ -142,7 +143,7 @@
 // plane's bound.
 const orderTimeout = time.Second
 
-var orderClient = &http.Client{Timeout: orderTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+var orderClient = &http.Client{Timeout: orderTimeout, Transport: verifier.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
 
 // issueOrder sends an order to an upstream unless the lease has expired.
 func (h *Host) issueOrder(a controller.SendOrder) {
