placer: Count small parts of prompts as a block of an engine's memory

Callers choose the names and tokens of the parts of a prompt, up to 3,500 in a legal head. The estimate of what engines cache forgets parts only when their tokens exceed the engine's memory, so that parts of no tokens stay for good: each request adds up to 3,500 entries to a host's memory and to those of hosts that it reports to. Parts of one token stay up to 67,711 for each engine.

A part now counts as a block of 16 tokens at least, as engines keep them, so that an engine has at most 4,232 of them. Larger parts count as before.

--- a/placer/cache.go
+++ b/placer/cache.go
@@ -10,7 +10,7 @@
 // a prefill but does not affect correctness.
 type cacheEstimate struct {
 	parts  map[PartKey]cachedPart
-	tokens int
+	tokens int        // tokens is the memory that the parts take.
 	engine *target    // engine is the engine whose cache it is.
 	index  cacheIndex // index is updated with each change.
 }
@@ -20,6 +20,13 @@
 	used   time.Time
 }
 
+// blockTokens is the least memory that a part takes in an engine, in tokens: engines keep parts by blocks. It bounds the number of
+// parts, whose names and tokens callers choose.
+const blockTokens = 16
+
+// memory returns the memory that the part takes, in tokens.
+func (p cachedPart) memory() int { return max(p.tokens, blockTokens) }
+
 func (s *cacheEstimate) has(k PartKey) bool {
 	_, ok := s.parts[k]
 	return ok
@@ -35,7 +42,7 @@
 		return
 	}
 	s.parts[k] = cachedPart{tokens: tokens, used: now}
-	s.tokens += tokens
+	s.tokens += s.parts[k].memory()
 	s.index.add(k, s.engine)
 	for s.tokens > capacity && len(s.parts) > 1 {
 		s.dropOldest(k)
@@ -59,7 +66,7 @@
 
 func (s *cacheEstimate) drop(k PartKey) {
 	if p, ok := s.parts[k]; ok {
-		s.tokens -= p.tokens
+		s.tokens -= p.memory()
 		delete(s.parts, k)
 		s.index.remove(k, s.engine)
 	}
