conductor: Break off answers that their callers do not read

A caller that does not read its answer holds the connection, the request's body, its header and up to 256 KiB of the answer for as long as it likes: a write has no deadline, and the deadline of the request does not end it.

Each 32 KiB of an answer may now stay unread for a minute (Timing.Unread), so that a slow reader keeps its answer and one that has stopped loses it. The answer ends incomplete, which its framing or a reset shows.

conductor.TestUnreadAnswerEnds: the handler is still in its write after 30 s before; now it ends, and a caller that reads 16 MB slower than the limit for one part gets all of it.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -339,7 +339,7 @@
 		server.MaxHeaderBytes += passageHeaderBytes
 	}
 	requests.watch(server)
-	l = countingListener{Listener: l, requests: requests, budget: h.budgets[name]}
+	l = countingListener{Listener: l, requests: requests, budget: h.budgets[name], unread: h.opts.Timing.Unread}
 	h.servers = append(h.servers, server)
 	h.spawn(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/conductor/requestcounter.go
+++ b/conductor/requestcounter.go
@@ -61,6 +61,8 @@
 	// maxLinger and maxLingerBytes bound for how long a connection whose answer has been written is read, and how much.
 	maxLinger      = 10 * time.Second
 	maxLingerBytes = 16 << 20
+	// unreadBytes is the part of an answer that a caller must read in the time for unread answers.
+	unreadBytes = 32 << 10
 	// lingerBufferBytes is the size of the buffer for what is thrown away.
 	lingerBufferBytes = 4096
 )
@@ -70,6 +72,7 @@
 	*net.TCPConn
 	requests *requestCounter
 	claim    *reserver.Claim // claim is nil if nothing bounds what the connection holds.
+	unread   time.Duration   // unread is how long unreadBytes of an answer may stay unread; 0 for no limit.
 	writing  atomic.Bool     // writing reports that a part of the answer is being written.
 	stalled  atomic.Bool     // stalled reports that the request lost its memory to another one.
 	refused  atomic.Bool     // refused reports that a part of a head was thrown away, so that nothing more is read.
@@ -106,7 +109,21 @@
 	}
 	c.writing.Store(true)
 	defer c.writing.Store(false)
-	return c.TCPConn.Write(b)
+	if c.unread == 0 {
+		return c.TCPConn.Write(b)
+	}
+	written := 0
+	for written < len(b) {
+		if err := c.SetWriteDeadline(time.Now().Add(c.unread)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(b[written:min(len(b), written+unreadBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
 
 // Close implements net.Conn. It does not block. What has been received but not read makes a close reset the connection,
@@ -237,6 +254,7 @@
 	net.Listener
 	requests *requestCounter
 	budget   *reserver.Budget // budget is nil if nothing bounds the connections.
+	unread   time.Duration    // unread is that of the connections.
 }
 
 // Accept implements net.Listener.
@@ -246,7 +264,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &connection{TCPConn: conn.(*net.TCPConn), requests: l.requests}
+		c := &connection{TCPConn: conn.(*net.TCPConn), requests: l.requests, unread: l.unread}
 		if l.budget == nil || c.open(l.budget) {
 			return c, nil
 		}
--- a/conductor/reservation_test.go
+++ b/conductor/reservation_test.go
@@ -22,13 +22,20 @@
 
 // serveWithin starts a server whose connections reserve from a budget, and returns its address.
 func serveWithin(t *testing.T, b *reserver.Budget, h http.HandlerFunc) string {
+	t.Helper()
+	return serveOn(t, countingListener{budget: b}, h)
+}
+
+// serveOn is serveWithin with the options of a listener.
+func serveOn(t *testing.T, options countingListener, h http.HandlerFunc) string {
 	t.Helper()
 	requests := &requestCounter{}
 	server := &http.Server{Handler: h}
 	requests.watch(server)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go func() { _ = server.Serve(countingListener{Listener: l, requests: requests, budget: b}) }()
+	options.Listener, options.requests = l, requests
+	go func() { _ = server.Serve(options) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
@@ -89,6 +96,44 @@
 	assert.Equal(t, strings.Count(string(answer), "HTTP/1.1"), 1, "%s", answer)
 }
 
+// TestUnreadAnswerEnds guards against an answer that a caller never reads and that a host holds for good, and against one that is cut
+// since it is read slowly.
+func TestUnreadAnswerEnds(t *testing.T) {
+	const length = 16 << 20
+	ended := make(chan error, 2)
+	address := serveOn(t, countingListener{unread: 2 * time.Second}, func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, length))
+		ended <- err
+	})
+	ask := func() net.Conn {
+		conn, err := net.Dial("tcp4", address)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		assert.NilError(t, err)
+		return conn
+	}
+	ask()
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(30 * time.Second):
+		t.Fatal("the answer is still held")
+	}
+	slow, read := ask(), int64(0)
+	for {
+		n, err := io.CopyN(io.Discard, slow, 1<<20)
+		read += n
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(t, err)
+		time.Sleep(150 * time.Millisecond)
+	}
+	assert.NilError(t, <-ended)
+	assert.Assert(t, read > length, "%d", read)
+}
+
 // TestHeadCosts checks what parts of heads take.
 func TestHeadCosts(t *testing.T) {
 	text, err := os.ReadFile("testdata/headcosts.jsonc")
--- a/conductor/timing.go
+++ b/conductor/timing.go
@@ -31,6 +31,8 @@
 	PageRequestInterval time.Duration // PageRequestInterval is the least time between requests to peers for a page.
 	ListingInterval     time.Duration // ListingInterval is the same for a whole listing in a large fleet.
 
+	Unread time.Duration // Unread is how long a part of an answer may stay unread by its caller.
+
 	// LeaseTerm is how long the updater's lease lasts without renewal. After its holder dies, the
 	// next order follows LeaseTerm, the handover gap and LeaseMargin later. These times and the
 	// loads must fit into the time in which engines are to be updated.
@@ -64,6 +66,7 @@
 		MaxLag:              150 * time.Millisecond,
 		PageRequestInterval: 300 * time.Millisecond,
 		ListingInterval:     1200 * time.Millisecond,
+		Unread:              time.Minute,
 		LeaseTerm:           time.Second,
 		LeaseMargin:         200 * time.Millisecond,
 	}
