platform: Judge requests with long bodies by their heads

A caller without a valid key made a host read and hold bodies of the full size before it was refused: the route and the key are looked up once the whole body is in memory.

A request with a body of more than 16 KiB, or of unknown length, is now judged by its head first, with the view that the host has; if the route or the key is not configured it gets its 404 or 401 at once, the connection is closed, and the rest of the body is thrown away. With a shorter body the refusal follows the body, as before, so that the connection can be used again. A host without a view, or with one older than that of the host that passed the request on, judges later.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -171,6 +171,11 @@
 	c.attempts(&o)
 }
 
+// refusedUnread counts a request that was refused before its body was read.
+func (c *counters) refusedUnread(r exchanger.Refusal) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`amaranthgate_requests_total{reason=%q,class="%dxx"}`, string(r.Reason), r.Status/100)).Inc()
+}
+
 // resumed counts a stream that its caller took up, by how its origin was known, and why it was refused if it was.
 func (c *counters) resumed(o *exchanger.Outcome) {
 	source := cmp.Or(string(o.Finding.Source), "None")
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -370,6 +370,15 @@
 	h.logRequest(r, o)
 }
 
+// Judge returns the refusal of a request that need not be read to its end, if there is one.
+func (h *Host) Judge(r *exchanger.Request) (exchanger.Refusal, bool) {
+	refusal, refused := h.exchanger.Judge(r)
+	if refused {
+		h.counters.refusedUnread(refusal)
+	}
+	return refusal, refused
+}
+
 // noteActive notes that a request has arrived or ended.
 func (h *Host) noteActive() { h.lastActive.Store(int64(h.opts.Timer.Now().Sub(h.started))) }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -160,6 +160,26 @@
 	return o
 }
 
+// Judge returns the refusal of a request whose route or key is not configured, as far as this host knows; false if there is none.
+// The body need not have been read.
+func (x *Exchanger) Judge(r *Request) (Refusal, bool) {
+	e := &exchange{Exchanger: x, request: r, view: x.opts.Views.Load()}
+	if !e.ready() {
+		return Refusal{}, false
+	}
+	route, ok := e.view.Table.Route(r.Host, r.Path)
+	switch {
+	case !ok:
+		return Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute}, true
+	case !e.view.Table.RequiresKeys() || route.Public:
+		return Refusal{}, false
+	}
+	if _, ok := e.view.Table.Workspace(r.Key); !ok {
+		return Refusal{Status: http.StatusUnauthorized, Reason: ReasonNoKey}, true
+	}
+	return Refusal{}, false
+}
+
 type handler = dispatcher.Handler[*exchange, Outcome]
 
 const (
--- a/internal/commander/platform.go
+++ b/internal/commander/platform.go
@@ -88,6 +88,7 @@
 				Closing:   h.Closing,
 				Stopped:   h.Stopped,
 				BodyBytes: h.BodyBytes,
+				Judge:     h.Judge,
 				Signer:    passing,
 				Reservation: func(ctx context.Context) platform.Reservation {
 					return h.Reservation(ctx)
