conductor: Log the first 64 bytes of callers' IDs

A caller chooses the length of its request ID and of the names of parts, up to the whole head, and each line of its request repeats them: 30 KB for a line with both. Up to 4,096 lines wait while the reader of the log is slow, 61 MB of IDs of 15 KB.

Lines have the first 64 bytes, as those of stream IDs had already.

--- a/conductor/notices.go
+++ b/conductor/notices.go
@@ -48,7 +48,7 @@
 
 // logNotice begins a line about what an upstream has said in the answer to an attempt.
 func (h *Host) logNotice(n *exchanger.Notice, instance string) *zerolog.Event {
-	return h.log.StateChange().Str("Upstream", instance).Str("RequestID", n.RequestID).Int("Number", n.Attempt).Dur("Age", n.At.Sub(n.Sent))
+	return h.log.StateChange().Str("Upstream", instance).Str("RequestID", loggedID(n.RequestID)).Int("Number", n.Attempt).Dur("Age", n.At.Sub(n.Sent))
 }
 
 // noticeRest handles an upstream that asks this host for rest.
--- a/conductor/requestlog.go
+++ b/conductor/requestlog.go
@@ -30,7 +30,7 @@
 	if !ev.Enabled() {
 		return
 	}
-	ev.Str("RequestID", r.ID).Uint64("Configuration", v.Table.Version()).
+	ev.Str("RequestID", loggedID(r.ID)).Uint64("Configuration", v.Table.Version()).
 		EmbedObject((*attempt)(c)).Msg(logger.UpstreamChosen)
 }
 
@@ -45,7 +45,7 @@
 	if !ev.Enabled() {
 		return
 	}
-	ev.Str("RequestID", r.ID).Int("Status", o.Status).Str("Route", o.Route)
+	ev.Str("RequestID", loggedID(r.ID)).Int("Status", o.Status).Str("Route", o.Route)
 	if failed && o.Identity != (quarantiner.Identity{}) {
 		ev.Stringer("Identity", o.Identity)
 	}
@@ -53,7 +53,7 @@
 		ev.Str("Reason", string(o.Reason)).Str("Detail", o.Detail)
 	}
 	if o.BarredPart != "" {
-		ev.Str("Part", o.BarredPart)
+		ev.Str("Part", loggedID(o.BarredPart))
 	}
 	if failed && len(o.Choices) > 0 {
 		ev.Array("Attempts", attempts(o.Choices))
@@ -66,7 +66,7 @@
 	}
 	if o.Resumed {
 		f := &o.Finding
-		ev.Str("StreamID", r.StreamID[:min(len(r.StreamID), maxLoggedID)]).Str("Source", string(f.Source)).Dur("Known", f.Age).
+		ev.Str("StreamID", loggedID(r.StreamID)).Str("Source", string(f.Source)).Dur("Known", f.Age).
 			Int("Asked", f.Asked).Int("Answered", f.Answered).Bool("Ambiguous", f.Ambiguous).Dur("Found", f.Took)
 	}
 	if r.PassedBy != "" {
@@ -99,7 +99,7 @@
 			continue
 		}
 		h.counters.skippedBytes(a.Trace.ForeignBytes)
-		h.log.Failure().Str("RequestID", r.ID).Object("Attempt", (*result)(a)).Msg(logger.AnswersSkipped)
+		h.log.Failure().Str("RequestID", loggedID(r.ID)).Object("Attempt", (*result)(a)).Msg(logger.AnswersSkipped)
 	}
 }
 
@@ -138,10 +138,13 @@
 // maxLoggedID bounds the part of an ID of a caller that is logged.
 const maxLoggedID = 64
 
+// loggedID returns the part of an ID of a caller that is logged. Lines wait in memory while the reader of the log is slow.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // logUpstreamEnded logs an upstream that ended while serving a request.
 func (h *Host) logUpstreamEnded(e exchanger.Ended) {
 	h.counters.upstreamEnded()
-	h.log.Failure().Str("RequestID", e.RequestID).Stringer("Identity", e.Identity).
+	h.log.Failure().Str("RequestID", loggedID(e.RequestID)).Stringer("Identity", e.Identity).
 		Str("Upstream", e.Upstream.InstanceID()).Strs("Parts", e.Parts).Bool("Begun", e.Begun).Msg(logger.UpstreamEnded)
 }
 
@@ -151,7 +154,7 @@
 	if e.Ending == exchanger.EndingFramed {
 		return
 	}
-	ev := h.log.Failure().Str("RequestID", e.RequestID)
+	ev := h.log.Failure().Str("RequestID", loggedID(e.RequestID))
 	if e.PassedTo != "" {
 		ev.Str("PassedTo", e.PassedTo)
 	} else {
