conductor: Accept no body that can never find room

The budget of callers refuses a body of more than three quarters of it with 503, however calm the host is: the caller is told to come back, and is never served. On the deployments in force the limit of the configuration, 4 MB, is far below that (16 MB at 88 MB of memory), but an operator may set more.

The largest body accepted is now half of the largest reservation, since a buffer may be twice as long as a body of unknown length, or max_body_bytes if that is less; a larger one gets 413. The settings accept less memory than before, for machines smaller than those known, and each listener keeps 8 connections.

--- a/conductor/budgets.go
+++ b/conductor/budgets.go
@@ -48,6 +48,10 @@
 	// collectorShare is the part of the memory above which the garbage collector runs more often.
 	collectorShare = 0.75
 	megabyte       = 1_000_000
+	// minConnections is the least number of connections of a listener.
+	minConnections = 8
+	// bufferFactor is how many times the length of a body its buffer may be.
+	bufferFactor = 2
 )
 
 // memoryOf returns the memory that the process may use, in bytes; 0 if it is not known.
@@ -83,11 +87,17 @@
 		if n := int(s.connections * float64(descriptors)); descriptors > 0 && (memory == 0 || n < connections) {
 			connections = n
 		}
+		if connections > 0 {
+			connections = max(connections, minConnections)
+		}
 		out[name] = reserver.New(reserver.Options{Bytes: int64(s.bytes * float64(memory)), Connections: connections})
 	}
 	return out
 }
 
+// largestBody returns the largest body that finds room while no other caller holds anything; 0 for no limit.
+func largestBody(b *reserver.Budget) int64 { return b.Largest() / bufferFactor }
+
 // limitMemory makes the garbage collector keep the process within its memory, if the settings state it.
 func limitMemory(l loader.Limits) {
 	if l.MemoryMB > 0 {
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -397,12 +397,16 @@
 // Stopped returns the context that ends as this host ends requests.
 func (h *Host) Stopped() context.Context { return h.exchanger.Stopped() }
 
-// BodyBytes returns the largest request body accepted.
+// BodyBytes returns the largest request body accepted. A larger one than finds room would be refused for ever as one that may
+// come back.
 func (h *Host) BodyBytes() int64 {
 	limits := matcher.Limits{BodyBytes: h.opts.Settings.Limits.BodyBytes}
 	if t := h.view.Load().Table; t != nil && t.Limits().BodyBytes > 0 {
 		limits = t.Limits()
 	}
+	if largest := largestBody(h.budgets[listenerCallers]); largest > 0 {
+		return min(limits.BodyBytes, largest)
+	}
 	return limits.BodyBytes
 }
 
--- a/conductor/reservation_test.go
+++ b/conductor/reservation_test.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// TestLargestBodyFindsRoom guards against a body that is within the limits and refused for want of room in calm.
+func TestLargestBodyFindsRoom(t *testing.T) {
+	for _, memory := range []int{16, 88, 134, 536} {
+		b := newBudgets(loader.Limits{MemoryMB: memory, Descriptors: 4100})[listenerCallers]
+		c := b.Open(time.Now(), func(reserver.Eviction) {})
+		for size := int64(4 << 10); ; size *= bufferFactor {
+			assert.Assert(t, c.Grow(time.Now(), size), "%d MB, %d bytes", memory, size)
+			if size >= largestBody(b)/bufferFactor {
+				break
+			}
+		}
+	}
+}
+
 // TestSharesLeaveRoomForTheHost guards against listeners whose connections together take what the host needs itself.
 func TestSharesLeaveRoomForTheHost(t *testing.T) {
 	var sum share
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -32,7 +33,7 @@
 				_, _ = io.WriteString(server, strings.ReplaceAll(text, "|", "\r\n"))
 			}
 		}()
-		c := http.Client{Transport: Transport{&http.Transport{Dial: func(string, string) (net.Conn, error) { return client, nil }}}}
+		c := http.Client{Transport: Transport{&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return client, nil }}}}
 		resp, err := c.Get("http://server/")
 		if err == nil {
 			_ = resp.Body.Close()
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -26,10 +26,8 @@
 const minSecretBytes = 16
 
 const (
-	// minMemoryMB is about twice what a process without callers uses, in units of 10^6 bytes.
-	minMemoryMB = 64
-	// minDescriptors leaves a host some connections to each of its listeners.
-	minDescriptors = 256
+	minMemoryMB    = 16 // minMemoryMB is in units of 10^6 bytes; less is taken for another unit.
+	minDescriptors = 64
 )
 
 // Settings are the local settings of one process.
--- a/reserver/budget.go
+++ b/reserver/budget.go
@@ -92,6 +92,9 @@
 	return &Budget{opts: opts, claims: make(map[*Claim]struct{}), evicted: make(map[Eviction]uint64), refused: make(map[Refusal]uint64)}
 }
 
+// Largest returns the largest number of bytes that one claim can hold; 0 for no limit.
+func (b *Budget) Largest() int64 { return int64(largeShare * float64(b.opts.Bytes)) }
+
 // Open returns the claim of a new connection, or nil if there is no room for it. The function evict is called if the claim loses
 // what it holds to another one, or is overdue. It must not block, nor call the budget.
 func (b *Budget) Open(now time.Time, evict func(e Eviction)) *Claim {
@@ -152,7 +155,7 @@
 func (b *Budget) reserveLocked(now time.Time, c *Claim, bytes int64) bool {
 	limit := b.opts.Bytes
 	if c.bytes+bytes > SmallBytes {
-		limit = int64(largeShare * float64(limit))
+		limit = b.Largest()
 	}
 	for b.opts.Bytes > 0 && b.held+bytes > limit {
 		victim := b.longestStalledLocked(now, c)
