conductor: Let all hosts of a fleet connect to one host at once

The listener for hosts may have 820 connections at 4,100 descriptors, and 468 at 184 MB. Connections over which messages are sent do not count, but those whose handshake is still being read do: as a fleet of 985 hosts starts, a slow host would close those that have waited longest, and their hosts would dial again.

The listener has a quarter of the descriptors and an eighth of the memory now, 1,025 connections at 160 MB.

--- a/conductor/budgets.go
+++ b/conductor/budgets.go
@@ -36,7 +36,7 @@
 // the store, and the overhead of the garbage collector. Connections over which other hosts send messages do not count.
 var shares = map[listener]share{
 	listenerCallers:   {bytes: 1. / 4, connections: 2. / 5, open: 1. / 12},
-	listenerPeers:     {bytes: 1. / 8, connections: 1. / 5, open: 1. / 24},
+	listenerPeers:     {bytes: 1. / 8, connections: 1. / 4, open: 1. / 8}, // all hosts of a fleet may connect at once
 	listenerDirectory: {bytes: 1. / 32, connections: 1. / 20, open: 1. / 96},
 	listenerReady:     {bytes: 1. / 64, connections: 1. / 40, open: 1. / 192},
 	listenerOperators: {bytes: 1. / 32, connections: 1. / 40, open: 1. / 192},
--- a/conductor/reservation_test.go
+++ b/conductor/reservation_test.go
@@ -180,12 +180,14 @@
 		sum.open += s.open
 	}
 	assert.Assert(t, sum.bytes+sum.open < collectorShare && sum.connections <= 0.75, "%+v", sum)
-	for name, b := range newBudgets(loader.Limits{MemoryMB: 134, Descriptors: 4100}) {
+	for name, b := range newBudgets(loader.Limits{MemoryMB: 160, Descriptors: 4100}) {
 		conns := 0
 		for b.Open(time.Now(), func(reserver.Eviction) {}) != nil && b.Stats().Evicted[reserver.EvictedConnections] == 0 {
 			conns++
 		}
-		t.Logf("%s: %d connections", name, conns)
+		if name == listenerPeers {
+			assert.Assert(t, conns >= 984, "%d", conns) // as many other hosts as in the largest fleet may connect at once
+		}
 		assert.Assert(t, conns > 20, "%s", name)
 	}
 }
